Serve a request from end to end through separate processes

Both example deployments run through entry processes, stand-ins for the engines, pools, services and the platform, with a streamed and a whole answer.

Cause: the first stream of each connection waited for its read timeout, because the terminating chunk arrives in a read of its own and was not recognised. Conclusion: the end of a stream is looked for in the rest after whole events.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,34 @@
+# Each target sets up its own virtual environment on first use.
+VENV := .venv
+PY := $(VENV)/bin/python
+PYTHON ?= python3
+
+.PHONY: demo test lint format bench binary clean
+
+$(VENV)/.ready: requirements.txt requirements-dev.txt
+	$(PYTHON) -m venv $(VENV)
+	$(PY) -m pip install --quiet --disable-pip-version-check -r requirements-dev.txt
+	touch $@
+
+demo: $(VENV)/.ready
+	$(PY) -m savoryspar demo
+
+test: $(VENV)/.ready
+	$(PY) -m pytest -q -n 4 --dist loadfile tests
+
+lint: $(VENV)/.ready
+	$(PY) -m ruff check .
+	$(PY) -m ruff format --check .
+
+format: $(VENV)/.ready
+	$(PY) -m ruff check --fix .
+	$(PY) -m ruff format .
+
+bench: $(VENV)/.ready
+	$(PY) -m savoryspar bench all
+
+binary: $(VENV)/.ready
+	$(PY) -m savoryspar_build
+ 
+clean:
+	rm -rf $(VENV) build dist .pytest_cache .ruff_cache .hypothesis
--- /dev/null
+++ b/savoryspar/backends/__init__.py
@@ -0,0 +1,11 @@
+"""HTTP clients of backend servers."""
+
+from savoryspar.backends.client import Client, new_client
+from savoryspar.backends.exceptions import (
+    BackendError,
+    CallRefusedError,
+    CallUnknownError,
+    StreamBrokenError,
+)
+from savoryspar.backends.model import Server, StageCall, StageResult
+from savoryspar.backends.relay import EngineStream, split_events
--- /dev/null
+++ b/savoryspar/backends/client.py
@@ -0,0 +1,167 @@
+"""Calls backend servers over HTTP with reused connections."""
+
+import json
+
+import urllib3
+
+from savoryspar.backends import exceptions, model, relay
+
+CONNECT_TIMEOUT_S = 0.5
+CONNECTIONS_PER_SERVER = 64
+NOT_RUN_STATUSES = frozenset({409, 429, 503})
+
+
+class Client:
+    """Calls any backend server; one connection pool per server address."""
+
+    __slots__ = ("_pool",)
+
+    def __init__(self, pool: urllib3.PoolManager):
+        self._pool = pool
+
+    def call(
+        self, server: model.Server, call: model.StageCall
+    ) -> model.StageResult:
+        """Runs a stage and returns its whole answer.
+
+        Raises:
+            CallRefusedError: The call did not run.
+            CallUnknownError: The call may have run.
+        """
+        resp = self._send(server, call, preload_content=True)
+        _check_status(server, resp)
+        _check_attempt(server, call, resp)
+        try:
+            output = json.loads(resp.data)
+        except ValueError as exc:
+            raise exceptions.CallUnknownError(
+                server.name,
+                f"the answer is not JSON: {exc}",
+                "check the backend server",
+                has_sent=True,
+            ) from exc
+        return model.StageResult(output, _load(resp), _is_leaving(resp))
+
+    def open_stream(
+        self, server: model.Server, call: model.StageCall
+    ) -> relay.EngineStream:
+        """Starts a streamed generation and returns it after its headers.
+
+        Raises:
+            CallRefusedError: The call did not run.
+            CallUnknownError: The call may have run.
+        """
+        resp = self._send(server, call, preload_content=False)
+        try:
+            _check_status(server, resp)
+            _check_attempt(server, call, resp)
+        except exceptions.BackendError:
+            resp.close()
+            raise
+        return relay.new_engine_stream(
+            server.name, resp, _load(resp), _is_leaving(resp)
+        )
+
+    def _send(
+        self,
+        server: model.Server,
+        call: model.StageCall,
+        preload_content: bool,
+    ) -> urllib3.BaseHTTPResponse:
+        headers = {
+            "Content-Type": "application/json",
+            "X-Attempt-Id": call.attempt_id,
+            "X-Request-Id": call.request_id,
+            "X-Deadline-Ms": str(int(call.timeout_s * 1000)),
+        }
+        if call.idempotency_key:
+            headers["Idempotency-Key"] = call.idempotency_key
+        timeout = urllib3.Timeout(
+            connect=min(CONNECT_TIMEOUT_S, call.timeout_s), read=call.timeout_s
+        )
+        try:
+            return self._pool.request(
+                "POST",
+                f"http://{server.address}{call.path}",
+                body=json.dumps(call.body).encode(),
+                headers=headers,
+                timeout=timeout,
+                retries=False,
+                preload_content=preload_content,
+            )
+        except (
+            urllib3.exceptions.NewConnectionError,
+            urllib3.exceptions.ConnectTimeoutError,
+        ) as exc:
+            raise exceptions.CallRefusedError(
+                server.name,
+                f"no connection: {exc}",
+                "check that the server runs",
+                has_sent=False,
+            ) from exc
+        except urllib3.exceptions.ReadTimeoutError as exc:
+            raise exceptions.CallUnknownError(
+                server.name,
+                "no answer within the time left",
+                "ask again with the same ticket",
+                has_sent=True,
+            ) from exc
+        except urllib3.exceptions.HTTPError as exc:
+            raise exceptions.CallUnknownError(
+                server.name,
+                f"the connection broke: {exc}",
+                "ask again with the same ticket",
+                has_sent=True,
+                is_crash=True,
+            ) from exc
+
+
+def _check_status(server: model.Server, resp: urllib3.BaseHTTPResponse) -> None:
+    if resp.status == 200:
+        return
+    if resp.status in NOT_RUN_STATUSES:
+        raise exceptions.CallRefusedError(
+            server.name,
+            f"answered {resp.status}, which says that it did not run the call",
+            "retry on another server",
+            has_sent=True,
+        )
+    raise exceptions.CallUnknownError(
+        server.name,
+        f"answered {resp.status}",
+        "check the backend server",
+        has_sent=True,
+    )
+
+
+def _check_attempt(
+    server: model.Server,
+    call: model.StageCall,
+    resp: urllib3.BaseHTTPResponse,
+) -> None:
+    answered = resp.headers.get("X-Attempt-Id", "")
+    if answered != call.attempt_id:
+        raise exceptions.CallUnknownError(
+            server.name,
+            f"answered attempt {answered!r} instead of {call.attempt_id!r}",
+            "check the backend server; the answer was dropped",
+            has_sent=True,
+        )
+
+
+def _load(resp: urllib3.BaseHTTPResponse) -> int:
+    text = resp.headers.get("X-Load", "")
+    return int(text) if text.isdigit() else -1
+
+
+def _is_leaving(resp: urllib3.BaseHTTPResponse) -> bool:
+    return resp.headers.get("X-Leaving") == "1"
+
+
+def new_client() -> Client:
+    """Returns a client with connection pools of its own."""
+    return Client(
+        urllib3.PoolManager(
+            num_pools=1024, maxsize=CONNECTIONS_PER_SERVER, block=False
+        )
+    )
--- /dev/null
+++ b/savoryspar/backends/model.py
@@ -0,0 +1,84 @@
+"""Backend servers, calls to them and their results."""
+
+from typing import Any
+
+
+class Server:
+    """A backend server.
+
+    Attributes:
+        name: Unique name.
+        address: ``IP:port``.
+        region, zone: Where it is.
+        pool: Pool that it belongs to.
+    """
+
+    __slots__ = ("address", "name", "pool", "region", "zone")
+
+    def __init__(
+        self, name: str, address: str, region: str, zone: str, pool: str
+    ):
+        self.name = name
+        self.address = address
+        self.region = region
+        self.zone = zone
+        self.pool = pool
+
+
+class StageCall:
+    """One attempt to run a stage.
+
+    Attributes:
+        attempt_id: Unique ID of the attempt; the answer must repeat it.
+        request_id: Request that the attempt belongs to.
+        path: Path of the endpoint.
+        body: JSON body.
+        timeout_s: Time left for the call.
+        rank_priority: Priority for the engine, 0 is the most urgent.
+        idempotency_key: Key for services that accept one, else empty.
+    """
+
+    __slots__ = (
+        "attempt_id",
+        "body",
+        "idempotency_key",
+        "path",
+        "rank_priority",
+        "request_id",
+        "timeout_s",
+    )
+
+    def __init__(
+        self,
+        attempt_id: str,
+        request_id: str,
+        path: str,
+        body: dict[str, Any],
+        timeout_s: float,
+        rank_priority: int,
+        idempotency_key: str = "",
+    ):
+        self.attempt_id = attempt_id
+        self.request_id = request_id
+        self.path = path
+        self.body = body
+        self.timeout_s = timeout_s
+        self.rank_priority = rank_priority
+        self.idempotency_key = idempotency_key
+
+
+class StageResult:
+    """The answer to one attempt.
+
+    Attributes:
+        output: Decoded JSON answer.
+        load: Requests queued and running at the server, -1 when not reported.
+        is_leaving: Whether the server said that it is leaving.
+    """
+
+    __slots__ = ("is_leaving", "load", "output")
+
+    def __init__(self, output: dict[str, Any], load: int, is_leaving: bool):
+        self.output = output
+        self.load = load
+        self.is_leaving = is_leaving
--- /dev/null
+++ b/savoryspar/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Starts fleets of real processes and measures them."""
--- /dev/null
+++ b/savoryspar/cli/__init__.py
@@ -0,0 +1,3 @@
+"""The command line."""
+
+from savoryspar.cli.main import main
--- /dev/null
+++ b/savoryspar/cli/application.py
@@ -0,0 +1,43 @@
+"""The cleo application and its commands."""
+
+from collections.abc import Sequence
+
+from cleo import application
+from cleo.io.inputs import argv_input
+
+import savoryspar
+from savoryspar.cli import (
+    check,
+    demo,
+    entry,
+    sheet_check,
+    sheet_diff,
+    sheet_export,
+    standin,
+    version,
+)
+
+COMMANDS = (
+    check.CheckCommand,
+    demo.DemoCommand,
+    entry.EntryCommand,
+    sheet_check.SheetCheckCommand,
+    sheet_diff.SheetDiffCommand,
+    sheet_export.SheetExportCommand,
+    standin.StandinCommand,
+    version.VersionCommand,
+)
+
+
+def new_application() -> application.Application:
+    """Returns the application with all commands."""
+    app = application.Application("savoryspar", savoryspar.__version__)
+    for command in COMMANDS:
+        app.add(command())
+    app.auto_exits(False)
+    return app
+
+
+def run(argv: Sequence[str]) -> int:
+    """Runs one command and returns its exit code."""
+    return new_application().run(argv_input.ArgvInput(list(argv)))
--- /dev/null
+++ b/savoryspar/cli/exit_codes.py
@@ -0,0 +1,7 @@
+"""Exit codes of all commands."""
+
+OK = 0
+FAILED = 1
+"""A check found faults, or the task failed."""
+USAGE = 2
+"""The command line or a file it names cannot be used."""
--- /dev/null
+++ b/savoryspar/cli/sheet_diff.py
@@ -0,0 +1,36 @@
+"""``savoryspar sheet diff``."""
+
+import pathlib
+
+from cleo.commands import command
+from cleo.helpers import argument
+
+from savoryspar import sheet
+from savoryspar.cli import exit_codes
+
+
+class SheetDiffCommand(command.Command):
+    """Compare two sheets."""
+
+    name = "sheet diff"
+    description = "Print the fields that differ between two sheets in CSV."
+    arguments = [
+        argument("old", "The older CSV file."),
+        argument("new", "The newer CSV file."),
+    ]
+    help = "Example: savoryspar sheet diff yesterday.csv today.csv"
+
+    def handle(self) -> int:
+        """Runs the command."""
+        old, new = (
+            sheet.read_rows(
+                pathlib.Path(self.argument(name)).read_text("utf-8")
+            )
+            for name in ("old", "new")
+        )
+        for change in sheet.diff_rows(old, new):
+            self.line(
+                f"{change.table} {change.name} {change.field}:"
+                f" {change.old!r} -> {change.new!r}"
+            )
+        return exit_codes.OK
--- /dev/null
+++ b/savoryspar/cli/standin.py
@@ -0,0 +1,51 @@
+"""``savoryspar standin``."""
+
+from cleo.commands import command
+from cleo.helpers import argument, option
+
+from savoryspar.cli import exit_codes
+from savoryspar.standins import engine, platform, pool, wsgi
+
+
+class StandinCommand(command.Command):
+    """Run a stand-in of an outside system."""
+
+    name = "standin"
+    description = "Run a stand-in: engine, pool, service or platform."
+    arguments = [argument("kind", "engine, pool, service or platform.")]
+    options = [
+        option("name", None, "Name of the server.", flag=False, default="s1"),
+        option("port", None, "TCP port.", flag=False, default="0"),
+        option("step-ms", None, "Time per token.", flag=False, default="5"),
+        option("max-batch", None, "Batch size.", flag=False, default="16"),
+        option("work-ms", None, "Time per call.", flag=False, default="5"),
+        option("rate", None, "Calls per second.", flag=False, default="2000"),
+        option("seed", None, "Seed.", flag=False, default="1"),
+    ]
+    help = "Example: savoryspar standin engine --port 9001 --step-ms 10"
+
+    def handle(self) -> int:
+        """Runs the command."""
+        factories = {
+            "engine": lambda: engine.new_engine(
+                self.option("name"),
+                float(self.option("step-ms")),
+                int(self.option("max-batch")),
+                int(self.option("seed")),
+            ),
+            "pool": self._new_pool_server,
+            "service": self._new_pool_server,
+            "platform": lambda: platform.new_platform(int(self.option("rate"))),
+        }
+        kind = self.argument("kind")
+        if kind not in factories:
+            self.line_error(f"unknown stand-in {kind!r}; use {[*factories]}")
+            return exit_codes.USAGE
+        server = factories[kind]()
+        wsgi.serve("127.0.0.1", int(self.option("port")), server.handle)
+        return exit_codes.OK
+
+    def _new_pool_server(self) -> pool.PoolServer:
+        return pool.new_pool_server(
+            self.option("name"), float(self.option("work-ms"))
+        )
--- /dev/null
+++ b/savoryspar/conf/__init__.py
@@ -0,0 +1,5 @@
+"""Settings read from an INI file and the environment."""
+
+from savoryspar.conf.exceptions import SettingError
+from savoryspar.conf.loader import load_settings
+from savoryspar.conf.schema import SETTINGS, Section, Setting, Settings
--- /dev/null
+++ b/savoryspar/conf/converters.py
@@ -0,0 +1,85 @@
+"""Converters from the text of a setting to its value.
+
+Each raises ``ValueError`` with a message that completes "expected ...".
+"""
+
+from collections.abc import Callable
+
+
+def text(value: str) -> str:
+    """Returns the text without outer blanks; it must not be empty."""
+    stripped = value.strip()
+    if not stripped:
+        raise ValueError("a non-empty text")
+    return stripped
+
+
+def optional_text(value: str) -> str:
+    """Returns the text without outer blanks; it may be empty."""
+    return value.strip()
+
+
+def port(value: str) -> int:
+    """Returns a TCP or UDP port number."""
+    return _whole(value, 0, 65535, "a port from 0 to 65535")
+
+
+def size(value: str) -> int:
+    """Returns a positive whole number."""
+    return _whole(value, 1, 2**40, "a whole number above 0")
+
+
+def seconds(value: str) -> float:
+    """Returns a time in seconds, zero or more."""
+    return _decimal(value, 86400.0, "a time from 0 to 86400 seconds")
+
+
+def percent(value: str) -> float:
+    """Returns a percentage from 0 to 100."""
+    return _decimal(value, 100.0, "a percentage from 0 to 100")
+
+
+def boolean(value: str) -> bool:
+    """Returns True for yes, false for no."""
+    words = {"yes": True, "true": True, "no": False, "false": False}
+    try:
+        return words[value.strip().lower()]
+    except KeyError:
+        raise ValueError("yes or no") from None
+
+
+def words(value: str) -> tuple[str, ...]:
+    """Returns the words of the text, separated by blanks or commas."""
+    return tuple(value.replace(",", " ").split())
+
+
+def choice(*allowed: str) -> Callable[[str], str]:
+    """Returns a converter that accepts only the allowed words."""
+
+    def convert(value: str) -> str:
+        word = value.strip().lower()
+        if word not in allowed:
+            raise ValueError("one of " + ", ".join(allowed))
+        return word
+
+    return convert
+
+
+def _whole(value: str, low: int, high: int, expected: str) -> int:
+    try:
+        number = int(value)
+    except ValueError:
+        raise ValueError(expected) from None
+    if not low <= number <= high:
+        raise ValueError(expected)
+    return number
+
+
+def _decimal(value: str, high: float, expected: str) -> float:
+    try:
+        number = float(value)
+    except ValueError:
+        raise ValueError(expected) from None
+    if not 0.0 <= number <= high:
+        raise ValueError(expected)
+    return number
--- /dev/null
+++ b/savoryspar/conf/loader.py
@@ -0,0 +1,112 @@
+"""Reads the INI file, applies the environment and converts the values."""
+
+from collections.abc import Iterable, Mapping
+import configparser
+import difflib
+from typing import Any
+
+from savoryspar.conf import exceptions, schema
+
+ENVIRONMENT_PREFIX = "SAVORYSPAR_"
+
+
+def load_settings(path: str, environ: Mapping[str, str]) -> schema.Settings:
+    """Loads the settings of one process.
+
+    Args:
+        path: The INI file.
+        environ: Variables ``SAVORYSPAR_SECTION_KEY`` override the file.
+
+    Returns:
+        The settings, converted.
+
+    Raises:
+        ExceptionGroup: Of one ``SettingError`` for each fault found.
+    """
+    parser = configparser.ConfigParser(interpolation=None)
+    try:
+        with open(path, encoding="utf-8") as file:
+            parser.read_file(file)
+    except (OSError, configparser.Error, UnicodeDecodeError) as exc:
+        raise ExceptionGroup(
+            "settings",
+            [
+                exceptions.SettingError(
+                    "conf.E001",
+                    f"settings file {path!r} cannot be read: {exc}",
+                    "name a readable INI file with --config",
+                )
+            ],
+        ) from exc
+    texts = {
+        (section, key): value
+        for section in parser.sections()
+        for key, value in parser.items(section)
+    }
+    return convert_settings(texts, environ)
+
+
+def convert_settings(
+    texts: Mapping[tuple[str, str], str], environ: Mapping[str, str]
+) -> schema.Settings:
+    """Converts texts by (section, key); raises as ``load_settings`` does."""
+    faults = list(_unknown_keys(texts))
+    values: dict[str, dict[str, Any]] = {}
+    for setting in schema.SETTINGS:
+        section = values.setdefault(setting.section, {})
+        try:
+            section[setting.key] = _value(setting, texts, environ)
+        except exceptions.SettingError as exc:
+            faults.append(exc)
+    if faults:
+        raise ExceptionGroup("settings", faults)
+    return schema.Settings(
+        {name: schema.Section(items) for name, items in values.items()}
+    )
+
+
+def environment_name(setting: schema.Setting) -> str:
+    """Returns the variable that overrides the setting."""
+    return f"{ENVIRONMENT_PREFIX}{setting.section}_{setting.key}".upper()
+
+
+def _value(
+    setting: schema.Setting,
+    texts: Mapping[tuple[str, str], str],
+    environ: Mapping[str, str],
+) -> Any:
+    value = environ.get(environment_name(setting))
+    if value is None:
+        value = texts.get((setting.section, setting.key), setting.default)
+    name = f"[{setting.section}] {setting.key}"
+    if value is None:
+        raise exceptions.SettingError(
+            "conf.E003",
+            f"setting {name} is missing",
+            f"add it to the settings file: {setting.description}",
+        )
+    try:
+        return setting.convert(value)
+    except ValueError as exc:
+        raise exceptions.SettingError(
+            "conf.E004",
+            f"setting {name} has the value {value!r}",
+            f"give it {exc}",
+        ) from exc
+
+
+def _unknown_keys(
+    texts: Iterable[tuple[str, str]],
+) -> Iterable[exceptions.SettingError]:
+    known = [(setting.section, setting.key) for setting in schema.SETTINGS]
+    names = [f"[{section}] {key}" for section, key in known]
+    for section, key in texts:
+        if (section, key) in known:
+            continue
+        name = f"[{section}] {key}"
+        nearest = difflib.get_close_matches(name, names, n=1, cutoff=0.0)
+        yield exceptions.SettingError(
+            "conf.E002",
+            f"setting {name} does not exist",
+            f"remove it or use the nearest known one, {nearest[0]}",
+        )
--- /dev/null
+++ b/savoryspar/http/__init__.py
@@ -0,0 +1,4 @@
+"""The callers' side: a WSGI application and its server."""
+
+from savoryspar.http.app import App, new_app
+from savoryspar.http.server import Server, new_server
--- /dev/null
+++ b/savoryspar/http/app.py
@@ -0,0 +1,288 @@
+"""The WSGI application that callers use."""
+
+from collections.abc import Callable, Iterable
+import json
+import secrets
+import time
+from typing import Any
+
+from eventlet import wsgi
+
+from savoryspar import conf, log, metrics, pipelines, sheet
+from savoryspar.http import auth, bodies, chat, hangup, problems, streaming
+
+Handler = Callable[["App", "Exchange"], Iterable[bytes]]
+MIN_DEADLINE_MS = 1
+
+
+class Exchange:
+    """One request and the means to answer it."""
+
+    __slots__ = ("environ", "path", "request_id", "start_response")
+
+    def __init__(
+        self,
+        environ: dict[str, Any],
+        start_response: problems.StartResponse,
+        request_id: str,
+    ):
+        self.environ = environ
+        self.start_response = start_response
+        self.request_id = request_id
+        self.path = environ.get("PATH_INFO", "")
+
+    def answer_json(
+        self, document: dict[str, Any], status: str = "200 OK"
+    ) -> list[bytes]:
+        """Answers with a JSON document."""
+        self.start_response(
+            status,
+            [
+                ("Content-Type", "application/json"),
+                ("X-Request-Id", self.request_id),
+            ],
+        )
+        return [json.dumps(document).encode()]
+
+
+class App:
+    """Serves callers; construct it with ``new_app``.
+
+    Attributes:
+        is_draining: Whether the entry VM is leaving.
+    """
+
+    __slots__ = (
+        "_cfg",
+        "_clock",
+        "_current_sheet",
+        "_logger",
+        "_metrics",
+        "_runner",
+        "is_draining",
+    )
+
+    def __init__(
+        self,
+        cfg: conf.Settings,
+        current_sheet: Callable[[], sheet.Sheet | None],
+        runner: pipelines.Runner,
+        registry: metrics.Metrics,
+        clock: Callable[[], float],
+    ):
+        self._cfg = cfg
+        self._current_sheet = current_sheet
+        self._runner = runner
+        self._metrics = registry
+        self._clock = clock
+        self._logger = log.new_logger("http")
+        self.is_draining = False
+
+    def __call__(
+        self, environ: dict[str, Any], start_response: problems.StartResponse
+    ) -> Iterable[bytes]:
+        """Answers one request (PEP 3333)."""
+        request_id = f"req-{secrets.token_hex(8)}"
+        exchange = Exchange(environ, start_response, request_id)
+        try:
+            return self._route(exchange)
+        except pipelines.RunError as exc:
+            self._metrics.count_problem(exc.kind)
+            extra = [("X-Request-Id", request_id)]
+            if exc.status in (408, 411, 413):
+                # The rest of the body is not read, so the connection ends.
+                extra.append(("Connection", "close"))
+            return problems.respond(start_response, exc, request_id, extra)
+        except hangup.CallerGoneError:
+            self._logger.info(f"Caller hung up. request={request_id}")
+            wsgi.WSGI_LOCAL.already_handled = True
+            return []
+
+    def _route(self, exchange: Exchange) -> Iterable[bytes]:
+        method = exchange.environ["REQUEST_METHOD"]
+        handler = _ROUTES.get((method, exchange.path))
+        if handler is None and exchange.path.startswith(PIPELINES_PATH):
+            handler = _PREFIX_ROUTES.get(method)
+        if handler is None:
+            raise problems.new_problem(
+                "not_found",
+                404,
+                f"there is no {method} {exchange.path}",
+                "see the endpoints in docs/ref/endpoints.md",
+            )
+        return handler(self, exchange)
+
+    def health(self, exchange: Exchange) -> Iterable[bytes]:
+        """Answers that the process runs."""
+        return exchange.answer_json({"status": "ok"})
+
+    def readiness(self, exchange: Exchange) -> Iterable[bytes]:
+        """Answers whether the balancer should send requests."""
+        if self.is_draining or self._current_sheet() is None:
+            reason = "draining" if self.is_draining else "no configuration"
+            return exchange.answer_json(
+                {"status": reason}, "503 Service Unavailable"
+            )
+        return exchange.answer_json({"status": "ready"})
+
+    def metrics(self, exchange: Exchange) -> Iterable[bytes]:
+        """Answers with the metrics in the Prometheus format."""
+        content, headers = self._metrics.render()
+        exchange.start_response("200 OK", headers)
+        return [content]
+
+    def models(self, exchange: Exchange) -> Iterable[bytes]:
+        """Answers with the pipelines as OpenAI models."""
+        current, _ = self._authenticate(exchange)
+        return exchange.answer_json(chat.models_document(current))
+
+    def chat(self, exchange: Exchange) -> Iterable[bytes]:
+        """Runs a pipeline through the OpenAI chat format."""
+        current, workspace = self._authenticate(exchange)
+        body = self._read_body(exchange)
+        bodies.check_chat(body)
+        req = self._new_request(
+            exchange, current, workspace, body["model"], body
+        )
+        if body.get("stream"):
+            return self._stream(exchange, req)
+        output = self._run(exchange, req)
+        return exchange.answer_json(
+            chat.completion_document(req, output, int(time.time()))
+        )
+
+    def pipeline(self, exchange: Exchange) -> Iterable[bytes]:
+        """Runs a pipeline on any JSON object."""
+        current, workspace = self._authenticate(exchange)
+        body = self._read_body(exchange)
+        bodies.check_max_tokens(body)
+        name = exchange.path[len(PIPELINES_PATH) :]
+        req = self._new_request(exchange, current, workspace, name, body)
+        if body.get("stream") is True:
+            return self._stream(exchange, req)
+        output = self._run(exchange, req)
+        return exchange.answer_json(
+            {
+                "request_id": req.request_id,
+                "pipeline": name,
+                "run_state": pipelines.RunState.COMPLETE.value,
+                "output": output,
+            }
+        )
+
+    def _authenticate(
+        self, exchange: Exchange
+    ) -> tuple[sheet.Sheet, sheet.Workspace]:
+        current = self._current_sheet()
+        if current is None:
+            raise problems.new_problem(
+                "overloaded",
+                503,
+                "this entry VM has no configuration yet",
+                "ask again",
+                retry_after_s=1.0,
+            )
+        return current, auth.authenticate(exchange.environ, current)
+
+    def _read_body(self, exchange: Exchange) -> dict[str, Any]:
+        return bodies.read_json(
+            exchange.environ,
+            self._cfg.http.max_body_bytes,
+            self._cfg.http.read_timeout_s,
+        )
+
+    def _new_request(
+        self,
+        exchange: Exchange,
+        current: sheet.Sheet,
+        workspace: sheet.Workspace,
+        name: str,
+        body: dict[str, Any],
+    ) -> pipelines.Request:
+        pipeline = current.pipelines.get(name)
+        if pipeline is None:
+            raise problems.new_problem(
+                "not_found",
+                404,
+                f"there is no pipeline {name!r}",
+                "see GET /v1/models for the pipelines",
+            )
+        work = current.works[pipeline.work]
+        environ = exchange.environ
+        deadline_ms = _lowered_deadline(environ, work.deadline_ms)
+        return pipelines.Request(
+            exchange.request_id,
+            workspace,
+            pipeline,
+            _lowered_rank(environ, work.rank),
+            self._clock() + deadline_ms / 1000.0,
+            body,
+        )
+
+    def _run(
+        self, exchange: Exchange, req: pipelines.Request
+    ) -> dict[str, Any]:
+        sock = exchange.environ["eventlet.input"].get_socket()
+        with hangup.cancel_on_hangup(sock):
+            output = self._runner.run(req)
+        self._metrics.count_request(req.pipeline.name, req.rank)
+        return output
+
+    def _stream(
+        self, exchange: Exchange, req: pipelines.Request
+    ) -> Iterable[bytes]:
+        sock = exchange.environ["eventlet.input"].get_socket()
+        with hangup.cancel_on_hangup(sock):
+            stream = self._runner.stream(req)
+            wsgi.WSGI_LOCAL.already_handled = True
+            streaming.relay(sock, stream, req.request_id)
+        self._metrics.count_request(req.pipeline.name, req.rank)
+        return []
+
+
+def _lowered_deadline(environ: dict[str, Any], deadline_ms: int) -> int:
+    text = environ.get("HTTP_X_DEADLINE_MS", "")
+    if not text:
+        return deadline_ms
+    if not text.isascii() or not text.isdigit() or int(text) < 1:
+        raise problems.new_problem(
+            "bad_request",
+            400,
+            f"X-Deadline-Ms has the value {text!r}",
+            "give it a whole number of milliseconds above 0",
+        )
+    return min(deadline_ms, int(text))
+
+
+def _lowered_rank(environ: dict[str, Any], rank: str) -> str:
+    asked = environ.get("HTTP_X_RANK", rank)
+    if asked not in sheet.RANKS:
+        raise problems.new_problem(
+            "bad_request",
+            400,
+            f"X-Rank has the value {asked!r}",
+            "give it one of " + ", ".join(sheet.RANKS),
+        )
+    return max(rank, asked, key=sheet.RANKS.index)
+
+
+PIPELINES_PATH = "/v1/pipelines/"
+_ROUTES: dict[tuple[str, str], Handler] = {
+    ("GET", "/healthz"): App.health,
+    ("GET", "/readyz"): App.readiness,
+    ("GET", "/metrics"): App.metrics,
+    ("GET", "/v1/models"): App.models,
+    ("POST", "/v1/chat/completions"): App.chat,
+}
+_PREFIX_ROUTES: dict[str, Handler] = {"POST": App.pipeline}
+
+
+def new_app(
+    cfg: conf.Settings,
+    current_sheet: Callable[[], sheet.Sheet | None],
+    runner: pipelines.Runner,
+    registry: metrics.Metrics,
+    clock: Callable[[], float],
+) -> App:
+    """Returns the application over the given parts."""
+    return App(cfg, current_sheet, runner, registry, clock)
--- /dev/null
+++ b/savoryspar/http/streaming.py
@@ -0,0 +1,45 @@
+"""Writes an answer stream straight to the caller's socket."""
+
+import json
+import socket
+
+from savoryspar import pipelines
+from savoryspar.http import problems
+
+HEAD = (
+    b"HTTP/1.1 200 OK\r\n"
+    b"Content-Type: text/event-stream\r\n"
+    b"Cache-Control: no-cache\r\n"
+    b"Transfer-Encoding: chunked\r\n"
+    b"Connection: close\r\n"
+    b"X-Request-Id: %s\r\n\r\n"
+)
+LAST_CHUNK = b"0\r\n\r\n"
+
+
+def relay(
+    sock: socket.socket, stream: pipelines.AnswerStream, request_id: str
+) -> None:
+    """Relays the stream; its last event tells an interrupted answer.
+
+    Raises:
+        OSError: The caller's connection broke; the stream is closed.
+    """
+    try:
+        data = stream.read()
+        sock.sendall(HEAD % request_id.encode() + data)
+        while data:
+            data = stream.read()
+            if data:
+                sock.sendall(data)
+        sock.sendall(LAST_CHUNK)
+    except pipelines.RunError as exc:
+        sock.sendall(_error_chunk(exc, request_id) + LAST_CHUNK)
+    finally:
+        stream.close()
+
+
+def _error_chunk(exc: pipelines.RunError, request_id: str) -> bytes:
+    document = json.dumps(problems.document(exc, request_id)).encode()
+    event = b"data: " + document + b"\n\n"
+    return b"%x\r\n%s\r\n" % (len(event), event)
--- /dev/null
+++ b/savoryspar/log/setup.py
@@ -0,0 +1,61 @@
+"""Sets up logbook: handlers, formats and the prefix of each part."""
+
+import json
+import sys
+
+import logbook
+
+PARTS = (
+    "entry",
+    "http",
+    "scheduling",
+    "routing",
+    "pipelines",
+    "membership",
+    "sheet",
+    "platform",
+    "placement",
+    "idempotency",
+    "standin",
+    "bench",
+)
+
+
+def new_logger(part: str) -> logbook.Logger:
+    """Returns the logger of a part; its lines start with ``[part]``."""
+    if part not in PARTS:
+        raise ValueError(f"unknown part {part!r}; use one of {PARTS}")
+    return logbook.Logger(part)
+
+
+def configure(level: str, format_name: str) -> None:
+    """Writes log lines to standard error from now on.
+
+    Args:
+        level: Lowest level that is written, for example ``info``.
+        format_name: ``plain`` or ``json``.
+    """
+    handler = logbook.StreamHandler(sys.stderr, level=level.upper())
+    handler.formatter = _FORMATTERS[format_name]
+    handler.push_application()
+
+
+def _plain(record: logbook.LogRecord, handler: logbook.Handler) -> str:
+    del handler
+    time = record.time.isoformat(timespec="milliseconds")
+    return f"{time} {record.level_name} [{record.channel}] {record.message}"
+
+
+def _json(record: logbook.LogRecord, handler: logbook.Handler) -> str:
+    del handler
+    fields = {
+        "time": record.time.isoformat(timespec="milliseconds"),
+        "level": record.level_name.lower(),
+        "part": record.channel,
+        "message": record.message,
+    }
+    fields.update(record.extra)
+    return json.dumps(fields)
+
+
+_FORMATTERS = {"plain": _plain, "json": _json}
--- /dev/null
+++ b/savoryspar/metrics/__init__.py
@@ -0,0 +1,3 @@
+"""Metrics in the Prometheus format."""
+
+from savoryspar.metrics.registry import Metrics, new_metrics
--- /dev/null
+++ b/savoryspar/pipelines/__init__.py
@@ -0,0 +1,6 @@
+"""Runs the stages of a request under one deadline."""
+
+from savoryspar.pipelines.exceptions import RunError, RunState
+from savoryspar.pipelines.model import Request
+from savoryspar.pipelines.runner import Runner, new_runner
+from savoryspar.pipelines.streaming import AnswerStream
--- /dev/null
+++ b/savoryspar/pipelines/bodies.py
@@ -0,0 +1,56 @@
+"""Builds the JSON body of a stage call, by the kind of pool."""
+
+import json
+from typing import Any
+
+from savoryspar import sheet
+from savoryspar.pipelines import model
+
+DEFAULT_MAX_TOKENS = 64
+PRIORITIES = {rank: number for number, rank in enumerate(sheet.RANKS)}
+
+
+def run_body(req: model.Request, stage: sheet.Stage) -> dict[str, Any]:
+    """Returns the body for a pool that is not an engine."""
+    return {
+        "pipeline": req.pipeline.name,
+        "stage": stage.name,
+        "input": req.body,
+        "previous": req.outputs,
+    }
+
+
+def engine_messages(req: model.Request) -> list[dict[str, str]]:
+    """Returns the caller's messages, preceded by earlier stages' outputs."""
+    messages = req.body.get("messages")
+    if messages is None:
+        text = json.dumps(req.body, sort_keys=True)
+        messages = [{"role": "user", "content": text}]
+    if not req.outputs:
+        return messages
+    context = json.dumps(req.outputs, sort_keys=True)
+    return [{"role": "system", "content": context}, *messages]
+
+
+def engine_body(
+    req: model.Request, stage: sheet.Stage, resume_from: int, text: str
+) -> dict[str, Any]:
+    """Returns the body for an engine.
+
+    Args:
+        req: The request.
+        stage: The stage to run.
+        resume_from: Tokens already relayed, 0 for a new stream.
+        text: Text of the tokens already relayed.
+    """
+    body: dict[str, Any] = {
+        "model": stage.model,
+        "messages": engine_messages(req),
+        "max_tokens": req.body.get("max_tokens", DEFAULT_MAX_TOKENS),
+        "stream": True,
+        "priority": PRIORITIES[req.rank],
+    }
+    if resume_from:
+        body["resume_from"] = resume_from
+        body["resume_text"] = text
+    return body
--- /dev/null
+++ b/savoryspar/platform/config.py
@@ -0,0 +1,70 @@
+"""Client of the configuration service, which can be read and watched only."""
+
+import json
+
+import urllib3
+
+from savoryspar.platform import exceptions
+
+CONNECT_TIMEOUT_S = 1.0
+READ_TIMEOUT_S = 2.0
+WATCH_MARGIN_S = 2.0
+
+
+class ConfigClient:
+    """Reads keys and waits for revisions."""
+
+    __slots__ = ("_pool", "_url")
+
+    def __init__(self, url: str, pool: urllib3.PoolManager):
+        self._url = url.rstrip("/")
+        self._pool = pool
+
+    def get(self, key: str) -> str:
+        """Returns the value of a key.
+
+        Raises:
+            PlatformError: The service is down, over its rate, or has no key.
+        """
+        return self._fetch(f"/v1/keys/{key}", READ_TIMEOUT_S).decode()
+
+    def watch(self, after: int, timeout_s: float) -> int:
+        """Waits for a revision above ``after`` and returns the newest one.
+
+        Raises:
+            PlatformError: As ``get``.
+        """
+        body = self._fetch(
+            f"/v1/watch?after={after}&timeout_s={timeout_s:g}",
+            timeout_s + WATCH_MARGIN_S,
+        )
+        try:
+            return int(json.loads(body)["revision"])
+        except (ValueError, KeyError, TypeError) as exc:
+            raise exceptions.PlatformError(
+                f"the watch answered {body[:80]!r}",
+                "check [platform] config_url",
+            ) from exc
+
+    def _fetch(self, path: str, timeout_s: float) -> bytes:
+        timeout = urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=timeout_s)
+        try:
+            resp = self._pool.request(
+                "GET", self._url + path, timeout=timeout, retries=False
+            )
+        except urllib3.exceptions.HTTPError as exc:
+            raise exceptions.PlatformError(
+                f"the configuration service does not answer: {exc}",
+                "the last revision stays in force; check the service",
+            ) from exc
+        if resp.status != 200:
+            raise exceptions.PlatformError(
+                f"the configuration service answered {resp.status} to {path}",
+                "read less often on 429, publish the key on 404",
+            )
+        return resp.data
+
+
+def new_config_client(url: str) -> ConfigClient:
+    """Returns a client with connections of its own."""
+    return ConfigClient(url, urllib3.PoolManager(maxsize=4, block=False))
--- /dev/null
+++ b/savoryspar/platform/exceptions.py
@@ -0,0 +1,7 @@
+"""Errors of the platform's services."""
+
+from savoryspar import errors
+
+
+class PlatformError(errors.SavorysparError):
+    """A service of the platform did not answer, or not usefully."""
--- /dev/null
+++ b/savoryspar/platform/vms.py
@@ -0,0 +1,105 @@
+"""Client of the platform's list of live and leaving VMs, which lags."""
+
+from collections.abc import Mapping
+import json
+from typing import Any
+
+import urllib3
+
+from savoryspar.platform import exceptions
+
+CONNECT_TIMEOUT_S = 1.0
+READ_TIMEOUT_S = 2.0
+
+
+class Vm:
+    """One VM of the list.
+
+    Attributes:
+        name: Unique name.
+        address: ``IP:port`` at which it serves.
+        region, zone: Where it is.
+        role: ``entry`` or ``backend``.
+        pool: Pool of a backend server, else empty.
+        is_leaving: Whether it is to get no new work.
+    """
+
+    __slots__ = (
+        "address",
+        "is_leaving",
+        "name",
+        "pool",
+        "region",
+        "role",
+        "zone",
+    )
+
+    def __init__(
+        self,
+        name: str,
+        address: str,
+        region: str,
+        zone: str,
+        role: str,
+        pool: str,
+        is_leaving: bool,
+    ):
+        self.name = name
+        self.address = address
+        self.region = region
+        self.zone = zone
+        self.role = role
+        self.pool = pool
+        self.is_leaving = is_leaving
+
+
+class VmListClient:
+    """Reads the list."""
+
+    __slots__ = ("_pool", "_url")
+
+    def __init__(self, url: str, pool: urllib3.PoolManager):
+        self._url = url.rstrip("/")
+        self._pool = pool
+
+    def read(self) -> list[Vm]:
+        """Returns the list as the platform has it.
+
+        Raises:
+            PlatformError: The service is down or answers something else.
+        """
+        timeout = urllib3.Timeout(
+            connect=CONNECT_TIMEOUT_S, read=READ_TIMEOUT_S
+        )
+        try:
+            resp = self._pool.request(
+                "GET", f"{self._url}/v1/vms", timeout=timeout, retries=False
+            )
+            return [_decode(item) for item in json.loads(resp.data)["vms"]]
+        except urllib3.exceptions.HTTPError as exc:
+            raise exceptions.PlatformError(
+                f"the VM list does not answer: {exc}",
+                "the last list stays in use; check [platform] vm_list_url",
+            ) from exc
+        except (ValueError, KeyError, TypeError) as exc:
+            raise exceptions.PlatformError(
+                f"the VM list cannot be decoded: {exc!r}",
+                "the last list stays in use; check [platform] vm_list_url",
+            ) from exc
+
+
+def _decode(item: Mapping[str, Any]) -> Vm:
+    return Vm(
+        name=item["name"],
+        address=item["address"],
+        region=item["region"],
+        zone=item["zone"],
+        role=item["role"],
+        pool=item.get("pool", ""),
+        is_leaving=item["state"] == "leaving",
+    )
+
+
+def new_vm_list_client(url: str) -> VmListClient:
+    """Returns a client with connections of its own."""
+    return VmListClient(url, urllib3.PoolManager(maxsize=1, block=False))
--- /dev/null
+++ b/savoryspar/routing/exceptions.py
@@ -0,0 +1,18 @@
+"""Errors of routing."""
+
+from savoryspar import errors
+
+
+class NoServerError(errors.SavorysparError):
+    """No backend server of a pool can take a call.
+
+    Attributes:
+        retry_after_s: When asking again makes sense, in seconds.
+    """
+
+    def __init__(self, pool: str, reason: str, retry_after_s: float):
+        super().__init__(
+            f"no backend server of pool {pool!r} can take the call: {reason}",
+            f"ask again in {retry_after_s:.1f} s",
+        )
+        self.retry_after_s = retry_after_s
--- /dev/null
+++ b/savoryspar/sheet/reader.py
@@ -0,0 +1,54 @@
+"""Reads a revision from the configuration service, by delta or whole."""
+
+from savoryspar import platform
+from savoryspar.sheet import exceptions, holder, keys, model
+
+
+def read_sheet(
+    client: platform.ConfigClient, current: model.Sheet | None
+) -> model.Sheet | None:
+    """Reads the newest revision.
+
+    Args:
+        client: The configuration service.
+        current: The sheet in force; a direct successor is read as a delta.
+
+    Returns:
+        The newest sheet, or None when it is not above the one in force.
+
+    Raises:
+        PlatformError: The service is down or over its rate.
+        SheetError: A key cannot be decoded.
+        ExceptionGroup: Of the ``SheetError`` of each fault.
+    """
+    manifest = keys.decode_manifest(client.get(keys.MANIFEST_KEY))
+    if current and manifest.revision < current.revision:
+        return None
+    if current and manifest.previous == current.revision:
+        rows = keys.apply_changes(current.rows, manifest.changes)
+        if keys.content_digest(rows) == manifest.digest:
+            return keys.new_sheet(rows, manifest.revision, manifest.digest)
+    rows = {}
+    for number in range(keys.BUCKET_COUNT):
+        rows.update(keys.decode_rows(client.get(keys.bucket_key(number))))
+    return keys.new_sheet(rows, manifest.revision, manifest.digest)
+
+
+def refresh(
+    client: platform.ConfigClient, sheets: holder.SheetHolder, now: float
+) -> None:
+    """Offers the newest sheet of the service to the holder.
+
+    Raises:
+        PlatformError: The service is down or over its rate.
+    """
+    try:
+        offered = read_sheet(client, sheets.current)
+    except exceptions.SheetError as exc:
+        sheets.refuse(0, ExceptionGroup("sheet", [exc]))
+        return
+    except ExceptionGroup as group:
+        sheets.refuse(0, group)
+        return
+    if offered is not None:
+        sheets.offer(offered, "service", now)
--- /dev/null
+++ b/savoryspar/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins of the outside systems, for tests, demo and bench."""
--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,32 @@
+"""Sets tests up and passes over exactly those that KNOWN-RED.txt names."""
+
+import os
+import pathlib
+
+os.environ.setdefault("EVENTLET_NO_GREENDNS", "yes")
+
+KNOWN_RED = pathlib.Path(__file__).resolve().parents[1] / "KNOWN-RED.txt"
+
+
+def known_red_tests() -> set[str]:
+    """Returns the node IDs on the lines ``test: NODE_ID``."""
+    if not KNOWN_RED.exists():
+        return set()
+    return {
+        line.removeprefix("test:").strip()
+        for line in KNOWN_RED.read_text("utf-8").splitlines()
+        if line.startswith("test:")
+    }
+
+
+def pytest_collection_modifyitems(config, items):
+    red = known_red_tests()
+    passed_over = [item for item in items if item.nodeid in red]
+    if passed_over:
+        config.hook.pytest_deselected(items=passed_over)
+        items[:] = [item for item in items if item.nodeid not in red]
+
+
+def pytest_terminal_summary(terminalreporter):
+    for node_id in sorted(known_red_tests()):
+        terminalreporter.write_line(f"known red, not run: {node_id}")
--- /dev/null
+++ b/tests/sheet/test_parse.py
@@ -0,0 +1,53 @@
+"""Tests of the CSV sheet."""
+
+import testtools
+
+from savoryspar import sheet
+from savoryspar.bench import deployments
+
+HEADER = "table,name,field,value\n"
+
+
+class ParseCsvTest(testtools.TestCase):
+    def test_examples_are_valid(self):
+        """An example sheet that is refused would break the demo."""
+        for deployment in (deployments.GESTO, deployments.BOKBINDERI):
+            parsed = sheet.parse_csv(deployment.sheet_text(), revision=3)
+            self.assertEqual(5, len(parsed.workspaces))
+
+    def test_every_fault_is_reported_with_row_and_column(self):
+        """Planners must not find faults one by one."""
+        text = (
+            HEADER
+            + "workspace,a,share,-1\n"
+            + "work,w,rank,soon\n"
+            + "nothing,x,y,z\n"
+        )
+        exc = self.assertRaises(
+            ExceptionGroup, sheet.parse_csv, text, revision=1
+        )
+        found = {(e.check_id, e.row) for e in exc.exceptions}
+        self.assertEqual(
+            {
+                ("sheet.E004", 4),
+                ("sheet.E007", 2),
+                ("sheet.E007", 3),
+                ("sheet.E006", 3),
+            },
+            found,
+        )
+
+    def test_semicolons_and_byte_order_mark_are_read(self):
+        """Spreadsheets with a comma decimal export semicolons."""
+        text = "\ufeff" + HEADER.replace(",", ";") + "workspace;a;share;2\n"
+        parsed = sheet.parse_csv(text, revision=1)
+        self.assertEqual(2.0, parsed.workspaces["a"].share)
+
+    def test_delta_gives_the_published_digest(self):
+        """A delta applied to the wrong rows must be noticed."""
+        old = sheet.read_rows(HEADER + "workspace,a,share,2\n")
+        new = sheet.read_rows(HEADER + "workspace,b,share,2\n")
+        rendered = sheet.render_keys(new, 2, 1, old)
+        manifest = sheet.decode_manifest(rendered[sheet.MANIFEST_KEY])
+        rows = sheet.apply_changes(old, manifest.changes)
+        self.assertEqual(manifest.digest, sheet.content_digest(rows))
