--- /dev/null
+++ b/savoryspar/bench/scenarios/__init__.py
@@ -0,0 +1,1 @@
+"""One module for each group of scenarios; ``catalog`` lists them."""
--- a/savoryspar/cli/application.py
+++ b/savoryspar/cli/application.py
@@ -7,6 +7,7 @@
 
 import savoryspar
 from savoryspar.cli import (
+    bench,
     check,
     demo,
     entry,
@@ -18,6 +19,7 @@
 )
 
 COMMANDS = (
+    bench.BenchCommand,
     check.CheckCommand,
     demo.DemoCommand,
     entry.EntryCommand,
--- a/savoryspar/conf/__init__.py
+++ b/savoryspar/conf/__init__.py
@@ -2,4 +2,5 @@
 
 from savoryspar.conf.exceptions import SettingError
 from savoryspar.conf.loader import load_settings
-from savoryspar.conf.schema import SETTINGS, Section, Setting, Settings
+from savoryspar.conf.schema import SETTINGS, Section, Settings
+from savoryspar.conf.setting import Setting
--- a/savoryspar/conf/loader.py
+++ b/savoryspar/conf/loader.py
@@ -5,7 +5,7 @@
 import difflib
 from typing import Any
 
-from savoryspar.conf import exceptions, schema
+from savoryspar.conf import exceptions, schema, setting
 
 ENVIRONMENT_PREFIX = "SAVORYSPAR_"
 
@@ -52,10 +52,10 @@
     """Converts texts by (section, key); raises as ``load_settings`` does."""
     faults = list(_unknown_keys(texts))
     values: dict[str, dict[str, Any]] = {}
-    for setting in schema.SETTINGS:
-        section = values.setdefault(setting.section, {})
+    for item in schema.SETTINGS:
+        section = values.setdefault(item.section, {})
         try:
-            section[setting.key] = _value(setting, texts, environ)
+            section[item.key] = _value(item, texts, environ)
         except exceptions.SettingError as exc:
             faults.append(exc)
     if faults:
@@ -65,28 +65,28 @@
     )
 
 
-def environment_name(setting: schema.Setting) -> str:
+def environment_name(item: setting.Setting) -> str:
     """Returns the variable that overrides the setting."""
-    return f"{ENVIRONMENT_PREFIX}{setting.section}_{setting.key}".upper()
+    return f"{ENVIRONMENT_PREFIX}{item.section}_{item.key}".upper()
 
 
 def _value(
-    setting: schema.Setting,
+    item: setting.Setting,
     texts: Mapping[tuple[str, str], str],
     environ: Mapping[str, str],
 ) -> Any:
-    value = environ.get(environment_name(setting))
+    value = environ.get(environment_name(item))
     if value is None:
-        value = texts.get((setting.section, setting.key), setting.default)
-    name = f"[{setting.section}] {setting.key}"
+        value = texts.get((item.section, item.key), item.default)
+    name = f"[{item.section}] {item.key}"
     if value is None:
         raise exceptions.SettingError(
             "conf.E003",
             f"setting {name} is missing",
-            f"add it to the settings file: {setting.description}",
+            f"add it to the settings file: {item.description}",
         )
     try:
-        return setting.convert(value)
+        return item.convert(value)
     except ValueError as exc:
         raise exceptions.SettingError(
             "conf.E004",
@@ -98,7 +98,7 @@
 def _unknown_keys(
     texts: Iterable[tuple[str, str]],
 ) -> Iterable[exceptions.SettingError]:
-    known = [(setting.section, setting.key) for setting in schema.SETTINGS]
+    known = [(item.section, item.key) for item in schema.SETTINGS]
     names = [f"[{section}] {key}" for section, key in known]
     for section, key in texts:
         if (section, key) in known:
--- /dev/null
+++ b/savoryspar/conf/sections/__init__.py
@@ -0,0 +1,1 @@
+"""One module for each section of the settings."""
--- /dev/null
+++ b/savoryspar/conf/sections/http.py
@@ -0,0 +1,27 @@
+"""Settings of the section ``[http]``."""
+
+from savoryspar.conf import converters, setting
+
+SETTINGS: tuple[setting.Setting, ...] = (
+    setting.Setting(
+        "http",
+        "max_body_bytes",
+        converters.size,
+        "1048576",
+        "Largest request body.",
+    ),
+    setting.Setting(
+        "http",
+        "max_connections",
+        converters.size,
+        "4096",
+        "Open caller connections per process.",
+    ),
+    setting.Setting(
+        "http",
+        "read_timeout_s",
+        converters.seconds,
+        "10",
+        "Longest wait for a caller to send its request.",
+    ),
+)
--- /dev/null
+++ b/savoryspar/conf/sections/platform.py
@@ -0,0 +1,34 @@
+"""Settings of the section ``[platform]``."""
+
+from savoryspar.conf import converters, setting
+
+SETTINGS: tuple[setting.Setting, ...] = (
+    setting.Setting(
+        "platform",
+        "config_url",
+        converters.text,
+        None,
+        "Base URL of the configuration service.",
+    ),
+    setting.Setting(
+        "platform",
+        "vm_list_url",
+        converters.text,
+        None,
+        "Base URL of the VM list.",
+    ),
+    setting.Setting(
+        "platform",
+        "vm_list_interval_s",
+        converters.seconds,
+        "1",
+        "Time between two reads of the VM list.",
+    ),
+    setting.Setting(
+        "platform",
+        "watch_timeout_s",
+        converters.seconds,
+        "20",
+        "Longest wait of one long poll at the configuration service.",
+    ),
+)
--- /dev/null
+++ b/savoryspar/conf/sections/scheduling.py
@@ -0,0 +1,5 @@
+"""Settings of the section ``[scheduling]``."""
+
+from savoryspar.conf import setting
+
+SETTINGS: tuple[setting.Setting, ...] = ()
