Refuse bad input with a clear answer, and serve operators

Adds the time limit for request heads, the operators' port with status, drain and recent decisions, and system checks with stable IDs.

Cause: eventlet's server limits the request line and each read, not the whole head. Before: a caller that sent half of its headers held its connection until it closed it; after: it gets 408 (tests/http/test_bad_input.py). The hang-up watcher took a socket timeout for a hang-up once sockets had one.

--- a/savoryspar/bench/deployments.py
+++ b/savoryspar/bench/deployments.py
@@ -68,6 +68,7 @@
     fleet: fleet_lib.Fleet,
     entries: int = 3,
     backends_share: float = 1.0,
+    settings: Mapping[str, Mapping[str, object]] = {},
 ) -> list[fleet_lib.Process]:
     """Starts a deployment and returns its entry processes, ready.
 
@@ -76,6 +77,7 @@
         fleet: Where its processes are started.
         entries: Number of entry processes, spread over the regions.
         backends_share: Share of each pool's servers to start, at least one.
+        settings: Settings of the entry processes, by section.
     """
     fleet.start_platform()
     fleet.publish_sheet(deployment.sheet_text(), revision=1)
@@ -89,7 +91,7 @@
     for number in range(entries):
         region = deployment.regions[number % len(deployment.regions)]
         name = f"{deployment.name}-entry-{number}"
-        started.append(fleet.start_entry(name, region, f"{region}-a"))
+        started.append(fleet.start_entry(name, region, f"{region}-a", settings))
     fleet.publish_vms()
     fleet.wait_ready(*(process.name for process in started))
     return started
--- a/savoryspar/bench/fleet.py
+++ b/savoryspar/bench/fleet.py
@@ -1,6 +1,6 @@
 """A fleet of real processes on loopback, for the demo, tests and bench."""
 
-from collections.abc import Mapping, Sequence
+from collections.abc import Callable, Mapping, Sequence
 import json
 import os
 import pathlib
@@ -213,6 +213,18 @@
         """Reads a JSON document from a process."""
         return json.loads(self.http.request("GET", process.url + path).data)
 
+    def wait_until(self, is_met: Callable[[], bool]) -> None:
+        """Waits until a condition is met.
+
+        Raises:
+            TimeoutError: It was not met in time.
+        """
+        deadline_at = time.monotonic() + START_TIMEOUT_S
+        while not is_met():
+            if time.monotonic() > deadline_at:
+                raise TimeoutError("the condition was not met in time")
+            time.sleep(0.02)
+
     def wait_ready(self, *names: str) -> None:
         """Waits until the entry processes are ready.
 
--- /dev/null
+++ b/savoryspar/checks/__init__.py
@@ -0,0 +1,11 @@
+"""System checks that run at start and with ``savoryspar check``."""
+
+from savoryspar.checks import entry, log, platform
+from savoryspar.checks.registry import (
+    Check,
+    CheckMessage,
+    Level,
+    all_checks,
+    register,
+    run_checks,
+)
--- /dev/null
+++ b/savoryspar/checks/entry.py
@@ -0,0 +1,55 @@
+"""Checks of the sections ``[entry]`` and ``[http]``."""
+
+from collections.abc import Iterable
+import ipaddress
+
+from savoryspar import conf
+from savoryspar.checks import registry
+
+MIN_DRAIN_NOTICE_S = 1.0
+
+
+@registry.register("entry.E001")
+def check_listen_address(
+    cfg: conf.Settings,
+) -> Iterable[registry.CheckMessage]:
+    """The listening address must be an IP number of this VM."""
+    if not is_ip_number(cfg.entry.listen_address):
+        yield registry.error(
+            "entry.E001",
+            f"[entry] listen_address is {cfg.entry.listen_address!r}",
+            "give it an IP number; names are not resolved",
+        )
+
+
+@registry.register("entry.E002")
+def check_ports(cfg: conf.Settings) -> Iterable[registry.CheckMessage]:
+    """Callers and operators must not share a port."""
+    if cfg.entry.operator_port and (
+        cfg.entry.operator_port == cfg.entry.listen_port
+    ):
+        yield registry.error(
+            "entry.E002",
+            f"callers and operators share port {cfg.entry.listen_port}",
+            "give [entry] operator_port a port of its own",
+        )
+
+
+@registry.register("entry.W001")
+def check_drain_notice(cfg: conf.Settings) -> Iterable[registry.CheckMessage]:
+    """The balancer needs time to notice that the VM leaves."""
+    if cfg.entry.drain_notice_s < MIN_DRAIN_NOTICE_S:
+        yield registry.warning(
+            "entry.W001",
+            f"[entry] drain_notice_s is {cfg.entry.drain_notice_s:g}",
+            "give it twice the interval of the balancer's readiness check",
+        )
+
+
+def is_ip_number(address: str) -> bool:
+    """Tells whether the address is an IP number."""
+    try:
+        ipaddress.ip_address(address)
+    except ValueError:
+        return False
+    return True
--- a/savoryspar/cli/application.py
+++ b/savoryspar/cli/application.py
@@ -9,24 +9,30 @@
 from savoryspar.cli import (
     bench,
     check,
+    decisions,
     demo,
+    drain,
     entry,
     sheet_check,
     sheet_diff,
     sheet_export,
     standin,
+    status,
     version,
 )
 
 COMMANDS = (
     bench.BenchCommand,
     check.CheckCommand,
+    decisions.DecisionsCommand,
     demo.DemoCommand,
+    drain.DrainCommand,
     entry.EntryCommand,
     sheet_check.SheetCheckCommand,
     sheet_diff.SheetDiffCommand,
     sheet_export.SheetExportCommand,
     standin.StandinCommand,
+    status.StatusCommand,
     version.VersionCommand,
 )
 
--- /dev/null
+++ b/savoryspar/cli/drain.py
@@ -0,0 +1,25 @@
+"""``savoryspar drain``."""
+
+from cleo.commands import command
+from cleo.helpers import argument
+
+from savoryspar.cli import exit_codes, operator_client
+
+
+class DrainCommand(command.Command):
+    """Let an entry process leave."""
+
+    name = "drain"
+    description = "Let an entry process finish its requests and exit."
+    arguments = [argument("url", "URL of its operators' port.")]
+    help = "Example: savoryspar drain http://127.0.0.1:9100"
+
+    def handle(self) -> int:
+        """Runs the command."""
+        try:
+            operator_client.call("POST", self.argument("url"), "/drain")
+        except operator_client.OperatorError as exc:
+            self.line_error(str(exc))
+            return exit_codes.FAILED
+        self.line("Draining.")
+        return exit_codes.OK
--- a/savoryspar/cli/entry.py
+++ b/savoryspar/cli/entry.py
@@ -6,9 +6,8 @@
 from cleo.commands import command
 from cleo.helpers import option
 import eventlet
-from eventlet import event
 
-from savoryspar import conf, log
+from savoryspar import checks, conf, log
 from savoryspar.cli import exit_codes, faults, wiring
 
 
@@ -28,16 +27,17 @@
             faults.print_faults(self, group)
             return exit_codes.USAGE
         log.configure(cfg.log.level, cfg.log.format)
+        if not self._passes_checks(cfg):
+            return exit_codes.USAGE
         node = wiring.new_node(cfg)
-        stopped = event.Event()
+        stopped = node.stop_requested
         node.start()
         self.line(f"listening {node.server.address[1]}")
         self.io.output.flush()
 
         def on_signal(number: int, frame: object) -> None:
             del number, frame
-            if not stopped.ready():
-                stopped.send(None)
+            node.request_stop()
 
         signal.signal(signal.SIGTERM, on_signal)
         signal.signal(signal.SIGINT, on_signal)
@@ -45,3 +45,9 @@
         node.stop()
         eventlet.sleep(0)
         return exit_codes.OK
+
+    def _passes_checks(self, cfg: conf.Settings) -> bool:
+        messages = checks.run_checks(cfg)
+        for message in messages:
+            self.line_error(f"{message.level.value} {message}")
+        return all(m.level is not checks.Level.ERROR for m in messages)
--- a/savoryspar/cli/wiring.py
+++ b/savoryspar/cli/wiring.py
@@ -1,9 +1,12 @@
 """Builds the parts of an entry process and connects them."""
 
 import time
+from typing import Any
 
 import eventlet
+from eventlet import event
 
+import savoryspar
 from savoryspar import (
     backends,
     conf,
@@ -26,17 +29,20 @@
     Attributes:
         server: The callers' server.
         sheets: The sheet in force.
+        stop_requested: Event that is sent when the process is to leave.
     """
 
     __slots__ = (
         "_app",
         "_cfg",
         "_config_client",
+        "_decisions",
         "_logger",
         "_router",
         "_vm_list",
         "server",
         "sheets",
+        "stop_requested",
     )
 
     def __init__(
@@ -48,6 +54,7 @@
         router: routing.Router,
         config_client: platform.ConfigClient,
         vm_list: platform.VmListClient,
+        decisions: log.DecisionLog,
     ):
         self._cfg = cfg
         self._app = app
@@ -56,14 +63,45 @@
         self._router = router
         self._config_client = config_client
         self._vm_list = vm_list
+        self._decisions = decisions
         self._logger = log.new_logger("entry")
+        self.stop_requested = event.Event()
 
     def start(self) -> None:
         """Starts the server and the background duties."""
         self.server.start()
+        port = http.serve_operators(
+            http.OperatorApp(self.status, self.request_stop, self._decisions),
+            self._cfg.entry.operator_address,
+            self._cfg.entry.operator_port,
+        )
+        self._logger.notice(f"Serving operators. port={port}")
         eventlet.spawn(self._follow_sheet)
         eventlet.spawn(self._follow_vm_list)
 
+    def request_stop(self) -> None:
+        """Asks the process to leave; asking again changes nothing."""
+        if not self.stop_requested.ready():
+            self.stop_requested.send(None)
+
+    def status(self) -> dict[str, Any]:
+        """Returns what operators see of this process."""
+        current = self.sheets.current
+        conflict = self.sheets.conflict
+        return {
+            "version": savoryspar.__version__,
+            "name": self._cfg.entry.name,
+            "region": self._cfg.entry.region,
+            "zone": self._cfg.entry.zone,
+            "is_draining": self._app.is_draining,
+            "sheet": {
+                "revision": self.sheets.revision,
+                "digest": current.digest if current else "",
+                "conflict": str(conflict) if conflict else "",
+                "refused": list(self.sheets.refused),
+            },
+        }
+
     def stop(self) -> None:
         """Leaves: not ready first, then finishes every request."""
         self._app.is_draining = True
@@ -104,9 +142,8 @@
 def new_node(cfg: conf.Settings) -> Node:
     """Builds an entry process from its settings."""
     sheets = sheet.new_sheet_holder()
-    router = routing.new_router(
-        log.new_decision_log(cfg.log.decision_sample_percent)
-    )
+    decisions = log.new_decision_log(cfg.log.decision_sample_percent)
+    router = routing.new_router(decisions)
     scheduler = scheduling.new_scheduler(router.capacity)
     runner = pipelines.new_runner(
         sheets.get, scheduler, router, backends.new_client(), time.monotonic
@@ -122,4 +159,5 @@
         router,
         platform.new_config_client(cfg.platform.config_url),
         platform.new_vm_list_client(cfg.platform.vm_list_url),
+        decisions,
     )
--- a/savoryspar/conf/sections/entry.py
+++ b/savoryspar/conf/sections/entry.py
@@ -26,6 +26,13 @@
         None,
         "TCP port on which callers are served.",
     ),
+    setting.Setting(
+        "entry",
+        "operator_address",
+        converters.text,
+        "127.0.0.1",
+        "IP address on which operators are served.",
+    ),
     setting.Setting(
         "entry",
         "operator_port",
--- a/savoryspar/http/hangup.py
+++ b/savoryspar/http/hangup.py
@@ -26,10 +26,16 @@
 
 
 def _watch(sock: socket.socket, request_thread: object) -> None:
-    try:
-        data = sock.recv(1, socket.MSG_PEEK)
-    except OSError:
-        data = b""
     # Data would be a pipelined request, which stays in the buffer.
-    if not data:
+    if not _peek(sock):
         eventlet.kill(request_thread, CallerGoneError())
+
+
+def _peek(sock: socket.socket) -> bytes:
+    while True:
+        try:
+            return sock.recv(1, socket.MSG_PEEK)
+        except TimeoutError:
+            continue  # The socket's timeout says nothing about the caller.
+        except OSError:
+            return b""
--- a/savoryspar/http/server.py
+++ b/savoryspar/http/server.py
@@ -7,6 +7,7 @@
 from eventlet import wsgi
 
 from savoryspar import conf
+from savoryspar.http import protocol
 
 BACKLOG = 1024
 
@@ -48,7 +49,8 @@
             log_output=False,
             custom_pool=self._pool,
             minimum_chunk_size=0,
-            socket_timeout=None,
+            socket_timeout=self._cfg.http.read_timeout_s,
+            protocol=protocol.new_protocol(self._cfg.http.read_timeout_s),
             keepalive=self._cfg.http.read_timeout_s,
             debug=False,
         )
--- a/savoryspar/log/decisions.py
+++ b/savoryspar/log/decisions.py
@@ -1,23 +1,28 @@
 """One log line for each routing or placement decision."""
 
+import collections
+from collections.abc import Mapping
 import zlib
 
 from savoryspar.log import setup
 
+RECENT_DECISIONS = 1000
+FIELDS = (
+    "part",
+    "request_id",
+    "stage",
+    "rank",
+    "workspace",
+    "candidates",
+    "choice",
+    "reason",
+)
+
 
 class Decision:
     """What was decided for one request, and why."""
 
-    __slots__ = (
-        "candidates",
-        "choice",
-        "part",
-        "rank",
-        "reason",
-        "request_id",
-        "stage",
-        "workspace",
-    )
+    __slots__ = FIELDS
 
     def __init__(
         self,
@@ -47,25 +52,48 @@
             f" choice={self.choice} reason={self.reason}"
         )
 
+    def to_dict(self) -> dict[str, object]:
+        """Returns the fields by name."""
+        return {name: getattr(self, name) for name in FIELDS}
+
 
 class DecisionLog:
-    """Writes decisions, all lines of a sampled request or none."""
+    """Writes decisions, all lines of a sampled request or none.
+
+    The last decisions stay in memory, sampled or not, for operators to read:
+    an entry VM has no disk for a log.
+    """
 
-    __slots__ = ("_loggers", "_threshold")
+    __slots__ = ("_loggers", "_recent", "_threshold")
 
     def __init__(self, sample_percent: float):
         self._threshold = sample_percent / 100.0 * 2**32
         self._loggers = {part: setup.new_logger(part) for part in setup.PARTS}
+        self._recent: collections.deque[Decision] = collections.deque(
+            maxlen=RECENT_DECISIONS
+        )
 
     def is_sampled(self, request_id: str) -> bool:
         """Tells whether the decisions of the request are written."""
         return zlib.crc32(request_id.encode()) < self._threshold
 
     def record(self, decision: Decision) -> None:
-        """Writes the decision if its request is sampled."""
+        """Keeps the decision and writes it if its request is sampled."""
+        self._recent.append(decision)
         if self.is_sampled(decision.request_id):
             self._loggers[decision.part].info(decision.line())
 
+    def recent(self, query: Mapping[str, str]) -> list[dict[str, object]]:
+        """Returns the last decisions whose fields have the given values."""
+        return [
+            decision.to_dict()
+            for decision in self._recent
+            if all(
+                str(getattr(decision, name, "")) == value
+                for name, value in query.items()
+            )
+        ]
+
 
 def new_decision_log(sample_percent: float) -> DecisionLog:
     """Returns a log that writes the share of requests given in percent."""
