--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 PY := $(VENV)/bin/python
 PYTHON ?= python3
 
-.PHONY: demo test lint format bench binary clean
+.PHONY: demo test lint format reference bench binary clean
 
 $(VENV)/.ready: requirements.txt requirements-dev.txt
 	$(PYTHON) -m venv $(VENV)
@@ -24,6 +24,9 @@
 	$(PY) -m ruff check --fix .
 	$(PY) -m ruff format .
 
+reference: $(VENV)/.ready
+	$(PY) -m tools.write_reference
+
 bench: $(VENV)/.ready
 	$(PY) -m savoryspar bench all
 
--- a/savoryspar/cli/version.py
+++ b/savoryspar/cli/version.py
@@ -11,6 +11,7 @@
 
     name = "version"
     description = "Print the version."
+    help = "Example: savoryspar version"
 
     def handle(self) -> int:
         """Runs the command."""
--- a/savoryspar/http/app.py
+++ b/savoryspar/http/app.py
@@ -277,6 +277,15 @@
 _PREFIX_ROUTES: dict[str, Handler] = {"POST": App.pipeline}
 
 
+def endpoints() -> dict[tuple[str, str], Handler]:
+    """Returns the callers' endpoints: (method, path) to handler."""
+    prefixed = {
+        (method, PIPELINES_PATH + "{name}"): handler
+        for method, handler in _PREFIX_ROUTES.items()
+    }
+    return {**_ROUTES, **prefixed}
+
+
 def new_app(
     cfg: conf.Settings,
     current_sheet: Callable[[], sheet.Sheet | None],
--- a/savoryspar/http/operators.py
+++ b/savoryspar/http/operators.py
@@ -10,7 +10,11 @@
 
 from savoryspar import log
 
-MAX_DECISIONS = 1000
+ENDPOINTS = {
+    ("GET", "/status"): "State of this process: sheet in force, peers, faults.",
+    ("GET", "/decisions"): "The last decisions; a query filters by field.",
+    ("POST", "/drain"): "Lets the process finish its requests and exit.",
+}
 
 
 class OperatorApp:
--- a/savoryspar/log/setup.py
+++ b/savoryspar/log/setup.py
@@ -5,26 +5,27 @@
 
 import logbook
 
-PARTS = (
-    "entry",
-    "http",
-    "scheduling",
-    "routing",
-    "pipelines",
-    "membership",
-    "sheet",
-    "platform",
-    "placement",
-    "idempotency",
-    "standin",
-    "bench",
-)
+PARTS = {
+    "entry": "Start, drain and end of an entry process.",
+    "http": "Callers' connections.",
+    "scheduling": "Admission, refusals and slot shares.",
+    "routing": "The backend server chosen for each stage call.",
+    "pipelines": "Retries and resumed streams.",
+    "membership": "Peers, links and suspected processes.",
+    "sheet": "Sheets put in force or refused.",
+    "platform": "The configuration service and the VM list.",
+    "placement": "Models on engines and the orders sent for them.",
+    "idempotency": "Tickets, forwarded orders and hand-over.",
+    "standin": "Stand-ins of outside systems.",
+    "bench": "The bench.",
+}
+"""What each part logs, by the prefix of its lines."""
 
 
 def new_logger(part: str) -> logbook.Logger:
     """Returns the logger of a part; its lines start with ``[part]``."""
     if part not in PARTS:
-        raise ValueError(f"unknown part {part!r}; use one of {PARTS}")
+        raise ValueError(f"unknown part {part!r}; use one of {[*PARTS]}")
     return logbook.Logger(part)
 
 
--- a/savoryspar/metrics/registry.py
+++ b/savoryspar/metrics/registry.py
@@ -31,6 +31,13 @@
         """Counts a request that was answered with a problem."""
         self._problems.inc({"type": kind})
 
+    def descriptions(self) -> dict[str, str]:
+        """Returns what each metric counts, by its name."""
+        return {
+            name: collector.doc
+            for name, collector in self._registry.collectors.items()
+        }
+
     def render(self) -> tuple[bytes, list[tuple[str, str]]]:
         """Returns the metrics as text, and the headers that describe it."""
         content, headers = aioprometheus.render(self._registry, list(ACCEPT))
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Tools for developers; they are not part of the program."""
