--- a/savoryspar/cli/application.py
+++ b/savoryspar/cli/application.py
@@ -1,47 +1,50 @@
 """The cleo application and its commands."""
 
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
+import functools
+import importlib
 
 from cleo import application
+from cleo.commands import command
 from cleo.io.inputs import argv_input
+from cleo.loaders import factory_command_loader
 
 import savoryspar
-from savoryspar.cli import (
-    bench,
-    check,
-    decisions,
-    demo,
-    drain,
-    entry,
-    sheet_check,
-    sheet_diff,
-    sheet_export,
-    standin,
-    status,
-    version,
-)
-
-COMMANDS = (
-    bench.BenchCommand,
-    check.CheckCommand,
-    decisions.DecisionsCommand,
-    demo.DemoCommand,
-    drain.DrainCommand,
-    entry.EntryCommand,
-    sheet_check.SheetCheckCommand,
-    sheet_diff.SheetDiffCommand,
-    sheet_export.SheetExportCommand,
-    standin.StandinCommand,
-    status.StatusCommand,
-    version.VersionCommand,
-)
+
+COMMANDS: Mapping[str, str] = {
+    "bench": "bench.BenchCommand",
+    "check": "check.CheckCommand",
+    "decisions": "decisions.DecisionsCommand",
+    "demo": "demo.DemoCommand",
+    "drain": "drain.DrainCommand",
+    "entry": "entry.EntryCommand",
+    "sheet check": "sheet_check.SheetCheckCommand",
+    "sheet diff": "sheet_diff.SheetDiffCommand",
+    "sheet export": "sheet_export.SheetExportCommand",
+    "standin": "standin.StandinCommand",
+    "status": "status.StatusCommand",
+    "version": "version.VersionCommand",
+}
+"""Class of each command, by its name, as ``module.Class`` of this package."""
+
+
+def new_command(name: str) -> command.Command:
+    """Imports a command's module and returns the command.
+
+    An entry process thus never imports the demo, the bench or a stand-in.
+    """
+    module, _, cls = COMMANDS[name].partition(".")
+    return getattr(importlib.import_module(f"{__package__}.{module}"), cls)()
 
 
 def new_application() -> application.Application:
     """Returns the application with all commands."""
     app = application.Application("savoryspar", savoryspar.__version__)
-    for command in COMMANDS:
-        app.add(command())
+    app.set_command_loader(
+        factory_command_loader.FactoryCommandLoader(
+            {name: functools.partial(new_command, name) for name in COMMANDS}
+        )
+    )
     app.auto_exits(False)
     return app
 
--- a/tools/write_reference.py
+++ b/tools/write_reference.py
@@ -39,7 +39,7 @@
     """Returns the page of all commands and exit codes."""
     rows = [
         (f"`savoryspar {command.name}`", command.description, f"`{example}`")
-        for command in (cls() for cls in application.COMMANDS)
+        for command in map(application.new_command, application.COMMANDS)
         for example in [command.help.removeprefix("Example: ")]
     ]
     page = _page(
