Apply a changed sheet by delta

Cause: every change validated and hashed all rows. A node that missed revisions reads the buckets and applies the difference the same way; only the first read is a whole build. Ruled out: a cache of row digests, which would cost memory for each row.

--- a/savoryspar/sheet/__init__.py
+++ b/savoryspar/sheet/__init__.py
@@ -1,5 +1,6 @@
 """The planners' sheet: model, CSV, keys of the configuration service."""
 
+from savoryspar.sheet.delta import apply_delta, changes_between, delta_digest
 from savoryspar.sheet.diff import Change, diff_rows
 from savoryspar.sheet.exceptions import RevisionConflictError, SheetError
 from savoryspar.sheet.holder import SheetHolder, new_sheet_holder
--- a/savoryspar/sheet/keys.py
+++ b/savoryspar/sheet/keys.py
@@ -8,7 +8,7 @@
 
 MANIFEST_KEY = "manifest"
 BUCKET_COUNT = 256
-_DIGEST_MODULUS = 2**256
+DIGEST_MODULUS = 2**256
 
 
 class Manifest:
@@ -50,7 +50,7 @@
     A sum can be updated row by row, so a delta is checked without the rest.
     """
     total = sum(row_digest(item, fields) for item, fields in rows.items())
-    return f"{total % _DIGEST_MODULUS:064x}"
+    return f"{total % DIGEST_MODULUS:064x}"
 
 
 def bucket_of(item: tuple[str, str]) -> int:
@@ -138,8 +138,13 @@
     changes: Mapping[tuple[str, str], Mapping[str, str] | None],
 ) -> dict[tuple[str, str], Mapping[str, str]]:
     """Returns the rows after the changes."""
-    merged = {**rows, **changes}
-    return {item: fields for item, fields in merged.items() if fields}
+    merged = dict(rows)
+    for item, fields in changes.items():
+        if fields:
+            merged[item] = fields
+        else:
+            merged.pop(item, None)
+    return merged
 
 
 def new_sheet(rows: model.Rows, revision: int, digest: str) -> model.Sheet:
--- a/savoryspar/sheet/reader.py
+++ b/savoryspar/sheet/reader.py
@@ -1,7 +1,7 @@
 """Reads a revision from the configuration service, by delta or whole."""
 
 from savoryspar import platform
-from savoryspar.sheet import exceptions, holder, keys, model
+from savoryspar.sheet import delta, exceptions, holder, keys, model
 
 
 def read_sheet(
@@ -25,13 +25,20 @@
     if current and manifest.revision < current.revision:
         return None
     if current and manifest.previous == current.revision:
-        rows = keys.apply_changes(current.rows, manifest.changes)
-        if keys.content_digest(rows) == manifest.digest:
-            return keys.new_sheet(rows, manifest.revision, manifest.digest)
-    rows = {}
+        return delta.apply_delta(
+            current, manifest.changes, manifest.revision, manifest.digest
+        )
+    rows: dict[tuple[str, str], dict[str, str]] = {}
     for number in range(keys.BUCKET_COUNT):
         rows.update(keys.decode_rows(client.get(keys.bucket_key(number))))
-    return keys.new_sheet(rows, manifest.revision, manifest.digest)
+    if current is None:
+        return keys.new_sheet(rows, manifest.revision, manifest.digest)
+    return delta.apply_delta(
+        current,
+        delta.changes_between(current.rows, rows),
+        manifest.revision,
+        manifest.digest,
+    )
 
 
 def refresh(
--- a/savoryspar/sheet/validate.py
+++ b/savoryspar/sheet/validate.py
@@ -168,9 +168,10 @@
                 )
             )
             continue
-        tables[table][name] = _convert_fields(
-            table, name, fields, positions, faults
+        tables[table][name], found = convert_fields(
+            table, name, fields, positions
         )
+        faults.extend(found)
     if not faults:
         faults.extend(_reference_faults(tables, positions))
     if faults:
@@ -190,15 +191,15 @@
     return exceptions.SheetError(check_id, row, column, message, remedy)
 
 
-def _convert_fields(
+def convert_fields(
     table: str,
     name: str,
     fields: Mapping[str, str],
     positions: Positions,
-    faults: list[exceptions.SheetError],
-) -> dict[str, Any]:
+) -> tuple[dict[str, Any], list[exceptions.SheetError]]:
+    """Converts the fields of one row; returns the values and the faults."""
     known = TABLES[table]
-    faults.extend(
+    faults = [
         _fault(
             "sheet.E005",
             positions,
@@ -208,7 +209,7 @@
             "use one of " + ", ".join(known),
         )
         for field in sorted(set(fields) - set(known))
-    )
+    ]
     values: dict[str, Any] = {}
     for field, spec in known.items():
         text = fields.get(field, spec.default)
@@ -239,7 +240,7 @@
                     f"give it {exc}",
                 )
             )
-    return values
+    return values, faults
 
 
 def _reference_faults(
