--- a/savoryspar/bench/fleet.py
+++ b/savoryspar/bench/fleet.py
@@ -4,6 +4,7 @@
 import json
 import os
 import pathlib
+import re
 import signal
 import subprocess
 import sys
@@ -209,6 +210,13 @@
         )
         return json.loads(resp.data)
 
+    def operator_url(self, entry: Process) -> str:
+        """Returns the URL of the operators' port that an entry logged."""
+        pattern = re.compile(r"Serving operators\. port=(\d+)")
+        self.wait_until(lambda: bool(pattern.search(self.log_text(entry.name))))
+        found = pattern.search(self.log_text(entry.name))
+        return f"http://127.0.0.1:{found.group(1)}"
+
     def get_json(self, process: Process, path: str) -> Any:
         """Reads a JSON document from a process."""
         return json.loads(self.http.request("GET", process.url + path).data)
