Be ready only when backend servers are known

Cause: /readyz answered 200 as soon as a sheet was in force, before the first read of the VM list, so that a balancer sent work that was refused. Seen once in four runs of tests/http/test_bad_input.py as a 503 no_backend_server.

--- a/savoryspar/bench/fleet.py
+++ b/savoryspar/bench/fleet.py
@@ -26,16 +26,22 @@
 
     Attributes:
         name: Name in the fleet.
-        port: TCP port that it printed.
         popen: The process.
     """
 
-    __slots__ = ("name", "popen", "port")
+    __slots__ = ("_port", "name", "popen")
 
-    def __init__(self, name: str, popen: subprocess.Popen, port: int):
+    def __init__(self, name: str, popen: subprocess.Popen):
         self.name = name
         self.popen = popen
-        self.port = port
+        self._port: int | None = None
+
+    @property
+    def port(self) -> int:
+        """TCP port that the process printed; waits for it the first time."""
+        if self._port is None:
+            self._port = _read_port(self.popen)
+        return self._port
 
     @property
     def address(self) -> str:
@@ -100,7 +106,11 @@
         self._temporary.cleanup()
 
     def start(self, name: str, arguments: Sequence[str]) -> Process:
-        """Starts ``savoryspar`` with the arguments and waits for its port."""
+        """Starts ``savoryspar`` with the arguments and does not wait for it.
+
+        Many processes thus start at the same time; the first use of a
+        process's port waits until it listens.
+        """
         with open(self.directory / f"{name}.log", "wb") as log_file:
             popen = subprocess.Popen(
                 [sys.executable, "-m", "savoryspar", *arguments],
@@ -108,7 +118,7 @@
                 stderr=log_file,
                 env={**os.environ, "PYTHONUNBUFFERED": "1"},
             )
-        process = Process(name, popen, _read_port(popen))
+        process = Process(name, popen)
         self.processes[name] = process
         return process
 
@@ -137,7 +147,6 @@
         self.vms.append(
             {
                 "name": name,
-                "address": process.address,
                 "region": region,
                 "zone": zone,
                 "role": "backend",
@@ -177,7 +186,6 @@
         self.vms.append(
             {
                 "name": name,
-                "address": process.address,
                 "region": region,
                 "zone": zone,
                 "role": "entry",
@@ -188,7 +196,11 @@
 
     def publish_vms(self) -> None:
         """Publishes the VM list as the fleet has it."""
-        self.control(self.platform, {"vms": self.vms})
+        vms = [
+            {**vm, "address": self.processes[vm["name"]].address}
+            for vm in self.vms
+        ]
+        self.control(self.platform, {"vms": vms})
 
     def publish_sheet(
         self, text: str, revision: int, previous_text: str = ""
--- a/savoryspar/cli/wiring.py
+++ b/savoryspar/cli/wiring.py
@@ -139,6 +139,15 @@
             eventlet.sleep(self._cfg.platform.vm_list_interval_s)
 
 
+def _missing(sheets: sheet.SheetHolder, router: routing.Router) -> str:
+    """Returns what the process lacks before it can serve, or an empty text."""
+    if sheets.current is None:
+        return "no configuration"
+    if not router.has_servers():
+        return "no backend servers"
+    return ""
+
+
 def new_node(cfg: conf.Settings) -> Node:
     """Builds an entry process from its settings."""
     sheets = sheet.new_sheet_holder()
@@ -149,7 +158,12 @@
         sheets.get, scheduler, router, backends.new_client(), time.monotonic
     )
     app = http.new_app(
-        cfg, sheets.get, runner, metrics.new_metrics(), time.monotonic
+        cfg,
+        sheets.get,
+        runner,
+        metrics.new_metrics(),
+        time.monotonic,
+        lambda: _missing(sheets, router),
     )
     return Node(
         cfg,
--- a/savoryspar/http/app.py
+++ b/savoryspar/http/app.py
@@ -58,6 +58,7 @@
         "_current_sheet",
         "_logger",
         "_metrics",
+        "_missing",
         "_runner",
         "is_draining",
     )
@@ -69,12 +70,14 @@
         runner: pipelines.Runner,
         registry: metrics.Metrics,
         clock: Callable[[], float],
+        missing: Callable[[], str],
     ):
         self._cfg = cfg
         self._current_sheet = current_sheet
         self._runner = runner
         self._metrics = registry
         self._clock = clock
+        self._missing = missing
         self._logger = log.new_logger("http")
         self.is_draining = False
 
@@ -118,8 +121,8 @@
 
     def readiness(self, exchange: Exchange) -> Iterable[bytes]:
         """Answers whether the balancer should send requests."""
-        if self.is_draining or self._current_sheet() is None:
-            reason = "draining" if self.is_draining else "no configuration"
+        reason = "draining" if self.is_draining else self._missing()
+        if reason:
             return exchange.answer_json(
                 {"status": reason}, "503 Service Unavailable"
             )
@@ -292,6 +295,16 @@
     runner: pipelines.Runner,
     registry: metrics.Metrics,
     clock: Callable[[], float],
+    missing: Callable[[], str],
 ) -> App:
-    """Returns the application over the given parts."""
-    return App(cfg, current_sheet, runner, registry, clock)
+    """Returns the application over the given parts.
+
+    Args:
+        cfg: The settings.
+        current_sheet: Returns the sheet in force, or None.
+        runner: Runs requests.
+        registry: Counts requests.
+        clock: Returns the monotonic time in seconds.
+        missing: Returns what the process lacks before it can serve, or "".
+    """
+    return App(cfg, current_sheet, runner, registry, clock, missing)
--- a/savoryspar/routing/router.py
+++ b/savoryspar/routing/router.py
@@ -31,6 +31,10 @@
             pools.setdefault(server.pool, {})[server.name] = server
         self._servers = pools
 
+    def has_servers(self) -> bool:
+        """Tells whether any backend server is known."""
+        return bool(self._servers)
+
     def mark_leaving(self, server: str, now: float) -> None:
         """Stops new work to a server that said that it is leaving."""
         del now
