Schedule by rank, workspace and deadline instead of arrival order

Cause: slots were granted in arrival order, so a flood of one workspace or rank delayed everybody, and work that could not meet its deadline ran.

The order of a pool is now rank (floors over a decayed window), workspace by virtual token counters, then deadline. fifo and round_robin stay selectable. The runner passes the stages still to come, so that admission refuses before the first stage runs. A caller that hangs up while it waits or while a whole answer is read gives its slot back; before, the slot was lost.

--- a/savoryspar/cli/wiring.py
+++ b/savoryspar/cli/wiring.py
@@ -1,5 +1,6 @@
 """Builds the parts of an entry process and connects them."""
 
+from collections.abc import Callable, Iterable, Mapping
 import time
 
 import eventlet
@@ -18,6 +19,9 @@
 )
 
 RETRY_S = 0.5
+POLL_S = 0.05
+"""Time after which slots that appear without a release are granted."""
+SCHEDULING_FACT = "scheduling"
 
 
 class Node:
@@ -26,6 +30,7 @@
     Attributes:
         server: The callers' server.
         sheets: The sheet in force.
+        scheduler: The scheduler.
     """
 
     __slots__ = (
@@ -35,6 +40,7 @@
         "_logger",
         "_router",
         "_vm_list",
+        "scheduler",
         "server",
         "sheets",
     )
@@ -46,6 +52,7 @@
         server: http.Server,
         sheets: sheet.SheetHolder,
         router: routing.Router,
+        scheduler: scheduling.Scheduler,
         config_client: platform.ConfigClient,
         vm_list: platform.VmListClient,
     ):
@@ -54,6 +61,7 @@
         self.server = server
         self.sheets = sheets
         self._router = router
+        self.scheduler = scheduler
         self._config_client = config_client
         self._vm_list = vm_list
         self._logger = log.new_logger("entry")
@@ -63,6 +71,7 @@
         self.server.start()
         eventlet.spawn(self._follow_sheet)
         eventlet.spawn(self._follow_vm_list)
+        eventlet.spawn(self._poll_scheduler)
 
     def stop(self) -> None:
         """Leaves: not ready first, then finishes every request."""
@@ -85,6 +94,11 @@
                 self._logger.warning(f"Configuration not read. {exc}")
                 eventlet.sleep(RETRY_S)
 
+    def _poll_scheduler(self) -> None:
+        while True:
+            eventlet.sleep(POLL_S)
+            self.scheduler.poll(time.monotonic())
+
     def _follow_vm_list(self) -> None:
         while True:
             try:
@@ -101,13 +115,52 @@
             eventlet.sleep(self._cfg.platform.vm_list_interval_s)
 
 
+def connect_scheduler(
+    scheduler: scheduling.Scheduler,
+    own: str,
+    live_peers: Callable[[float], Iterable[str]],
+    publish_fact: Callable[[str, dict], None],
+    peer_facts: Callable[[str, float], Mapping[str, dict]],
+    interval_s: float,
+) -> None:
+    """Divides slots and compares service with the zone's peers from now on.
+
+    Args:
+        scheduler: The scheduler of this process.
+        own: Incarnation of this process.
+        live_peers: Returns the incarnations of the zone's live peers.
+        publish_fact: Puts a fact into the own heartbeats: (name, body).
+        peer_facts: Returns the facts of the zone's peers: (name, now).
+        interval_s: Time between two reports.
+    """
+    scheduler.peers.connect(own, live_peers)
+
+    def exchange() -> None:
+        while True:
+            now = time.monotonic()
+            publish_fact(SCHEDULING_FACT, scheduler.service_report(now))
+            facts = peer_facts(SCHEDULING_FACT, now)
+            for incarnation, report in facts.items():
+                scheduler.take_peer_report(incarnation, report, now)
+            eventlet.sleep(interval_s)
+
+    eventlet.spawn(exchange)
+
+
 def new_node(cfg: conf.Settings) -> Node:
     """Builds an entry process from its settings."""
     sheets = sheet.new_sheet_holder()
     router = routing.new_router(
         log.new_decision_log(cfg.log.decision_sample_percent)
     )
-    scheduler = scheduling.new_scheduler(router.capacity)
+    scheduler = scheduling.new_scheduler(
+        router.capacity,
+        cfg.scheduling,
+        decisions=log.new_decision_log(cfg.log.decision_sample_percent),
+    )
+    sheets.listen(
+        lambda current: scheduler.configure(current, time.monotonic())
+    )
     runner = pipelines.new_runner(
         sheets.get, scheduler, router, backends.new_client(), time.monotonic
     )
@@ -120,6 +173,7 @@
         http.new_server(app, cfg),
         sheets,
         router,
+        scheduler,
         platform.new_config_client(cfg.platform.config_url),
         platform.new_vm_list_client(cfg.platform.vm_list_url),
     )
--- a/savoryspar/conf/loader.py
+++ b/savoryspar/conf/loader.py
@@ -65,6 +65,25 @@
     )
 
 
+def default_section(name: str, **changes: str) -> schema.Section:
+    """Returns a section with its defaults, for parts that run alone.
+
+    Args:
+        name: Name of the section.
+        **changes: Texts that replace defaults, by key.
+
+    Raises:
+        ValueError: A text is not a value of its setting.
+    """
+    return schema.Section(
+        {
+            item.key: item.convert(changes.get(item.key, item.default))
+            for item in schema.SETTINGS
+            if item.section == name
+        }
+    )
+
+
 def environment_name(item: setting.Setting) -> str:
     """Returns the variable that overrides the setting."""
     return f"{ENVIRONMENT_PREFIX}{item.section}_{item.key}".upper()
--- a/savoryspar/conf/sections/scheduling.py
+++ b/savoryspar/conf/sections/scheduling.py
@@ -1,5 +1,48 @@
 """Settings of the section ``[scheduling]``."""
 
-from savoryspar.conf import setting
+from savoryspar.conf import converters, setting
 
-SETTINGS: tuple[setting.Setting, ...] = ()
+SETTINGS: tuple[setting.Setting, ...] = (
+    setting.Setting(
+        "scheduling",
+        "policy",
+        converters.choice("fair", "fifo", "round_robin"),
+        "fair",
+        "Order of waiting jobs: fair, fifo or round_robin.",
+    ),
+    setting.Setting(
+        "scheduling",
+        "order",
+        converters.choice("deadline", "fifo"),
+        "deadline",
+        "Order of the jobs of one workspace under the fair policy.",
+    ),
+    setting.Setting(
+        "scheduling",
+        "admission",
+        converters.choice("deadline", "none"),
+        "deadline",
+        "Whether work that cannot meet its deadline is refused.",
+    ),
+    setting.Setting(
+        "scheduling",
+        "max_queue",
+        converters.size,
+        "4096",
+        "Jobs that may wait for one pool; not used by admission = none.",
+    ),
+    setting.Setting(
+        "scheduling",
+        "floor_window_s",
+        converters.seconds,
+        "5",
+        "Time over which the service of a rank is compared to its floor.",
+    ),
+    setting.Setting(
+        "scheduling",
+        "report_interval_s",
+        converters.seconds,
+        "0.5",
+        "Time between two reports of service to the zone's peers.",
+    ),
+)
--- a/savoryspar/pipelines/bodies.py
+++ b/savoryspar/pipelines/bodies.py
@@ -7,6 +7,7 @@
 from savoryspar.pipelines import model
 
 DEFAULT_MAX_TOKENS = 64
+CHARACTERS_PER_TOKEN = 4.0
 PRIORITIES = {rank: number for number, rank in enumerate(sheet.RANKS)}
 
 
@@ -20,6 +21,29 @@
     }
 
 
+def stage_cost(req: model.Request, pool: sheet.Pool) -> float:
+    """Returns the work units that a stage of the request is expected to use.
+
+    For an engine these are the tokens of the prompt and the most tokens that
+    the caller asked for; the prompt's are estimated from its length.
+    """
+    if pool.kind != "engine":
+        return pool.cost
+    return prompt_units(req) + float(
+        req.body.get("max_tokens", DEFAULT_MAX_TOKENS)
+    )
+
+
+def prompt_units(req: model.Request) -> float:
+    """Returns the estimated number of tokens of the caller's messages."""
+    messages = req.body.get("messages")
+    if messages is None:
+        length = sum(len(str(value)) for value in req.body.values())
+    else:
+        length = sum(len(message["content"]) for message in messages)
+    return length / CHARACTERS_PER_TOKEN
+
+
 def engine_messages(req: model.Request) -> list[dict[str, str]]:
     """Returns the caller's messages, preceded by earlier stages' outputs."""
     messages = req.body.get("messages")
--- a/savoryspar/pipelines/runner.py
+++ b/savoryspar/pipelines/runner.py
@@ -73,7 +73,10 @@
     ) -> dict[str, Any]:
         if self.sheet().pools[stage.pool].kind == "engine":
             stream = self.open_stream(req, stage)
-            return {"text": stream.read_text(), "tokens": stream.tokens}
+            try:
+                return {"text": stream.read_text(), "tokens": stream.tokens}
+            finally:
+                stream.close()
         return self._call_stage(req, stage)
 
     def _call_stage(
@@ -83,17 +86,20 @@
         excluded: frozenset[str] = frozenset()
         for attempt in itertools.count(1):
             grant = self.admit(req, stage, pool.cost)
+            is_complete = False
             try:
                 choice = self.choose(req, stage, excluded)
                 try:
-                    return self._call_once(req, stage, choice)
+                    output = self._call_once(req, stage, choice)
+                    is_complete = True
+                    return output
                 except backends.BackendError as exc:
                     can_retry = pool.idempotent or not exc.has_sent
                     if not can_retry or attempt >= MAX_ATTEMPTS:
                         raise self.failure(req, exc) from exc
                     excluded |= {choice.server.name}
             finally:
-                grant.release(self._clock())
+                grant.release(self._clock(), is_complete)
         raise AssertionError("unreachable")
 
     def _call_once(
@@ -128,6 +134,9 @@
             stage.pool,
             cost,
             req.deadline_at,
+            stage.model,
+            self._later_needs(req, stage),
+            bool(req.outputs),
         )
         try:
             return self._scheduler.acquire(job, self._clock())
@@ -141,6 +150,19 @@
                 exc.retry_after_s,
             ) from exc
 
+    def _later_needs(
+        self, req: model.Request, stage: sheet.Stage
+    ) -> tuple[scheduling.StageNeed, ...]:
+        stages = req.pipeline.stages
+        return tuple(
+            scheduling.StageNeed(
+                later.pool,
+                later.model,
+                bodies.stage_cost(req, self.sheet().pools[later.pool]),
+            )
+            for later in stages[stages.index(stage) + 1 :]
+        )
+
     def choose(
         self, req: model.Request, stage: sheet.Stage, excluded: frozenset[str]
     ) -> routing.Choice:
--- a/savoryspar/pipelines/streaming.py
+++ b/savoryspar/pipelines/streaming.py
@@ -21,6 +21,7 @@
     """
 
     __slots__ = (
+        "_charged",
         "_choice",
         "_excluded",
         "_grant",
@@ -46,13 +47,15 @@
         self._choice: routing.Choice | None = None
         self._stream: backends.EngineStream | None = None
         self.tokens = 0
-        cost = float(req.body.get("max_tokens", bodies.DEFAULT_MAX_TOKENS))
+        self._charged = 0
+        cost = bodies.stage_cost(req, runner.sheet().pools[stage.pool])
         self._grant = runner.admit(req, stage, cost)
         try:
             self._open()
         except BaseException:
-            self._grant.release(runner.clock())
+            self._grant.release(runner.clock(), is_complete=False)
             raise
+        self._grant.charge(bodies.prompt_units(req), runner.clock())
 
     def read(self) -> bytes:
         """Returns the next events as raw HTTP chunks; empty after the last.
@@ -69,6 +72,8 @@
             self._relayed.append(data)
             if not data:
                 self._end(routing.Outcome.OK)
+            else:
+                self._charge()
             return data
 
     def read_text(self) -> str:
@@ -83,6 +88,8 @@
         if self._stream is not None:
             self._stream.close()
             self._end(routing.Outcome.CANCELLED)
+        # A caller that hangs up during a resume leaves no stream behind.
+        self._grant.release(self._runner.clock(), is_complete=False)
 
     def _open(self) -> None:
         text, self.tokens = relayed_text(self._relayed)
@@ -95,6 +102,7 @@
                 self._stream = self._runner.start_stream(
                     self._req, self._choice, body
                 )
+                self._charged = 0
                 return
             except backends.BackendError as exc:
                 self._excluded |= {self._choice.server.name}
@@ -110,7 +118,7 @@
                 raise self._runner.failure(self._req, exc)
             self._open()
         except exceptions.RunError as error:
-            self._grant.release(self._runner.clock())
+            self._grant.release(self._runner.clock(), is_complete=False)
             error.run_state = exceptions.RunState.PARTIAL
             raise
 
@@ -118,7 +126,12 @@
         load = self._stream.load
         self._stream = None
         self._runner.observe(self._choice, outcome, load)
-        self._grant.release(self._runner.clock())
+        self._grant.release(self._runner.clock(), outcome is routing.Outcome.OK)
+
+    def _charge(self) -> None:
+        events = self._stream.events
+        self._grant.charge(float(events - self._charged), self._runner.clock())
+        self._charged = events
 
 
 def relayed_text(relayed: list[bytes]) -> tuple[str, int]:
--- /dev/null
+++ b/tests/scheduling/test_fair.py
@@ -0,0 +1,190 @@
+"""Tests of fair queueing over workspaces."""
+
+import random
+
+import hypothesis
+from hypothesis import strategies
+import testtools
+
+from savoryspar import scheduling
+from savoryspar.scheduling import entries, fair
+
+MAX_UNITS = 100
+SLOTS = 4
+
+
+class Bench:
+    """Keeps workspaces backlogged and counts what their jobs used."""
+
+    def __init__(self, shares):
+        self.queue = fair.FairQueue()
+        self.shares = shares
+        self.used = dict.fromkeys(shares, 0.0)
+        self.running = []
+        self.sequence = 0
+
+    def push(self, workspace, cost, deadline_at=0.0):
+        job = scheduling.Job(
+            "r", workspace, self.shares[workspace], "bulk", "p", cost,
+            deadline_at,
+        )  # fmt: skip
+        self.sequence += 1
+        entry = entries.Entry(job, self.sequence)
+        self.queue.push(entry)
+        return entry
+
+    def grant(self):
+        entry = self.queue.pop()
+        entry.status = entries.Status.GRANTED
+        self.running.append(entry)
+        return entry
+
+    def use(self, number, units):
+        entry = self.running[number % len(self.running)]
+        units = min(units, MAX_UNITS - entry.used)
+        entry.used += units
+        self.used[entry.job.workspace] += units
+        if entry.used > entry.charged:
+            self.queue.charge(entry, entry.used - entry.charged)
+
+    def release(self, number):
+        entry = self.running.pop(number % len(self.running))
+        self.queue.charge(entry, entry.used - entry.charged)
+        self.queue.finish(entry)
+
+
+class FairQueueTest(testtools.TestCase):
+    @hypothesis.settings(derandomize=True, deadline=None, max_examples=60)
+    @hypothesis.given(
+        strategies.tuples(*[strategies.sampled_from([0.5, 1, 3])] * 3),
+        strategies.tuples(*[strategies.integers(1, 8)] * 3),
+        strategies.integers(0, 2**32),
+    )
+    def test_bound_of_two_backlogged_workspaces(self, shares, weights, seed):
+        """A workspace must not be served beyond the stated bound.
+
+        Estimates are wrong in both directions, and jobs end in any order.
+        """
+        generator = random.Random(seed)
+        bench = Bench(dict(zip("abc", shares, strict=True)))
+        for _ in range(600):
+            for name in "abc":
+                account = bench.queue.accounts.get(name)
+                while account is None or account.backlog < 2:
+                    bench.push(name, float(generator.randint(1, MAX_UNITS)))
+                    account = bench.queue.accounts.get(name)
+            step = generator.choices(("grant", "use", "release"), weights)[0]
+            number = generator.randrange(SLOTS)
+            if step == "grant" and len(bench.running) < SLOTS:
+                bench.grant()
+            elif step == "use" and bench.running:
+                bench.use(number, generator.randint(1, MAX_UNITS))
+            elif step == "release" and bench.running:
+                bench.release(number)
+            self.check_bound(bench, "a", "b")
+            self.check_bound(bench, "b", "c")
+
+    def check_bound(self, bench, one, other):
+        shares = bench.shares
+        difference = abs(
+            bench.used[one] / shares[one] - bench.used[other] / shares[other]
+        )
+        bound = 2 * SLOTS * MAX_UNITS / min(shares[one], shares[other])
+        self.assertLessEqual(difference, bound + 1e-6)
+
+    def test_idle_time_earns_no_credit(self):
+        """A workspace that was idle must not be served alone afterwards."""
+        bench = Bench({"busy": 1.0, "late": 1.0})
+        for _ in range(60):
+            bench.push("busy", 10.0)
+        for _ in range(20):
+            bench.use(0, 10) if bench.grant() else None
+            bench.release(0)
+        for _ in range(20):
+            bench.push("late", 10.0)
+        served = [bench.grant().job.workspace for _ in range(20)]
+        self.assertIn(served.count("late"), (9, 10, 11))
+
+    def test_debt_outlives_a_moment_without_work(self):
+        """Leaving the queue for a moment must not clear what is owed."""
+        bench = Bench({"flood": 1.0, "small": 1.0})
+        for _ in range(30):
+            bench.push("small", 1.0)
+        bench.push("flood", 1.0)
+        while bench.grant().job.workspace != "flood":
+            pass
+        number = len(bench.running) - 1
+        bench.use(number, 10)
+        bench.release(number)
+        bench.push("flood", 1.0)
+        served = [bench.grant().job.workspace for _ in range(8)]
+        self.assertNotIn("flood", served)
+
+    def test_refund_counts_at_once(self):
+        """A job shorter than its estimate must not cost a turn."""
+        bench = Bench({"a": 1.0, "b": 1.0})
+        for name in "ab":
+            bench.push(name, 100.0)
+        for _ in range(3):
+            bench.push("a", 1.0)
+            bench.push("b", 1.0)
+        bench.grant()
+        bench.grant()
+        bench.use(0, 1)
+        bench.release(0)
+        served = {bench.grant().job.workspace for _ in range(3)}
+        self.assertEqual({"a"}, served)
+
+    def test_idle_workspaces_keep_no_state(self):
+        """36,000 workspaces must not each leave an account behind."""
+        names = [f"w{number}" for number in range(2000)]
+        bench = Bench(dict.fromkeys(names, 1.0))
+        generator = random.Random(1)
+        for name in names:
+            bench.push(name, float(generator.randrange(1, 50)))
+        while bench.queue.waiting:
+            bench.grant()
+            bench.use(0, 5)
+            bench.release(0)
+        for number in range(600):
+            bench.push(names[number], 1.0)
+            bench.grant()
+            bench.release(0)
+        self.assertEqual({}, bench.queue.accounts)
+
+    def test_earliest_deadline_first_within_a_workspace(self):
+        """A job with much time must not delay one with little."""
+        bench = Bench({"a": 1.0})
+        for deadline_at in (3.0, 1.0, 2.0):
+            bench.push("a", 1.0, deadline_at)
+        order = [bench.grant().job.deadline_at for _ in range(3)]
+        self.assertEqual([1.0, 2.0, 3.0], order)
+
+    @hypothesis.settings(derandomize=True, deadline=None)
+    @hypothesis.given(strategies.lists(strategies.integers(0, 5), max_size=80))
+    def test_drops_leave_exact_sums(self, choices):
+        """A drop that is counted twice would hide or invent a backlog."""
+        bench = Bench({"a": 1.0, "b": 2.0})
+        waiting = []
+        for choice in choices:
+            if choice < 4 or not waiting:
+                waiting.append(bench.push("ab"[choice % 2], choice + 1.0))
+            else:
+                entry = waiting.pop(choice % len(waiting))
+                entry.status = entries.Status.DROPPED
+                bench.queue.discard(entry)
+        self.assertEqual(len(waiting), bench.queue.waiting)
+        units = sum(entry.job.cost for entry in waiting)
+        self.assertEqual(units, bench.queue.units)
+        found = bench.queue.longest()
+        longest = max(
+            (
+                sum(e.job.cost for e in waiting if e.job.workspace == name)
+                / bench.shares[name]
+                for name in "ab"
+            ),
+            default=0.0,
+        )
+        self.assertEqual(longest, found[0] if found else 0.0)
+        granted = [bench.grant() for _ in waiting]
+        self.assertEqual({id(e) for e in waiting}, {id(e) for e in granted})
