Make Retry-After true when slots are released together

Cause: the advice was the missing time only. Slots that are granted together are released together, so the queue had not moved when the advice ended. Before: a resend after the advice was refused with 4.00 s of wait for 3.98 s of time left. After: it is admitted (test_refused_at_once_and_advice_is_true).

--- a/savoryspar/scheduling/admission.py
+++ b/savoryspar/scheduling/admission.py
@@ -74,7 +74,7 @@
             raise _error(
                 f"the wait for {_pools(job)} is {wait_s:.2f} s, of which"
                 f" {spare_s:.2f} s fit into the deadline",
-                wait_s - spare_s,
+                wait_s - spare_s + self._step_s(job),
             )
 
     def refusal(self, job: model.Job, now: float) -> exceptions.AdmissionError:
@@ -92,11 +92,23 @@
         )
         return _error(message, wait_s or UNREACHABLE_RETRY_S)
 
+    def _step_s(self, job: model.Job) -> float:
+        """Returns the time in which the queue surely moves, in seconds.
+
+        Slots that were granted together are also released together, so a
+        queue may stand still for the time of one job.
+        """
+        needs = (model.StageNeed(job.pool, job.model, job.cost), *job.later)
+        return max(
+            self.estimates.p50_s(need.pool, need.model, need.cost)
+            for need in needs
+        )
+
     def overflow(self, job: model.Job, now: float) -> exceptions.AdmissionError:
         """Returns the error for a job that a full queue has no room for."""
         return _error(
             f"the queue of pool {job.pool!r} is full",
-            self._wait(job.pool, job, now),
+            self._wait(job.pool, job, now) + self._step_s(job),
         )
 
 
--- /dev/null
+++ b/tests/scheduling/test_scheduler.py
@@ -0,0 +1,263 @@
+"""Tests of grants, deadlines, admission and the bounded queue."""
+
+import time
+
+import eventlet
+import testtools
+
+from savoryspar import conf, scheduling, sheet
+from savoryspar.scheduling import entries
+
+FLOORS = (
+    "table,name,field,value\n"
+    "rank,standard,floor_percent,20\n"
+    "rank,bulk,floor_percent,10\n"
+)
+POOL_S = 1.0
+"""Time that every job holds its slot."""
+
+
+def new_job(
+    workspace="a", rank="standard", cost=1.0, deadline_at=1000.0, share=1.0,
+    pool="p", later=(), is_started=False,
+):  # fmt: skip
+    return scheduling.Job(
+        "r", workspace, share, rank, pool, cost, deadline_at, "", later,
+        is_started,
+    )  # fmt: skip
+
+
+def new_scheduler(slots=2, **settings):
+    scheduler = scheduling.new_scheduler(
+        lambda pool, now: slots, conf.default_section("scheduling", **settings)
+    )
+    scheduler.configure(sheet.parse_csv(FLOORS, 1), 0.0)
+    return scheduler
+
+
+class Simulation:
+    """Runs jobs of fixed length on a scheduler, in simulated time."""
+
+    def __init__(self, scheduler, now=0.0):
+        self.scheduler = scheduler
+        self.now = now
+        self.running = []
+        self.offered = []
+
+    def offer(self, job):
+        entry = self.scheduler.offer(job, self.now)
+        self.offered.append(entry)
+        self._collect()
+        return entry
+
+    def run_until(self, until):
+        while self.running and self.running[0].granted_at + POOL_S <= until:
+            entry = self.running.pop(0)
+            self.now = max(self.now, entry.granted_at + POOL_S)
+            self.scheduler.release(entry, self.now, is_complete=True)
+            self._collect()
+        self.now = until
+
+    def _collect(self):
+        granted = [
+            e for e in self.offered if e.status is entries.Status.GRANTED
+        ]
+        self.offered = [e for e in self.offered if e.is_waiting]
+        self.running += granted
+        self.running.sort(key=lambda entry: entry.granted_at)
+
+
+class RankTest(testtools.TestCase):
+    def serve(self, scheduler, offered, now):
+        """Frees the only slot and returns the job that gets it."""
+        running = next(e for e in offered if e.status is entries.Status.GRANTED)
+        scheduler.release(running, now, is_complete=False)
+        offered.remove(running)
+        return next(
+            e.job for e in offered if e.status is entries.Status.GRANTED
+        )
+
+    def served(self, *ranks, rounds=200):
+        """Keeps the ranks backlogged; returns the part of each."""
+        scheduler = new_scheduler(1)
+        offered = [scheduler.offer(new_job(), 0.0)]
+        offered += [
+            scheduler.offer(new_job(rank=rank), 0.0) for rank in ranks * 3
+        ]
+        counts = dict.fromkeys(ranks, 0)
+        for number in range(rounds):
+            rank = self.serve(scheduler, offered, number * 0.1).rank
+            counts[rank] += 1
+            offered.append(scheduler.offer(new_job(rank=rank), number * 0.1))
+        return {rank: count / rounds for rank, count in counts.items()}
+
+    def test_floors_hold_in_a_flood_of_urgent_work(self):
+        """A flood of urgent work must not starve the other ranks."""
+        parts = self.served("urgent", "standard", "bulk")
+        self.assertGreaterEqual(parts["standard"], 0.19)
+        self.assertGreaterEqual(parts["bulk"], 0.095)
+        self.assertGreaterEqual(parts["urgent"], 0.65)
+
+    def test_urgent_is_not_held_back_by_a_flood_of_bulk(self):
+        """A rank above its floor must not be served before urgent work."""
+        self.assertLessEqual(self.served("urgent", "bulk")["bulk"], 0.12)
+
+    def test_idle_rank_has_no_claim_on_the_past(self):
+        """Bulk work after a quiet time must not stop urgent work."""
+        scheduler = new_scheduler(1)
+        offered = [scheduler.offer(new_job(rank="urgent"), 0.0)]
+        for number in range(100):
+            now = number * 0.1
+            offered.append(scheduler.offer(new_job(rank="urgent"), now))
+            self.serve(scheduler, offered, now)
+        for rank in ("urgent", "bulk") * 5:
+            offered.append(scheduler.offer(new_job(rank=rank), 10.0))
+        ranks = [self.serve(scheduler, offered, 10.0).rank for _ in range(5)]
+        self.assertLessEqual(ranks.count("bulk"), 1)
+
+
+class AdmissionTest(testtools.TestCase):
+    def new_warm(self, slots=2, **settings):
+        """Returns a simulation that knows that a job takes a second."""
+        simulation = Simulation(new_scheduler(slots, **settings))
+        for _ in range(10 * slots):
+            simulation.offer(new_job(deadline_at=1e9))
+            simulation.run_until(simulation.now + POOL_S)
+        simulation.run_until(simulation.now + 10.0)
+        return simulation
+
+    def test_refused_at_once_and_advice_is_true(self):
+        """Asking again after Retry-After must succeed without new load."""
+        simulation = self.new_warm()
+        with testtools.ExpectedException(scheduling.AdmissionError):
+            for _ in range(100):
+                simulation.offer(new_job(deadline_at=simulation.now + 5.0))
+        exc = self.assertRaises(
+            scheduling.AdmissionError,
+            simulation.offer,
+            new_job(deadline_at=simulation.now + 5.0),
+        )
+        waiting = simulation.scheduler.waiting("p")
+        self.assertGreaterEqual(waiting, 6)
+        self.assertLessEqual(exc.retry_after_s, 3.0)
+        simulation.run_until(simulation.now + exc.retry_after_s)
+        simulation.offer(new_job(deadline_at=simulation.now + 5.0))
+
+    def test_refused_before_the_first_stage_for_a_later_one(self):
+        """Stages must not be paid for when the last one is out of reach."""
+        simulation = self.new_warm()
+        for _ in range(10):
+            simulation.offer(new_job(deadline_at=simulation.now + 1000.0))
+        later = (scheduling.StageNeed("p", "", 1.0),)
+        job = new_job(pool="q", later=later, deadline_at=simulation.now + 3.0)
+        self.assertRaises(scheduling.AdmissionError, simulation.offer, job)
+
+    def test_a_started_request_is_not_refused_on_a_forecast(self):
+        """Work that is paid for must not be thrown away on a guess."""
+        simulation = self.new_warm()
+        for _ in range(10):
+            simulation.offer(new_job(deadline_at=simulation.now + 1000.0))
+        job = new_job(deadline_at=simulation.now + 3.0, is_started=True)
+        self.assertTrue(simulation.offer(job).is_waiting)
+
+    def test_budget_leaves_room_for_later_stages(self):
+        """A grant after the latest start would run work in vain."""
+        simulation = self.new_warm()
+        for _ in range(2):
+            simulation.offer(new_job(deadline_at=simulation.now + 1000.0))
+        later = (scheduling.StageNeed("p", "", 1.0),)
+        job = new_job(
+            deadline_at=simulation.now + 2.9, later=later, is_started=True
+        )
+        entry = simulation.offer(job)
+        simulation.run_until(simulation.now + 2.0)
+        self.assertIs(entries.Status.DROPPED, entry.status)
+        self.assertGreater(entry.error.retry_after_s, 0.0)
+
+    def test_none_admits_everything(self):
+        """The baseline must not refuse, or the bench compares nothing."""
+        simulation = self.new_warm(admission="none", max_queue="1")
+        for _ in range(20):
+            simulation.offer(new_job(deadline_at=simulation.now + 2.0))
+        self.assertEqual(18, simulation.scheduler.waiting("p"))
+
+    def test_pool_without_servers_is_refused_at_once(self):
+        """A caller must not wait out its deadline for a pool that is gone."""
+        scheduler = new_scheduler(0)
+        self.assertRaises(
+            scheduling.AdmissionError, scheduler.offer, new_job(), 0.0
+        )
+
+
+class BoundedQueueTest(testtools.TestCase):
+    def statuses(self, offered):
+        return {
+            name: sum(e.is_waiting for e in offered if e.job.workspace == name)
+            for name in {e.job.workspace for e in offered}
+        }
+
+    def fill(self, jobs, max_queue=10):
+        scheduler = new_scheduler(1, max_queue=str(max_queue))
+        scheduler.offer(new_job("running"), 0.0)
+        return scheduler, [scheduler.offer(job, 0.0) for job in jobs]
+
+    def test_flood_of_one_workspace_pushes_out_itself(self):
+        """A small workspace's jobs must stay when a large one floods."""
+        jobs = [new_job("small")] * 2 + [new_job("flood")] * 40
+        _, offered = self.fill([*jobs, new_job("late")])
+        self.assertEqual(
+            {"small": 2, "flood": 7, "late": 1}, self.statuses(offered)
+        )
+
+    def test_share_weighs_the_backlog(self):
+        """A workspace with three times the share may queue three times."""
+        jobs = [new_job("x", share=3.0), new_job("y", share=1.0)] * 40
+        _, offered = self.fill(jobs, max_queue=40)
+        self.assertEqual({"x": 30, "y": 10}, self.statuses(offered))
+
+    def test_flood_of_bulk_does_not_push_out_other_ranks(self):
+        """Urgent jobs must find room in a queue full of bulk work."""
+        jobs = [new_job("b", "bulk")] * 40 + [new_job("u", "urgent")] * 5
+        _, offered = self.fill(jobs)
+        self.assertEqual(5, self.statuses(offered)["u"])
+
+    def test_flood_of_urgent_work_leaves_room_for_bulk(self):
+        """The floor of bulk needs jobs in the queue to be served."""
+        jobs = [new_job("u", "urgent")] * 40 + [new_job("b", "bulk")] * 40
+        _, offered = self.fill(jobs)
+        self.assertGreaterEqual(self.statuses(offered)["b"], 1)
+
+
+class AcquireTest(testtools.TestCase):
+    """Waits in green threads, as an entry process does."""
+
+    def test_caller_that_hangs_up_leaves_no_slot_behind(self):
+        """A killed waiter must neither keep its place nor leak a slot."""
+        scheduler = new_scheduler(1)
+        now = time.monotonic()
+        first = scheduler.acquire(new_job(deadline_at=now + 60.0), now)
+        waiter = eventlet.spawn(
+            scheduler.acquire, new_job(deadline_at=now + 60.0), now
+        )
+        eventlet.sleep(0)
+        self.assertEqual(1, scheduler.waiting("p"))
+        # The grant and the kill cross: the waiter never sees its grant.
+        first.release(now)
+        waiter.kill()
+        eventlet.sleep(0)
+        second = scheduler.acquire(new_job(deadline_at=now + 60.0), now)
+        second.release(now)
+        self.assertEqual(0, scheduler.waiting("p"))
+
+    def test_waiter_is_told_at_its_latest_start(self):
+        """The final answer must not wait for the deadline itself."""
+        scheduler = new_scheduler(1)
+        now = time.monotonic()
+        for _ in range(20):
+            scheduler.estimates.observe("p", "", 1.0, 30.0)
+        scheduler.acquire(new_job(deadline_at=now + 1000.0), now)
+        job = new_job(deadline_at=now + 33.0, is_started=True)
+        with eventlet.Timeout(10.0):
+            self.assertRaises(
+                scheduling.AdmissionError, scheduler.acquire, job, now
+            )
