--- a/savoryspar/cli/standin.py
+++ b/savoryspar/cli/standin.py
@@ -20,6 +20,12 @@
         option("max-batch", None, "Batch size.", flag=False, default="16"),
         option("work-ms", None, "Time per call.", flag=False, default="5"),
         option("rate", None, "Calls per second.", flag=False, default="2000"),
+        option(
+            "cache-blocks", None, "Prefix cache.", flag=False, default="1024"
+        ),
+        option(
+            "prefill-us", None, "Time per new token.", flag=False, default="0"
+        ),
         option("seed", None, "Seed.", flag=False, default="1"),
     ]
     help = "Example: savoryspar standin engine --port 9001 --step-ms 10"
@@ -32,6 +38,8 @@
                 float(self.option("step-ms")),
                 int(self.option("max-batch")),
                 int(self.option("seed")),
+                int(self.option("cache-blocks")),
+                float(self.option("prefill-us")),
             ),
             "pool": self._new_pool_server,
             "service": self._new_pool_server,
--- a/savoryspar/standins/engine.py
+++ b/savoryspar/standins/engine.py
@@ -1,14 +1,20 @@
-"""A model engine: continuous batching with a step time."""
+"""A model engine: continuous batching, prefix cache, priorities, faults."""
 
 from collections.abc import Iterator
 import hashlib
 import json
+import os
+import random
 import time
 from typing import Any
 
 import eventlet
 
-from savoryspar.standins import wsgi
+from savoryspar.standins import faults, prefix_cache, slots, wsgi
+
+CHARS_PER_TOKEN = 4
+CRASH_EXIT_CODE = 70
+DEFAULT_PRIORITY = 1
 
 WORDS = (
     "acto", "gesto", "sombra", "silencio", "plaza", "mano", "mirada", "ritmo",
@@ -20,61 +26,199 @@
     """Generates tokens that depend only on the prompt and their position."""
 
     __slots__ = (
-        "max_batch",
+        "_cache",
+        "_loads",
+        "_prefill_s",
+        "_rng",
+        "book",
+        "faults",
         "name",
-        "running",
         "seed",
         "slots",
         "step_s",
-        "waiting",
     )
 
-    def __init__(self, name: str, step_s: float, max_batch: int, seed: int):
+    def __init__(
+        self,
+        name: str,
+        step_s: float,
+        max_batch: int,
+        seed: int,
+        cache_blocks: int,
+        prefill_s: float,
+    ):
         self.name = name
         self.step_s = step_s
-        self.max_batch = max_batch
         self.seed = seed
-        self.running = 0
-        self.waiting = 0
-        self.slots = eventlet.semaphore.Semaphore(max_batch)
+        self.slots = slots.Slots(max_batch)
+        self.faults = faults.Faults()
+        self.book: list[dict[str, Any]] = []
+        self._cache = prefix_cache.PrefixCache(cache_blocks, seed)
+        self._prefill_s = prefill_s
+        self._rng = random.Random(seed)
+        self._loads: list[tuple[float, int, int]] = [(0.0, 0, 0)]
 
     def handle(self, exchange: wsgi.Exchange) -> Any:
         """Answers one request."""
+        if exchange.path == "/control":
+            return self._control(exchange)
+        if exchange.path == "/book":
+            return exchange.answer({"runs": self.book})
         if exchange.path == "/v1/chat/completions":
-            return self._generate(exchange)
+            return self._admit(exchange)
         if exchange.path == "/load":
+            running, waiting = self._reported_load()
             return exchange.answer_text(
-                f"engine_running {self.running}\n"
-                f"engine_waiting {self.waiting}\n"
+                f"engine_running {running}\nengine_waiting {waiting}\n"
             )
+        if exchange.path == "/cache-events":
+            after = int(exchange.query.get("after", "0"))
+            return exchange.answer(self._cache.events(after, time.monotonic()))
         return exchange.answer({"error": "no such path"}, "404 Not Found")
 
-    def _generate(self, exchange: wsgi.Exchange) -> Iterator[bytes]:
+    def _control(self, exchange: wsgi.Exchange) -> Any:
         body = exchange.read_json()
-        self.waiting += 1
-        self.slots.acquire()
-        self.waiting -= 1
-        self.running += 1
-        load = str(self.running + self.waiting)
-        exchange.start(
-            "200 OK",
-            [("Content-Type", "text/event-stream"), ("X-Load", load)],
+        self.faults.update(body)
+        self._cache.event_delay_s = body.get(
+            "event_delay_s", self._cache.event_delay_s
+        )
+        self._cache.event_gap_share = body.get(
+            "event_gap_share", self._cache.event_gap_share
         )
-        return self._stream(exchange, body)
+        if "seed" in body:
+            self._rng = random.Random(body["seed"])
+        return exchange.answer({"name": self.name})
 
-    def _stream(
+    def _admit(self, exchange: wsgi.Exchange) -> Any:
+        body = exchange.read_json()
+        if self.faults.is_refusing:
+            return exchange.answer(
+                {"error": "refused"}, "503 Service Unavailable", self._headers()
+            )
+        run = self._new_run(exchange, body)
+        self.book.append(run)
+        if self._rng.random() < self.faults.fail_share:
+            run["state"] = "failed"
+            return exchange.answer(
+                {"error": "failed"}, "500 Internal Server Error"
+            )
+        return self._generate(exchange, body, run)
+
+    def _new_run(
         self, exchange: wsgi.Exchange, body: dict[str, Any]
+    ) -> dict[str, Any]:
+        text = prompt_text(body["messages"])
+        return {
+            "attempt_id": exchange.header("X-Attempt-Id"),
+            "request_id": exchange.header("X-Request-Id"),
+            "prompt_tokens": len(text) // CHARS_PER_TOKEN,
+            "cached_tokens": 0,
+            "tokens_out": 0,
+            "bytes": int(exchange.environ.get("CONTENT_LENGTH") or 0),
+            "at": time.time(),
+            "state": "running",
+        }
+
+    def _generate(
+        self,
+        exchange: wsgi.Exchange,
+        body: dict[str, Any],
+        run: dict[str, Any],
+    ) -> Iterator[bytes]:
+        self.slots.acquire(int(body.get("priority", DEFAULT_PRIORITY)))
+        self._note_load()
+        try:
+            self._prefill(body, run)
+            exchange.start(
+                "200 OK",
+                [("Content-Type", "text/event-stream"), *self._headers()],
+            )
+        except BaseException:
+            self._release(run, "cancelled")
+            raise
+        return self._stream(exchange, body, run)
+
+    def _prefill(self, body: dict[str, Any], run: dict[str, Any]) -> None:
+        text = prompt_text(body["messages"])
+        if self._is_marked(text) and not self.faults.crash_after_tokens:
+            os._exit(CRASH_EXIT_CODE)
+        blocks = prefix_cache.block_hashes(body["model"], text)
+        held = self._cache.use(blocks, time.monotonic())
+        run["cached_tokens"] = (
+            held * prefix_cache.BLOCK_CHARS // CHARS_PER_TOKEN
+        )
+        self._work(
+            self._prefill_s * (run["prompt_tokens"] - run["cached_tokens"])
+        )
+
+    def _stream(
+        self, exchange: wsgi.Exchange, body: dict[str, Any], run: dict[str, Any]
     ) -> Iterator[bytes]:
+        state = "cancelled"
+        is_marked = self._is_marked(prompt_text(body["messages"]))
         try:
             first = int(body.get("resume_from", 0))
             for position in range(first, int(body["max_tokens"])):
-                eventlet.sleep(self.step_s)
+                if is_marked and run["tokens_out"] == int(
+                    self.faults.crash_after_tokens
+                ):
+                    os._exit(CRASH_EXIT_CODE)
+                if 0 < self.faults.end_after_tokens <= run["tokens_out"]:
+                    state = "ended_early"
+                    return
+                self._work(self.step_s)
                 word = token(body["messages"], position, self.seed)
+                run["tokens_out"] += 1
                 yield _event(exchange, body, {"content": word + " "}, None)
             yield _event(exchange, body, {}, "stop") + b"data: [DONE]\n\n"
+            state = "complete"
         finally:
-            self.running -= 1
-            self.slots.release()
+            self._release(run, state)
+
+    def _is_marked(self, text: str) -> bool:
+        return bool(self.faults.crash_mark) and self.faults.crash_mark in text
+
+    def _work(self, work_s: float) -> None:
+        eventlet.sleep(work_s * self.faults.slow_factor)
+        while self.faults.is_paused:
+            eventlet.sleep(0.01)
+
+    def _release(self, run: dict[str, Any], state: str) -> None:
+        run["state"] = state
+        self.slots.release()
+        self._note_load()
+
+    def _headers(self) -> list[tuple[str, str]]:
+        headers = [("X-Load", str(sum(self._reported_load())))]
+        if self.faults.is_leaving:
+            headers.append(("X-Leaving", "1"))
+        return headers
+
+    def _note_load(self) -> None:
+        now = time.monotonic()
+        self._loads.append((now, self.slots.running, self.slots.waiting))
+        # One entry from before the lag is kept: it is what is reported.
+        while len(self._loads) > 1 and self._is_reportable(self._loads[1], now):
+            del self._loads[0]
+
+    def _reported_load(self) -> tuple[int, int]:
+        now = time.monotonic()
+        reportable = [
+            entry for entry in self._loads if self._is_reportable(entry, now)
+        ]
+        _, running, waiting = (reportable or self._loads[:1])[-1]
+        return running, waiting
+
+    def _is_reportable(self, entry: tuple[float, int, int], now: float) -> bool:
+        return entry[0] <= now - self.faults.load_lag_s
+
+
+def prompt_text(messages: list[dict[str, str]]) -> str:
+    """Returns the text of a prompt that the prefix cache is keyed by."""
+    return "\n".join(
+        f"{message.get('role', '')}: {message['content']}"
+        for message in messages
+    )
 
 
 def token(messages: list[dict[str, str]], position: int, seed: int) -> str:
@@ -99,6 +243,24 @@
     return b"data: " + json.dumps(document).encode() + b"\n\n"
 
 
-def new_engine(name: str, step_ms: float, max_batch: int, seed: int) -> Engine:
-    """Returns an engine with the given time for each token."""
-    return Engine(name, step_ms / 1000.0, max_batch, seed)
+def new_engine(
+    name: str,
+    step_ms: float,
+    max_batch: int,
+    seed: int,
+    cache_blocks: int = 1024,
+    prefill_us: float = 0.0,
+) -> Engine:
+    """Returns an engine.
+
+    Args:
+        name: Name of the server.
+        step_ms: Time for each token of the answer.
+        max_batch: Calls that run at a time.
+        seed: Seed of the tokens and of the failed calls.
+        cache_blocks: Blocks of 256 characters in the prefix cache.
+        prefill_us: Time for each token of the prompt that is not cached.
+    """
+    return Engine(
+        name, step_ms / 1e3, max_batch, seed, cache_blocks, prefill_us / 1e6
+    )
--- /dev/null
+++ b/savoryspar/standins/slots.py
@@ -0,0 +1,43 @@
+"""The slots of the engine stand-in."""
+
+import heapq
+import itertools
+
+from eventlet import event
+
+
+class Slots:
+    """The batch; a free slot goes to the most urgent waiting call.
+
+    Attributes:
+        running, waiting: Number of calls.
+    """
+
+    __slots__ = ("_numbers", "_queue", "_size", "running")
+
+    def __init__(self, size: int):
+        self._size = size
+        self._numbers = itertools.count()
+        self._queue: list[tuple[int, int, event.Event]] = []
+        self.running = 0
+
+    @property
+    def waiting(self) -> int:
+        """Calls that wait for a slot."""
+        return len(self._queue)
+
+    def acquire(self, priority: int) -> None:
+        """Waits for a slot; 0 is the most urgent priority."""
+        if self.running < self._size:
+            self.running += 1
+            return
+        granted = event.Event()
+        heapq.heappush(self._queue, (priority, next(self._numbers), granted))
+        granted.wait()
+
+    def release(self) -> None:
+        """Gives a slot back."""
+        if self._queue:
+            heapq.heappop(self._queue)[2].send(None)
+        else:
+            self.running -= 1
