Score servers, limit them, eject outliers and find crash suspects

The router chose the server with the fewest own calls. It now scores load, held prefixes and distance, keeps a limit and the health of each server, uses a subset, budgets retries and remembers requests that crash servers. The policy is a setting. Streams are cancelled and resumed without leaks of slots.

--- a/savoryspar/backends/__init__.py
+++ b/savoryspar/backends/__init__.py
@@ -9,3 +9,4 @@
 )
 from savoryspar.backends.model import Server, StageCall, StageResult
 from savoryspar.backends.relay import EngineStream, split_events
+from savoryspar.backends.reports import CacheReport, LoadReport
--- a/savoryspar/backends/client.py
+++ b/savoryspar/backends/client.py
@@ -4,20 +4,27 @@
 
 import urllib3
 
-from savoryspar.backends import exceptions, model, relay
+from savoryspar.backends import exceptions, model, relay, reports
 
 CONNECT_TIMEOUT_S = 0.5
 CONNECTIONS_PER_SERVER = 64
+REPORT_TIMEOUT_S = 1.0
 NOT_RUN_STATUSES = frozenset({409, 429, 503})
 
 
 class Client:
-    """Calls any backend server; one connection pool per server address."""
+    """Calls any backend server; one connection pool per server address.
 
-    __slots__ = ("_pool",)
+    Attributes:
+        dropped_answers: Answers that came for another attempt, or that a call
+            stopped waiting for; the connection is closed, so they are lost.
+    """
+
+    __slots__ = ("_pool", "dropped_answers")
 
     def __init__(self, pool: urllib3.PoolManager):
         self._pool = pool
+        self.dropped_answers = 0
 
     def call(
         self, server: model.Server, call: model.StageCall
@@ -30,7 +37,7 @@
         """
         resp = self._send(server, call, preload_content=True)
         _check_status(server, resp)
-        _check_attempt(server, call, resp)
+        self._check_attempt(server, call, resp)
         try:
             output = json.loads(resp.data)
         except ValueError as exc:
@@ -54,7 +61,7 @@
         resp = self._send(server, call, preload_content=False)
         try:
             _check_status(server, resp)
-            _check_attempt(server, call, resp)
+            self._check_attempt(server, call, resp)
         except exceptions.BackendError:
             resp.close()
             raise
@@ -100,6 +107,7 @@
                 has_sent=False,
             ) from exc
         except urllib3.exceptions.ReadTimeoutError as exc:
+            self.dropped_answers += 1
             raise exceptions.CallUnknownError(
                 server.name,
                 "no answer within the time left",
@@ -115,6 +123,73 @@
                 is_crash=True,
             ) from exc
 
+    def _check_attempt(
+        self,
+        server: model.Server,
+        call: model.StageCall,
+        resp: urllib3.BaseHTTPResponse,
+    ) -> None:
+        answered = resp.headers.get("X-Attempt-Id", "")
+        if answered != call.attempt_id:
+            self.dropped_answers += 1
+            raise exceptions.CallUnknownError(
+                server.name,
+                f"answered attempt {answered!r} instead of {call.attempt_id!r}",
+                "check the backend server; the answer was dropped",
+                has_sent=True,
+            )
+
+    def read_load(self, server: model.Server) -> reports.LoadReport:
+        """Reads a server's load.
+
+        Raises:
+            BackendError: The server did not answer with a report.
+        """
+        data = self._read(server, "/load")
+        try:
+            return reports.decode_load(data.decode())
+        except ValueError as exc:
+            raise _bad_report(server, exc) from exc
+
+    def read_cache_events(
+        self, server: model.Server, after: int
+    ) -> reports.CacheReport:
+        """Reads a server's cache events after a sequence number.
+
+        Raises:
+            BackendError: The server did not answer with a report.
+        """
+        data = self._read(server, f"/cache-events?after={after}")
+        try:
+            return reports.decode_cache_events(data, after)
+        except ValueError as exc:
+            raise _bad_report(server, exc) from exc
+
+    def _read(self, server: model.Server, path: str) -> bytes:
+        try:
+            resp = self._pool.request(
+                "GET",
+                f"http://{server.address}{path}",
+                timeout=REPORT_TIMEOUT_S,
+                retries=False,
+            )
+        except urllib3.exceptions.HTTPError as exc:
+            raise _bad_report(server, exc) from exc
+        if resp.status != 200:
+            raise _bad_report(server, f"status {resp.status}")
+        return resp.data
+
+
+def _bad_report(
+    server: model.Server, reason: object
+) -> exceptions.BackendError:
+    return exceptions.BackendError(
+        server.name,
+        f"its report cannot be read: {reason}",
+        "check the server",
+        has_sent=True,
+    )
+
 
 def _check_status(server: model.Server, resp: urllib3.BaseHTTPResponse) -> None:
     if resp.status == 200:
@@ -134,21 +209,6 @@
     )
 
 
-def _check_attempt(
-    server: model.Server,
-    call: model.StageCall,
-    resp: urllib3.BaseHTTPResponse,
-) -> None:
-    answered = resp.headers.get("X-Attempt-Id", "")
-    if answered != call.attempt_id:
-        raise exceptions.CallUnknownError(
-            server.name,
-            f"answered attempt {answered!r} instead of {call.attempt_id!r}",
-            "check the backend server; the answer was dropped",
-            has_sent=True,
-        )
-
-
 def _load(resp: urllib3.BaseHTTPResponse) -> int:
     text = resp.headers.get("X-Load", "")
     return int(text) if text.isdigit() else -1
--- a/savoryspar/backends/relay.py
+++ b/savoryspar/backends/relay.py
@@ -101,6 +101,8 @@
     def _receive(self) -> bytes:
         try:
             data = self._reader.fp.read1(READ_BYTES)
+        except TimeoutError as exc:
+            raise self._broken("no data within the time left", False) from exc
         except (OSError, ValueError, AttributeError) as exc:
             raise self._broken(f"reading failed: {exc}") from exc
         if not data:
@@ -116,14 +118,16 @@
         self._reader._close_conn()
         self._resp.release_conn()
 
-    def _broken(self, reason: str) -> exceptions.StreamBrokenError:
+    def _broken(
+        self, reason: str, is_crash: bool = True
+    ) -> exceptions.StreamBrokenError:
         self.close()
         return exceptions.StreamBrokenError(
             self.server,
             reason,
             "resume the stream on another server",
             has_sent=True,
-            is_crash=True,
+            is_crash=is_crash,
         )
 
 
--- /dev/null
+++ b/savoryspar/backends/reports.py
@@ -0,0 +1,85 @@
+"""Reports that engines publish: load and cache events."""
+
+import json
+
+LOAD_NAMES = ("engine_running", "engine_waiting")
+
+
+class LoadReport:
+    """Requests at a server, as it last counted them.
+
+    Attributes:
+        running: Requests that run.
+        waiting: Requests that wait.
+    """
+
+    __slots__ = ("running", "waiting")
+
+    def __init__(self, running: int, waiting: int):
+        self.running = running
+        self.waiting = waiting
+
+
+class CacheReport:
+    """Cache events of one server since the last report.
+
+    Attributes:
+        stored, removed: Hashes of blocks whose last event says so.
+        last: Sequence number of the last event.
+        has_gap: Whether events were lost.
+    """
+
+    __slots__ = ("has_gap", "last", "removed", "stored")
+
+    def __init__(
+        self, stored: list[int], removed: list[int], last: int, has_gap: bool
+    ):
+        self.stored = stored
+        self.removed = removed
+        self.last = last
+        self.has_gap = has_gap
+
+
+def decode_load(text: str) -> LoadReport:
+    """Decodes ``GET /load`` (Prometheus text).
+
+    Raises:
+        ValueError: The text is not a load report.
+    """
+    lines = (line.split() for line in text.splitlines())
+    values = {line[0]: line[1] for line in lines if len(line) == 2}
+    try:
+        running, waiting = (int(float(values[name])) for name in LOAD_NAMES)
+    except KeyError as exc:
+        raise ValueError(f"the load report lacks {exc}") from exc
+    return LoadReport(running, waiting)
+
+
+def decode_cache_events(text: bytes, after: int) -> CacheReport:
+    """Decodes ``GET /cache-events?after=N``.
+
+    Args:
+        text: JSON with ``events`` (each with ``sequence``, ``kind`` and
+            ``blocks``) and ``last``.
+        after: Sequence number that was asked for.
+
+    Raises:
+        ValueError: The text has another form.
+    """
+    try:
+        document = json.loads(text)
+        last = int(document["last"])
+        events = document["events"]
+        states = {
+            int(block, 16): event["kind"]
+            for event in events
+            for block in event["blocks"]
+        }
+    except (KeyError, TypeError) as exc:
+        raise ValueError(f"not a report of cache events: {exc!r}") from exc
+    return CacheReport(
+        [block for block, kind in states.items() if kind == "stored"],
+        [block for block, kind in states.items() if kind == "removed"],
+        last,
+        len(events) != last - after,
+    )
--- /dev/null
+++ b/savoryspar/pipelines/attempts.py
@@ -0,0 +1,206 @@
+"""Chooses a server for an attempt and decides what follows a failed one."""
+
+from collections.abc import Callable
+
+import eventlet
+
+from savoryspar import backends, routing, sheet
+from savoryspar.pipelines import bodies, exceptions, model
+
+MAX_ATTEMPTS = 3
+BYTES_PER_TOKEN = 200
+"""Bytes of one streamed event."""
+
+
+class Attempts:
+    """The attempts of one stage of one request.
+
+    Attributes:
+        excluded: Names of servers that failed this stage.
+    """
+
+    __slots__ = (
+        "_clock",
+        "_is_idempotent",
+        "_prompt",
+        "_req",
+        "_router",
+        "_size_bytes",
+        "_stage",
+        "_started",
+        "excluded",
+    )
+
+    def __init__(
+        self,
+        router: routing.Router,
+        clock: Callable[[], float],
+        req: model.Request,
+        stage: sheet.Stage,
+        pool: sheet.Pool,
+    ):
+        self._router = router
+        self._clock = clock
+        self._req = req
+        self._stage = stage
+        self._is_idempotent = pool.idempotent
+        self._started = 0
+        self.excluded: frozenset[str] = frozenset()
+        self._prompt = ""
+        self._size_bytes = len(str(req.body)) + len(str(req.outputs))
+        if pool.kind == "engine":
+            self._prompt = bodies.prompt_text(bodies.engine_messages(req))
+            max_tokens = req.body.get("max_tokens", bodies.DEFAULT_MAX_TOKENS)
+            self._size_bytes = len(self._prompt) + BYTES_PER_TOKEN * max_tokens
+
+    def choose(self) -> routing.Choice:
+        """Chooses a server; a suspect waits until one is free of calls.
+
+        Raises:
+            RunError: No server can take the attempt before the deadline.
+        """
+        req, stage = self._req, self._stage
+        call = routing.Call(
+            req.request_id,
+            req.workspace.name,
+            req.rank,
+            stage.name,
+            stage.pool,
+            stage.model,
+            self._prompt,
+            self.excluded,
+            self._size_bytes,
+            self._is_idempotent,
+            req.is_suspect,
+        )
+        while True:
+            now = self._clock()
+            try:
+                choice = self._router.choose(call, now)
+            except routing.NoServerError as exc:
+                wakes_at = now + exc.retry_after_s
+                if not exc.is_waiting or wakes_at >= req.deadline_at:
+                    raise no_server(req, exc) from exc
+                eventlet.sleep(exc.retry_after_s)
+                continue
+            self._started += 1
+            return choice
+
+    def follow(
+        self, choice: routing.Choice, exc: backends.BackendError
+    ) -> None:
+        """Prepares the next attempt after a failed one.
+
+        Raises:
+            RunError: There is no next attempt.
+        """
+        self.excluded |= {choice.server.name}
+        if exc.is_crash:
+            record_crash(self._router, self._req, choice, self._clock())
+        if not self._is_idempotent and exc.has_sent:
+            raise failure(self._req, exc)
+        if self._started >= MAX_ATTEMPTS:
+            raise failure(self._req, exc)
+        if exc.has_sent:
+            self._spend_retry(exc)
+
+    def follow_broken_stream(
+        self, choice: routing.Choice, exc: backends.BackendError
+    ) -> None:
+        """Prepares the resumption of a stream that relayed tokens.
+
+        It goes on with the work instead of repeating it, so it takes nothing
+        from the retry budget.
+
+        Raises:
+            RunError: There is no next attempt.
+        """
+        self.excluded |= {choice.server.name}
+        if exc.is_crash:
+            record_crash(self._router, self._req, choice, self._clock())
+        if not self._is_idempotent or self._started >= MAX_ATTEMPTS:
+            raise failure(self._req, exc)
+
+    def _spend_retry(self, exc: backends.BackendError) -> None:
+        now = self._clock()
+        if not self._router.may_retry(self._stage.pool, now):
+            raise failure(self._req, exc, "; the pool's retry budget is empty")
+        self._router.spend_retry(self._stage.pool, now)
+
+
+def check_fingerprint(
+    router: routing.Router, req: model.Request, now: float
+) -> None:
+    """Refuses a condemned request and notes whether it is a suspect.
+
+    Raises:
+        RunError: The request crashed two backend servers.
+    """
+    verdict = router.suspects.check(req.fingerprint, now)
+    if verdict is routing.Verdict.CONDEMNED:
+        raise refusal(req)
+    req.is_suspect = verdict is routing.Verdict.SUSPECT
+
+
+def record_crash(
+    router: routing.Router,
+    req: model.Request,
+    choice: routing.Choice,
+    now: float,
+) -> None:
+    """Makes the request a suspect.
+
+    Raises:
+        RunError: It is condemned.
+    """
+    router.suspects.record_crash(
+        req.fingerprint, choice.server.name, now, choice.call.is_alone
+    )
+    check_fingerprint(router, req, now)
+
+
+def run_state(req: model.Request) -> exceptions.RunState:
+    """Returns what is known of a request that has no answer yet."""
+    if req.has_sent:
+        return exceptions.RunState.UNKNOWN
+    return exceptions.RunState.NOT_RUN
+
+
+def refusal(req: model.Request) -> exceptions.RunError:
+    """Returns the error for a condemned request."""
+    return exceptions.RunError(
+        "refused_fingerprint",
+        422,
+        f"request {req.request_id} equals one that crashed two backend"
+        f" servers (fingerprint {req.fingerprint})",
+        "change the request; operators see docs/howto/poisonous-request.md",
+        run_state(req),
+    )
+
+
+def failure(
+    req: model.Request, exc: backends.BackendError, reason: str = ""
+) -> exceptions.RunError:
+    """Returns the error for the caller after the last attempt."""
+    return exceptions.RunError(
+        "backend_failed",
+        502,
+        exc.message + reason,
+        exc.remedy,
+        run_state(req),
+        1.0,
+    )
+
+
+def no_server(
+    req: model.Request, exc: routing.NoServerError
+) -> exceptions.RunError:
+    """Returns the error for the caller when no server is left."""
+    return exceptions.RunError(
+        "no_backend_server",
+        503,
+        exc.message,
+        exc.remedy,
+        run_state(req),
+        exc.retry_after_s,
+    )
--- a/savoryspar/pipelines/bodies.py
+++ b/savoryspar/pipelines/bodies.py
@@ -32,6 +32,14 @@
     return [{"role": "system", "content": context}, *messages]
 
 
+def prompt_text(messages: list[dict[str, str]]) -> str:
+    """Returns the text whose blocks an engine's prefix cache is keyed by."""
+    return "\n".join(
+        f"{message.get('role', '')}: {message['content']}"
+        for message in messages
+    )
+
+
 def engine_body(
     req: model.Request, stage: sheet.Stage, resume_from: int, text: str
 ) -> dict[str, Any]:
--- a/savoryspar/pipelines/model.py
+++ b/savoryspar/pipelines/model.py
@@ -2,7 +2,7 @@
 
 from typing import Any
 
-from savoryspar import sheet
+from savoryspar import routing, sheet
 
 
 class Request:
@@ -18,13 +18,17 @@
         idempotency_key: Key passed to services that accept one, or empty.
         outputs: Output of each finished stage by stage name.
         has_sent: Whether a byte of any stage call may have left.
+        fingerprint: What equal requests of the workspace share.
+        is_suspect: Whether it may crash the servers that run it.
     """
 
     __slots__ = (
         "body",
         "deadline_at",
+        "fingerprint",
         "has_sent",
         "idempotency_key",
+        "is_suspect",
         "outputs",
         "pipeline",
         "rank",
@@ -51,3 +55,7 @@
         self.idempotency_key = idempotency_key
         self.outputs: dict[str, dict[str, Any]] = {}
         self.has_sent = False
+        self.fingerprint = routing.fingerprint(
+            workspace.name, pipeline.name, body
+        )
+        self.is_suspect = False
--- a/savoryspar/pipelines/runner.py
+++ b/savoryspar/pipelines/runner.py
@@ -6,9 +6,13 @@
 from typing import Any
 
 from savoryspar import backends, routing, scheduling, sheet
-from savoryspar.pipelines import bodies, exceptions, model, streaming
-
-MAX_ATTEMPTS = 3
+from savoryspar.pipelines import (
+    attempts,
+    bodies,
+    exceptions,
+    model,
+    streaming,
+)
 
 
 class Runner:
@@ -48,6 +52,7 @@
         Raises:
             RunError: The request got no whole answer.
         """
+        attempts.check_fingerprint(self._router, req, self._clock())
         for stage in req.pipeline.stages:
             req.outputs[stage.name] = self._run_stage(req, stage)
         return req.outputs[req.pipeline.stages[-1].name]
@@ -58,6 +63,7 @@
         Raises:
             RunError: The stream could not be opened.
         """
+        attempts.check_fingerprint(self._router, req, self._clock())
         for stage in req.pipeline.stages[:-1]:
             req.outputs[stage.name] = self._run_stage(req, stage)
         return self.open_stream(req, req.pipeline.stages[-1])
@@ -73,40 +79,39 @@
     ) -> dict[str, Any]:
         if self.sheet().pools[stage.pool].kind == "engine":
             stream = self.open_stream(req, stage)
-            return {"text": stream.read_text(), "tokens": stream.tokens}
+            try:
+                return {"text": stream.read_text(), "tokens": stream.tokens}
+            finally:
+                stream.close()
         return self._call_stage(req, stage)
 
     def _call_stage(
         self, req: model.Request, stage: sheet.Stage
     ) -> dict[str, Any]:
         pool = self.sheet().pools[stage.pool]
-        excluded: frozenset[str] = frozenset()
-        for attempt in itertools.count(1):
+        tries = self.new_attempts(req, stage)
+        while True:
             grant = self.admit(req, stage, pool.cost)
             try:
-                choice = self.choose(req, stage, excluded)
+                choice = tries.choose()
                 try:
                     return self._call_once(req, stage, choice)
                 except backends.BackendError as exc:
-                    can_retry = pool.idempotent or not exc.has_sent
-                    if not can_retry or attempt >= MAX_ATTEMPTS:
-                        raise self.failure(req, exc) from exc
-                    excluded |= {choice.server.name}
+                    tries.follow(choice, exc)
             finally:
                 grant.release(self._clock())
-        raise AssertionError("unreachable")
 
     def _call_once(
         self, req: model.Request, stage: sheet.Stage, choice: routing.Choice
     ) -> dict[str, Any]:
-        call = self.new_call(req, "/v1/run", bodies.run_body(req, stage))
         outcome = routing.Outcome.CANCELLED
         load = -1
         try:
+            call = self.new_call(req, "/v1/run", bodies.run_body(req, stage))
             result = self._client.call(choice.server, call)
             outcome, load = routing.Outcome.OK, result.load
             if result.is_leaving:
-                self._router.mark_leaving(choice.server.name, self._clock())
+                self._mark_leaving(choice)
         except backends.BackendError as exc:
             outcome = self.outcome_of(exc)
             req.has_sent = req.has_sent or exc.has_sent
@@ -114,6 +119,7 @@
         finally:
             self._router.observe(choice, outcome, load, self._clock())
         req.has_sent = True
+        self.clear_suspect(req, choice)
         return result.output
 
     def admit(
@@ -137,35 +143,26 @@
                 503,
                 exc.message,
                 exc.remedy,
-                self.run_state(req),
+                attempts.run_state(req),
                 exc.retry_after_s,
             ) from exc
 
-    def choose(
-        self, req: model.Request, stage: sheet.Stage, excluded: frozenset[str]
-    ) -> routing.Choice:
-        """Chooses a backend server; raises ``RunError`` when none is left."""
-        call = routing.Call(
-            req.request_id,
-            req.workspace.name,
-            req.rank,
-            stage.name,
-            stage.pool,
-            stage.model,
-            "",
-            excluded,
-        )
-        try:
-            return self._router.choose(call, self._clock())
-        except routing.NoServerError as exc:
-            raise exceptions.RunError(
-                "no_backend_server",
-                503,
-                exc.message,
-                exc.remedy,
-                self.run_state(req),
-                exc.retry_after_s,
-            ) from exc
+    def new_attempts(
+        self, req: model.Request, stage: sheet.Stage
+    ) -> attempts.Attempts:
+        """Returns the attempts of a stage, none started."""
+        pool = self.sheet().pools[stage.pool]
+        return attempts.Attempts(self._router, self._clock, req, stage, pool)
+
+    def clear_suspect(self, req: model.Request, choice: routing.Choice) -> None:
+        """Clears a suspect that ran alone and did not crash its server.
+
+        A request of several stages is cleared by its last one, because only
+        then is it known that no stage crashes.
+        """
+        is_last = choice.call.stage == req.pipeline.stages[-1].name
+        if choice.call.is_alone and is_last:
+            self._router.suspects.record_success(req.fingerprint, self._clock())
 
     def new_call(
         self, req: model.Request, path: str, body: dict[str, Any]
@@ -178,7 +175,7 @@
                 504,
                 f"the deadline of request {req.request_id} has passed",
                 "ask again, or ask for less",
-                self.run_state(req),
+                attempts.run_state(req),
             )
         return backends.StageCall(
             f"{req.request_id}-{next(self._attempts)}-{secrets.token_hex(4)}",
@@ -197,18 +194,31 @@
         body: dict[str, Any],
     ) -> backends.EngineStream:
         """Opens the engine's stream for an attempt."""
-        call = self.new_call(req, "/v1/chat/completions", body)
+        outcome = routing.Outcome.CANCELLED
         try:
+            call = self.new_call(req, "/v1/chat/completions", body)
             stream = self._client.open_stream(choice.server, call)
+            outcome = None
         except backends.BackendError as exc:
             req.has_sent = req.has_sent or exc.has_sent
-            self.observe(choice, self.outcome_of(exc), -1)
+            outcome = self.outcome_of(exc)
             raise
+        finally:
+            # A caller that hangs up while the engine queues the call must not
+            # leave it counted as in flight.
+            if outcome is not None:
+                self.observe(choice, outcome, -1)
         req.has_sent = True
+        self._router.take_load(choice, stream.load, self._clock())
         if stream.is_leaving:
-            self._router.mark_leaving(choice.server.name, self._clock())
+            self._mark_leaving(choice)
         return stream
 
+    def _mark_leaving(self, choice: routing.Choice) -> None:
+        self._router.mark_leaving(
+            choice.server.name, self._clock(), choice.server.address
+        )
+
     def observe(
         self, choice: routing.Choice, outcome: routing.Outcome, load: int
     ) -> None:
@@ -225,29 +235,11 @@
         if exc.is_crash:
             return routing.Outcome.CRASHED
         if isinstance(exc, backends.CallRefusedError):
-            return routing.Outcome.REFUSED
+            if exc.has_sent:
+                return routing.Outcome.REFUSED
+            return routing.Outcome.UNREACHABLE
         return routing.Outcome.FAILED
 
-    @staticmethod
-    def run_state(req: model.Request) -> exceptions.RunState:
-        """Returns what is known of a request that has no answer yet."""
-        if req.has_sent:
-            return exceptions.RunState.UNKNOWN
-        return exceptions.RunState.NOT_RUN
-
-    def failure(
-        self, req: model.Request, exc: backends.BackendError
-    ) -> exceptions.RunError:
-        """Returns the error for the caller."""
-        return exceptions.RunError(
-            "backend_failed",
-            502,
-            exc.message,
-            exc.remedy,
-            self.run_state(req),
-            1.0,
-        )
-
 
 def new_runner(
     current_sheet: Callable[[], sheet.Sheet],
--- a/savoryspar/pipelines/streaming.py
+++ b/savoryspar/pipelines/streaming.py
@@ -9,8 +9,8 @@
 if TYPE_CHECKING:
     from savoryspar.pipelines import runner as runner_lib
 
-MAX_RESUMES = 3
 DONE = b"[DONE]"
+DONE_CHUNK = b"e\r\ndata: [DONE]\n\n\r\n"
 
 
 class AnswerStream:
@@ -22,13 +22,14 @@
 
     __slots__ = (
         "_choice",
-        "_excluded",
         "_grant",
+        "_is_ended",
         "_relayed",
         "_req",
         "_runner",
         "_stage",
         "_stream",
+        "_tries",
         "tokens",
     )
 
@@ -41,17 +42,18 @@
         self._runner = runner
         self._req = req
         self._stage = stage
-        self._excluded: frozenset[str] = frozenset()
+        self._tries = runner.new_attempts(req, stage)
         self._relayed: list[bytes] = []
         self._choice: routing.Choice | None = None
         self._stream: backends.EngineStream | None = None
+        self._is_ended = False
         self.tokens = 0
         cost = float(req.body.get("max_tokens", bodies.DEFAULT_MAX_TOKENS))
         self._grant = runner.admit(req, stage, cost)
         try:
             self._open()
         except BaseException:
-            self._grant.release(runner.clock())
+            self.close()
             raise
 
     def read(self) -> bytes:
@@ -60,16 +62,20 @@
         Raises:
             RunError: The stream broke and could not be resumed.
         """
-        while True:
+        while not self._is_ended:
             try:
                 data = self._stream.read()
             except backends.StreamBrokenError as exc:
-                self._resume(exc)
-                continue
-            self._relayed.append(data)
-            if not data:
-                self._end(routing.Outcome.OK)
-            return data
+                data = self._resume(exc)
+                if data is None:
+                    continue
+            if self._choice.first_at is None:
+                self._choice.first_at = self._runner.clock()
+            if data:
+                self._relayed.append(data)
+                return data
+            self._end(routing.Outcome.OK)
+        return b""
 
     def read_text(self) -> str:
         """Reads the whole stream and returns its text."""
@@ -79,58 +85,88 @@
         return text
 
     def close(self) -> None:
-        """Cancels the generation if it is still running."""
+        """Cancels the generation if it runs, and gives the slot back."""
         if self._stream is not None:
             self._stream.close()
+        if not self._is_ended:
             self._end(routing.Outcome.CANCELLED)
 
     def _open(self) -> None:
         text, self.tokens = relayed_text(self._relayed)
         body = bodies.engine_body(self._req, self._stage, self.tokens, text)
-        for _ in range(MAX_RESUMES):
-            self._choice = self._runner.choose(
-                self._req, self._stage, self._excluded
-            )
+        while self._stream is None:
+            choice = self._tries.choose()
             try:
-                self._stream = self._runner.start_stream(
-                    self._req, self._choice, body
-                )
-                return
+                stream = self._runner.start_stream(self._req, choice, body)
             except backends.BackendError as exc:
-                self._excluded |= {self._choice.server.name}
-                error = exc
-        raise self._runner.failure(self._req, error)
-
-    def _resume(self, exc: backends.StreamBrokenError) -> None:
-        self._runner.observe(self._choice, routing.Outcome.CRASHED, -1)
-        self._stream = None
-        self._excluded |= {self._choice.server.name}
+                self._tries.follow(choice, exc)
+            else:
+                self._choice, self._stream = choice, stream
+
+    def _resume(self, exc: backends.StreamBrokenError) -> bytes | None:
+        """Goes on on another engine.
+
+        Returns:
+            The last event, if the answer lacked nothing else.
+        """
+        choice, self._stream = self._choice, None
+        self._runner.observe(choice, self._runner.outcome_of(exc), -1)
+        if is_finished(self._relayed):
+            # Another engine would send the finishing event a second time.
+            self._finish()
+            return DONE_CHUNK
         try:
-            if len(self._excluded) > MAX_RESUMES:
-                raise self._runner.failure(self._req, exc)
+            if self._relayed:
+                self._tries.follow_broken_stream(choice, exc)
+            else:
+                self._tries.follow(choice, exc)
             self._open()
         except exceptions.RunError as error:
-            self._grant.release(self._runner.clock())
-            error.run_state = exceptions.RunState.PARTIAL
+            self._finish()
+            if self._relayed:
+                error.run_state = exceptions.RunState.PARTIAL
             raise
+        return None
 
     def _end(self, outcome: routing.Outcome) -> None:
-        load = self._stream.load
-        self._stream = None
-        self._runner.observe(self._choice, outcome, load)
-        self._grant.release(self._runner.clock())
+        if self._stream is not None:
+            self._stream = None
+            self._runner.observe(self._choice, outcome, -1)
+            if outcome is routing.Outcome.OK:
+                self._runner.clear_suspect(self._req, self._choice)
+        self._finish()
+
+    def _finish(self) -> None:
+        if not self._is_ended:
+            self._is_ended = True
+            self._grant.release(self._runner.clock())
 
 
 def relayed_text(relayed: list[bytes]) -> tuple[str, int]:
     """Returns the text and the number of tokens in relayed raw chunks."""
     pieces = [
         choice["delta"].get("content", "")
+        for choice in _choices(relayed)
+        if choice["delta"].get("content")
+    ]
+    return "".join(pieces), len(pieces)
+
+
+def is_finished(relayed: list[bytes]) -> bool:
+    """Tells whether the event that names the finish reason was relayed."""
+    return any(
+        choice.get("finish_reason") is not None
+        for choice in _choices(relayed[-1:])
+    )
+
+
+def _choices(relayed: list[bytes]) -> list[dict]:
+    return [
+        choice
         for event in event_payloads(b"".join(relayed))
         if event != DONE
         for choice in json.loads(event).get("choices", ())
-        if choice["delta"].get("content")
     ]
-    return "".join(pieces), len(pieces)
 
 
 def event_payloads(raw: bytes) -> list[bytes]:
--- a/savoryspar/routing/exceptions.py
+++ b/savoryspar/routing/exceptions.py
@@ -8,11 +8,19 @@
 
     Attributes:
         retry_after_s: When asking again makes sense, in seconds.
+        is_waiting: Whether a server becomes free as soon as calls end.
     """
 
-    def __init__(self, pool: str, reason: str, retry_after_s: float):
+    def __init__(
+        self,
+        pool: str,
+        reason: str,
+        retry_after_s: float,
+        is_waiting: bool = False,
+    ):
         super().__init__(
             f"no backend server of pool {pool!r} can take the call: {reason}",
             f"ask again in {retry_after_s:.1f} s",
         )
         self.retry_after_s = retry_after_s
+        self.is_waiting = is_waiting
--- a/savoryspar/routing/model.py
+++ b/savoryspar/routing/model.py
@@ -1,6 +1,7 @@
 """What the router is asked, what it chose and how the call ended."""
 
 import enum
+from typing import Any
 
 from savoryspar import backends
 
@@ -15,15 +16,21 @@
         model: Model for an engine pool, else empty.
         prompt: Prompt text for prefix affinity, else empty.
         excluded: Names of servers that already failed this stage.
+        size_bytes: Bytes that the call and its answer are expected to take.
+        is_idempotent: Whether the stage may be repeated.
+        is_alone: Whether no other call may be at its server.
     """
 
     __slots__ = (
         "excluded",
+        "is_alone",
+        "is_idempotent",
         "model",
         "pool",
         "prompt",
         "rank",
         "request_id",
+        "size_bytes",
         "stage",
         "workspace",
     )
@@ -38,6 +45,9 @@
         model: str,
         prompt: str,
         excluded: frozenset[str],
+        size_bytes: int = 0,
+        is_idempotent: bool = False,
+        is_alone: bool = False,
     ):
         self.request_id = request_id
         self.workspace = workspace
@@ -47,6 +57,9 @@
         self.model = model
         self.prompt = prompt
         self.excluded = excluded
+        self.size_bytes = size_bytes
+        self.is_idempotent = is_idempotent
+        self.is_alone = is_alone
 
 
 class Choice:
@@ -56,14 +69,34 @@
         server: The backend server.
         call: The call it was chosen for.
         chosen_at: Monotonic time in seconds.
+        first_at: When the answer began, None while or when that is not known.
+        is_probe: Whether the call probes a server that was taken out.
+        state: What the router knows of the server; only for the router.
     """
 
-    __slots__ = ("call", "chosen_at", "server")
+    __slots__ = (
+        "call",
+        "chosen_at",
+        "first_at",
+        "is_probe",
+        "server",
+        "state",
+    )
 
-    def __init__(self, server: backends.Server, call: Call, chosen_at: float):
+    def __init__(
+        self,
+        server: backends.Server,
+        call: Call,
+        chosen_at: float,
+        is_probe: bool = False,
+        state: Any = None,
+    ):
         self.server = server
+        self.state = state
         self.call = call
         self.chosen_at = chosen_at
+        self.is_probe = is_probe
+        self.first_at: float | None = None
 
 
 class Outcome(enum.Enum):
@@ -71,6 +104,7 @@
 
     OK = "ok"
     REFUSED = "refused"
+    UNREACHABLE = "unreachable"
     FAILED = "failed"
     CRASHED = "crashed"
     CANCELLED = "cancelled"
--- /dev/null
+++ b/savoryspar/routing/options.py
@@ -0,0 +1,105 @@
+"""What the router needs to know of its own process and its settings."""
+
+from savoryspar import conf
+
+
+class Options:
+    """Settings of a router; costs are shares of a full server.
+
+    Attributes:
+        name: Name of the own entry VM.
+        region, zone: Where it is.
+        policy: ``scored``, ``least_in_flight`` or ``round_robin``.
+        prefix_entries: Blocks in the prefix index.
+        affinity, zone_cost, region_cost: Weights of the score.
+        region_bytes_per_s: Cap on traffic to other regions.
+        region_spill: Calls to other regions, as a share of own capacity.
+        subset_size: Servers of a pool in the own zone to use.
+        initial_limit, hard_limit: Concurrent calls to one server.
+        max_ejected: Largest share of a pool that is ejected.
+        retry_ratio: Retries for each call.
+        retry_reserve: Retries before the first calls.
+        report_interval_s: Time between two reads of load and cache events.
+    """
+
+    __slots__ = (
+        "affinity",
+        "hard_limit",
+        "initial_limit",
+        "max_ejected",
+        "name",
+        "policy",
+        "prefix_entries",
+        "region",
+        "region_bytes_per_s",
+        "region_cost",
+        "region_spill",
+        "report_interval_s",
+        "retry_ratio",
+        "retry_reserve",
+        "subset_size",
+        "zone",
+        "zone_cost",
+    )
+
+    def __init__(
+        self,
+        name: str = "",
+        region: str = "",
+        zone: str = "",
+        policy: str = "scored",
+        prefix_entries: int = 32768,
+        affinity: float = 0.8,
+        zone_cost: float = 0.2,
+        region_cost: float = 1.5,
+        region_bytes_per_s: float = 2e6,
+        region_spill: float = 0.1,
+        subset_size: int = 24,
+        initial_limit: int = 8,
+        hard_limit: int = 64,
+        max_ejected: float = 0.34,
+        retry_ratio: float = 0.08,
+        retry_reserve: int = 3,
+        report_interval_s: float = 2.0,
+    ):
+        self.name = name
+        self.region = region
+        self.zone = zone
+        self.policy = policy
+        self.prefix_entries = prefix_entries
+        self.affinity = affinity
+        self.zone_cost = zone_cost
+        self.region_cost = region_cost
+        self.region_bytes_per_s = region_bytes_per_s
+        self.region_spill = region_spill
+        self.subset_size = subset_size
+        self.initial_limit = initial_limit
+        self.hard_limit = hard_limit
+        self.max_ejected = max_ejected
+        self.retry_ratio = retry_ratio
+        self.retry_reserve = retry_reserve
+        self.report_interval_s = report_interval_s
+
+
+def new_options(cfg: conf.Settings) -> Options:
+    """Returns the options that the settings give."""
+    section = cfg.routing
+    return Options(
+        name=cfg.entry.name,
+        region=cfg.entry.region,
+        zone=cfg.entry.zone,
+        policy=section.policy,
+        prefix_entries=section.prefix_entries,
+        affinity=section.affinity_percent / 100.0,
+        zone_cost=section.zone_cost_percent / 100.0,
+        region_cost=section.region_cost_percent / 100.0,
+        region_bytes_per_s=float(section.region_bytes_per_s),
+        region_spill=section.region_spill_percent / 100.0,
+        subset_size=section.subset_size,
+        initial_limit=section.initial_limit,
+        hard_limit=section.hard_limit,
+        max_ejected=section.max_ejected_percent / 100.0,
+        retry_ratio=section.retry_percent / 100.0,
+        retry_reserve=section.retry_reserve,
+        report_interval_s=section.report_interval_s,
+    )
--- /dev/null
+++ b/savoryspar/routing/outliers.py
@@ -0,0 +1,162 @@
+"""Ejects servers that fail or are slow compared with their pool."""
+
+from collections.abc import Sequence
+import statistics
+
+ERROR_WEIGHT = 0.1
+LATENCY_WEIGHT = 0.2
+MIN_SAMPLES = 8
+MAX_CONSECUTIVE_FAILURES = 4
+ERROR_MARGIN = 0.3
+"""Share of failed calls above the pool's median that ejects."""
+LATENCY_FACTOR = 3.0
+"""Latency as a factor of the pool's median that ejects."""
+LATENCY_MARGIN_S = 0.05
+"""Smallest excess latency that ejects; below it a factor says little."""
+FIRST_BACKOFF_S = 1.0
+MAX_BACKOFF_S = 30.0
+PROBES_TO_RETURN = 3
+
+
+class Health:
+    """How the calls to one server ended.
+
+    Attributes:
+        latency_s: Recent latency in seconds, 0 when none is known.
+        error_rate: Recent share of failed calls.
+        samples: Calls since the server was last taken in.
+        is_ejected: Whether it gets nothing but probes.
+        is_unreachable: Whether it refused a connection.
+        probe_at: When the next probe may start.
+        is_probing: Whether a probe is running.
+    """
+
+    __slots__ = (
+        "_backoff_s",
+        "_failures",
+        "_probes_passed",
+        "error_rate",
+        "is_ejected",
+        "is_probing",
+        "is_unreachable",
+        "latency_s",
+        "probe_at",
+        "samples",
+    )
+
+    def __init__(self) -> None:
+        self._backoff_s = FIRST_BACKOFF_S
+        self.is_ejected = False
+        self.is_unreachable = False
+        self.is_probing = False
+        self.probe_at = 0.0
+        self._take_in()
+
+    @property
+    def is_out(self) -> bool:
+        """Whether it gets nothing but probes."""
+        return self.is_ejected or self.is_unreachable
+
+    @property
+    def is_failing(self) -> bool:
+        """Whether its last calls all failed."""
+        return self._failures >= MAX_CONSECUTIVE_FAILURES
+
+    def may_probe(self, now: float) -> bool:
+        """Tells whether a probe may start."""
+        return self.is_out and not self.is_probing and now >= self.probe_at
+
+    def record(self, is_ok: bool, latency_s: float, now: float) -> None:
+        """Records the end of a call."""
+        self._failures = 0 if is_ok else self._failures + 1
+        self.error_rate += ERROR_WEIGHT * ((not is_ok) - self.error_rate)
+        if is_ok:
+            weight = LATENCY_WEIGHT if self.latency_s else 1.0
+            self.latency_s += weight * (latency_s - self.latency_s)
+        self.samples += 1
+        if self.is_probing:
+            self._end_probe(is_ok, now)
+
+    def eject(self, now: float) -> None:
+        """Takes the server out until probes pass."""
+        self.is_ejected = True
+        self._wait(now)
+
+    def refuse(self, now: float) -> None:
+        """Takes the server out because it refused a connection."""
+        self.is_probing = False
+        if not self.is_unreachable or now >= self.probe_at:
+            self._wait(now)
+        self.is_unreachable = True
+
+    def cancel_probe(self) -> None:
+        """Ends a probe that says nothing."""
+        self.is_probing = False
+
+    def _end_probe(self, is_ok: bool, now: float) -> None:
+        self.is_probing = False
+        if not is_ok:
+            self._wait(now)
+            return
+        self._probes_passed += 1
+        if self.is_unreachable or self._probes_passed >= PROBES_TO_RETURN:
+            self.is_ejected = self.is_unreachable = False
+            self._backoff_s = max(FIRST_BACKOFF_S, self._backoff_s / 4.0)
+            self._take_in()
+
+    def _wait(self, now: float) -> None:
+        self.probe_at = now + self._backoff_s
+        self._backoff_s = min(self._backoff_s * 2.0, MAX_BACKOFF_S)
+        self._probes_passed = 0
+
+    def _take_in(self) -> None:
+        self.latency_s = 0.0
+        self.error_rate = 0.0
+        self.samples = 0
+        self._failures = 0
+        self._probes_passed = 0
+
+
+def judge(
+    health: Health, pool: Sequence[Health], max_share: float, now: float
+) -> bool:
+    """Ejects a server that is an outlier of its pool.
+
+    Args:
+        health: The server's.
+        pool: That of every server of the pool, this one included.
+        max_share: Largest share of the pool that may be ejected.
+        now: Monotonic time in seconds.
+
+    Returns:
+        Whether it was ejected.
+    """
+    ejected = sum(other.is_ejected for other in pool)
+    if health.is_out or ejected + 1 > max_share * len(pool):
+        return False
+    if not is_outlier(health, pool):
+        return False
+    health.eject(now)
+    return True
+
+
+def is_outlier(health: Health, pool: Sequence[Health]) -> bool:
+    """Tells whether a server fails more, or is slower, than its pool."""
+    others = [h for h in pool if h is not health and not h.is_out]
+    if not others:
+        return False
+    errors = statistics.median(h.error_rate for h in others)
+    if health.is_failing and errors < 1.0 - ERROR_MARGIN:
+        return True
+    if health.samples < MIN_SAMPLES:
+        return False
+    if health.error_rate > errors + ERROR_MARGIN:
+        return True
+    known = [h.latency_s for h in others if h.samples >= MIN_SAMPLES]
+    if not known or len(known) < len(others) / 2:
+        return False
+    latency_s = statistics.median(known)
+    return (
+        health.latency_s > LATENCY_FACTOR * latency_s
+        and health.latency_s > latency_s + LATENCY_MARGIN_S
+    )
--- /dev/null
+++ b/savoryspar/routing/pools.py
@@ -0,0 +1,67 @@
+"""The servers of one pool that this process uses."""
+
+from collections.abc import Sequence
+
+from savoryspar import backends
+from savoryspar.routing import budgets, limits, options, servers
+
+
+class Pool:
+    """Servers and the budget of retries; construct it with ``new_pool``.
+
+    Attributes:
+        states: By server name.
+        retries: Budget of retries.
+    """
+
+    __slots__ = ("_listed", "_opts", "retries", "states")
+
+    def __init__(self, opts: options.Options):
+        self.states: dict[str, servers.ServerState] = {}
+        self.retries = budgets.RetryBudget(opts.retry_ratio, opts.retry_reserve)
+        self._opts = opts
+        self._listed: object = None
+
+    def replace(
+        self,
+        listed: Sequence[backends.Server],
+        entries: Sequence[backends.Server],
+    ) -> list[str]:
+        """Takes the live servers of the pool and the live entry VMs.
+
+        The subset is only computed anew when one of the lists changed.
+
+        Returns:
+            The names of servers that are new or have a new address.
+        """
+        key = (
+            sorted((s.name, s.address) for s in listed),
+            sorted(entry.name for entry in entries),
+        )
+        if key == self._listed:
+            return []
+        self._listed = key
+        old, self.states = self.states, {}
+        for server, tier in servers.choose_subset(listed, entries, self._opts):
+            state = old.get(server.name)
+            if state is None or state.server.address != server.address:
+                state = self._new_state(server, tier)
+            self.states[server.name] = state
+        return [
+            name
+            for name, state in self.states.items()
+            if old.get(name) is not state
+        ]
+
+    def _new_state(
+        self, server: backends.Server, tier: servers.Tier
+    ) -> servers.ServerState:
+        limit = limits.new_limit(
+            self._opts.initial_limit, self._opts.hard_limit
+        )
+        return servers.ServerState(server, tier, limit)
+
+
+def new_pool(opts: options.Options) -> Pool:
+    """Returns a pool without servers."""
+    return Pool(opts)
--- a/savoryspar/routing/router.py
+++ b/savoryspar/routing/router.py
@@ -1,45 +1,125 @@
 """Keeps the backend servers of each pool and chooses among them."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
+import zlib
 
 from savoryspar import backends, log
-from savoryspar.routing import exceptions, model
+from savoryspar.routing import (
+    budgets,
+    departures,
+    model,
+    options,
+    outliers,
+    policies,
+    pools,
+    selection,
+    servers,
+    suspects,
+)
 
-DEFAULT_LIMIT = 8
-"""Concurrent calls to one server."""
-RETRY_AFTER_S = 1.0
+FAILURES = frozenset(
+    {model.Outcome.REFUSED, model.Outcome.FAILED, model.Outcome.CRASHED}
+)
 
 
 class Router:
-    """Chooses the server with the fewest calls of this process."""
+    """Chooses servers; construct it with ``new_router``.
 
-    __slots__ = ("_decisions", "_in_flight", "_leaving", "_servers")
+    Attributes:
+        suspects: Requests that may crash the servers that run them.
+    """
 
-    def __init__(self, decisions: log.DecisionLog):
+    __slots__ = (
+        "_bytes_across",
+        "_decisions",
+        "_departures",
+        "_logger",
+        "_opts",
+        "_policy",
+        "_pools",
+        "suspects",
+    )
+
+    def __init__(
+        self,
+        decisions: log.DecisionLog,
+        opts: options.Options,
+        policy: policies.Policy,
+    ):
         self._decisions = decisions
-        self._servers: dict[str, dict[str, backends.Server]] = {}
-        self._in_flight: dict[str, int] = {}
-        self._leaving: set[str] = set()
+        self._opts = opts
+        self._policy = policy
+        self._pools: dict[str, pools.Pool] = {}
+        self._departures = departures.Departures()
+        self._bytes_across = budgets.ByteBudget(opts.region_bytes_per_s)
+        self._logger = log.new_logger("routing")
+        self.suspects = suspects.new_suspects()
 
     def replace_servers(
-        self, servers: Iterable[backends.Server], now: float
+        self,
+        live: Iterable[backends.Server],
+        now: float,
+        leaving: Iterable[backends.Server] = (),
+        entries: Sequence[backends.Server] = (),
     ) -> None:
-        """Takes the live servers from the VM list."""
-        del now
-        pools: dict[str, dict[str, backends.Server]] = {}
-        for server in servers:
-            pools.setdefault(server.pool, {})[server.name] = server
-        self._servers = pools
+        """Takes the VM list: backend servers, and entry VMs as peers."""
+        live = [*live]
+        self._departures.update(
+            {server.name: server.address for server in live},
+            {server.name: server.address for server in leaving},
+        )
+        by_pool: dict[str, list[backends.Server]] = {
+            name: [] for name in self._pools
+        }
+        for server in live:
+            by_pool.setdefault(server.pool, []).append(server)
+        for name, listed in by_pool.items():
+            for server in self._pool(name).replace(listed, entries):
+                policies.forget_server(self._policy, server, now)
+
+    def mark_leaving(self, server: str, now: float, address: str = "") -> None:
+        """Stops new work to a server that said that it is leaving.
 
-    def mark_leaving(self, server: str, now: float) -> None:
-        """Stops new work to a server that said that it is leaving."""
+        Args:
+            server: Its name.
+            now: Monotonic time in seconds.
+            address: Where it said so; a late word of an earlier instance at
+                another address changes nothing. Empty for the listed one.
+        """
         del now
-        self._leaving.add(server)
+        for pool in self._pools.values():
+            state = pool.states.get(server)
+            if state is None or server in self._departures:
+                continue
+            if address in ("", state.server.address):
+                self._departures.mark(server, state.server.address)
+                self._logger.notice(f"Server is leaving. server={server}")
 
     def capacity(self, pool: str, now: float) -> int:
-        """Returns the calls that the pool takes at a time."""
-        del now
-        return DEFAULT_LIMIT * len(self._servers.get(pool, ()))
+        """Returns the calls that the pool takes at a time.
+
+        Servers of another region count for a share of the own region's limit,
+        or in full when the own region has none. A server that is due for a
+        probe counts for one call, else nothing would ever probe it.
+        """
+        near = far = 0
+        for state in self._live(pool, frozenset()):
+            calls = state.limit.calls
+            if state.health.is_out:
+                calls = int(state.health.may_probe(now))
+            elif state.is_closed(now):
+                calls = 1
+            if state.tier is servers.Tier.ELSEWHERE:
+                far += calls
+            else:
+                near += calls
+        if not near:
+            return far
+        return near + min(far, int(near * self._opts.region_spill))
+
+    def servers_of(self, pool: str) -> list[backends.Server]:
+        """Returns the servers of a pool that this process uses."""
+        return [state.server for state in self._live(pool, frozenset())]
 
     def choose(self, call: model.Call, now: float) -> model.Choice:
         """Chooses a server and counts the call as in flight.
@@ -47,20 +127,20 @@
         Raises:
             NoServerError: No server can take the call.
         """
-        candidates = [
-            server
-            for server in self._servers.get(call.pool, {}).values()
-            if server.name not in call.excluded
-            and server.name not in self._leaving
-        ]
-        if not candidates:
-            raise exceptions.NoServerError(
-                call.pool, "none is live", RETRY_AFTER_S
-            )
-        server = min(
-            candidates, key=lambda s: (self._in_flight.get(s.name, 0), s.name)
-        )
-        self._in_flight[server.name] = self._in_flight.get(server.name, 0) + 1
+        states = self._live(call.pool, call.excluded)
+        probed = selection.probe(states, call, now)
+        if probed is not None:
+            state, reason, count = probed, "probe", 1
+            state.health.is_probing = True
+        elif call.is_alone:
+            state, count = selection.alone(states, call, now), 1
+            state.is_alone, state.drained_until = True, 0.0
+            reason = "suspect_alone"
+        else:
+            found = selection.candidates(states, call, self._bytes_across, now)
+            count = len(found)
+            state, reason = policies.pick(self._policy, found, call, now)
+        self._start(state, call, now)
         self._decisions.record(
             log.Decision(
                 "routing",
@@ -68,12 +148,32 @@
                 call.stage,
                 call.rank,
                 call.workspace,
-                len(candidates),
-                server.name,
-                "least_in_flight",
+                count,
+                state.server.name,
+                reason,
             )
         )
-        return model.Choice(server, call, now)
+        return model.Choice(state.server, call, now, probed is not None, state)
+
+    def take_load(self, choice: model.Choice, load: int, now: float) -> None:
+        """Takes the load that a server reported while a call goes on."""
+        if load >= 0:
+            choice.state.take_load(load, now)
+
+    def take_report(
+        self, server: backends.Server, running: int, waiting: int, now: float
+    ) -> None:
+        """Takes a load report that was read from the server."""
+        state = self._pool(server.pool).states.get(server.name)
+        if state is not None and state.server.address == server.address:
+            state.take_load(running + waiting, now)
+            state.limit.take_queue(running, waiting)
+
+    def take_cache_events(
+        self, server: str, report: backends.CacheReport, now: float
+    ) -> None:
+        """Takes the cache events of a server."""
+        policies.take_cache_events(self._policy, server, report, now)
 
     def observe(
         self,
@@ -83,10 +183,101 @@
         now: float,
     ) -> None:
         """Learns how a call ended and the load that the server reported."""
-        del outcome, load, now
-        self._in_flight[choice.server.name] -= 1
+        state = choice.state
+        state.in_flight -= 1
+        if choice.call.is_alone:
+            state.is_alone = False
+        self.take_load(choice, load, now)
+        began_at = now if choice.first_at is None else choice.first_at
+        latency_s = began_at - choice.chosen_at
+        if outcome is model.Outcome.OK:
+            state.limit.sample(latency_s, state.in_flight + 1)
+            state.health.record(True, latency_s, now)
+        elif outcome in FAILURES:
+            state.health.record(False, latency_s, now)
+        elif outcome is model.Outcome.UNREACHABLE:
+            state.health.refuse(now)
+            policies.forget_server(self._policy, state.server.name, now)
+        elif choice.is_probe:
+            state.health.cancel_probe()
+        if outcome is model.Outcome.REFUSED:
+            state.limit.take_refusal()
+        self._judge(choice.call.pool, state, now)
+
+    def may_retry(self, pool: str, now: float) -> bool:
+        """Tells whether the pool's retry budget allows a retry."""
+        del now
+        return self._pool(pool).retries.has_token
+
+    def spend_retry(self, pool: str, now: float) -> None:
+        """Takes a retry from the pool's budget."""
+        del now
+        self._pool(pool).retries.spend()
+
+    def status(self, now: float) -> dict[str, dict[str, dict[str, object]]]:
+        """Returns the state of each server by pool and name."""
+        return {
+            name: {
+                server: {
+                    "in_flight": state.in_flight,
+                    "load": round(state.load(now), 2),
+                    "limit": state.limit.calls,
+                    "is_out": state.health.is_out,
+                    "is_leaving": server in self._departures,
+                    "error_rate": round(state.health.error_rate, 3),
+                    "latency_s": round(state.health.latency_s, 4),
+                }
+                for server, state in pool.states.items()
+            }
+            for name, pool in self._pools.items()
+        }
+
+    def _start(
+        self, state: servers.ServerState, call: model.Call, now: float
+    ) -> None:
+        state.in_flight += 1
+        if not call.excluded:
+            self._pool(call.pool).retries.earn()
+        if state.tier is servers.Tier.ELSEWHERE:
+            self._bytes_across.spend(call.size_bytes, now)
+
+    def _judge(self, pool: str, state: servers.ServerState, now: float) -> None:
+        healths = [s.health for s in self._pool(pool).states.values()]
+        if outliers.judge(state.health, healths, self._opts.max_ejected, now):
+            self._logger.warning(
+                f"Server ejected. server={state.server.name}"
+                f" error_rate={state.health.error_rate:.2f}"
+                f" latency_s={state.health.latency_s:.3f}"
+            )
+
+    def _live(
+        self, pool: str, excluded: frozenset[str]
+    ) -> list[servers.ServerState]:
+        found = self._pools.get(pool)
+        if found is None:
+            return []
+        return [
+            state
+            for name, state in found.states.items()
+            if name not in excluded and name not in self._departures
+        ]
+
+    def _pool(self, name: str) -> pools.Pool:
+        pool = self._pools.get(name)
+        if pool is None:
+            pool = self._pools[name] = pools.new_pool(self._opts)
+        return pool
+
 
+def new_router(
+    decisions: log.DecisionLog, opts: options.Options | None = None
+) -> Router:
+    """Returns a router without servers.
 
-def new_router(decisions: log.DecisionLog) -> Router:
-    """Returns a router without servers."""
-    return Router(decisions)
+    Args:
+        decisions: Where decisions are logged.
+        opts: Own place and settings; the defaults when None.
+    """
+    opts = opts or options.Options()
+    seed = zlib.crc32(opts.name.encode())
+    return Router(decisions, opts, policies.new_policy(opts, seed))
