--- a/savoryspar/routing/outliers.py
+++ b/savoryspar/routing/outliers.py
@@ -6,7 +6,8 @@
 ERROR_WEIGHT = 0.1
 LATENCY_WEIGHT = 0.2
 MIN_SAMPLES = 8
-MAX_CONSECUTIVE_FAILURES = 4
+MAX_STREAK = 4
+"""Failures in a row that eject while most of the pool answers."""
 ERROR_MARGIN = 0.3
 """Share of failed calls above the pool's median that ejects."""
 LATENCY_FACTOR = 3.0
@@ -24,6 +25,7 @@
     Attributes:
         latency_s: Recent latency in seconds, 0 when none is known.
         error_rate: Recent share of failed calls.
+        streak: Failed calls in a row.
         samples: Calls since the server was last taken in.
         is_ejected: Whether it gets nothing but probes.
         is_unreachable: Whether it refused a connection.
@@ -33,7 +35,6 @@
 
     __slots__ = (
         "_backoff_s",
-        "_failures",
         "_probes_passed",
         "error_rate",
         "is_ejected",
@@ -42,6 +43,7 @@
         "latency_s",
         "probe_at",
         "samples",
+        "streak",
     )
 
     def __init__(self) -> None:
@@ -57,18 +59,13 @@
         """Whether it gets nothing but probes."""
         return self.is_ejected or self.is_unreachable
 
-    @property
-    def is_failing(self) -> bool:
-        """Whether its last calls all failed."""
-        return self._failures >= MAX_CONSECUTIVE_FAILURES
-
     def may_probe(self, now: float) -> bool:
         """Tells whether a probe may start."""
         return self.is_out and not self.is_probing and now >= self.probe_at
 
     def record(self, is_ok: bool, latency_s: float, now: float) -> None:
         """Records the end of a call."""
-        self._failures = 0 if is_ok else self._failures + 1
+        self.streak = 0 if is_ok else self.streak + 1
         self.error_rate += ERROR_WEIGHT * ((not is_ok) - self.error_rate)
         if is_ok:
             weight = LATENCY_WEIGHT if self.latency_s else 1.0
@@ -113,7 +110,7 @@
         self.latency_s = 0.0
         self.error_rate = 0.0
         self.samples = 0
-        self._failures = 0
+        self.streak = 0
         self._probes_passed = 0
 
 
@@ -143,19 +140,20 @@
 def is_outlier(health: Health, pool: Sequence[Health]) -> bool:
     """Tells whether a server fails more, or is slower, than its pool."""
     others = [h for h in pool if h is not health and not h.is_out]
-    if not others:
+    known = [h for h in others if h.samples]
+    if not known or len(known) < len(others) / 2:
         return False
-    errors = statistics.median(h.error_rate for h in others)
-    if health.is_failing and errors < 1.0 - ERROR_MARGIN:
+    if health.streak >= MAX_STREAK and not statistics.median(
+        h.streak for h in known
+    ):
         return True
-    if health.samples < MIN_SAMPLES:
+    known = [h for h in known if h.samples >= MIN_SAMPLES]
+    if health.samples < MIN_SAMPLES or len(known) < len(others) / 2:
         return False
+    errors = statistics.median(h.error_rate for h in known)
     if health.error_rate > errors + ERROR_MARGIN:
         return True
-    known = [h.latency_s for h in others if h.samples >= MIN_SAMPLES]
-    if not known or len(known) < len(others) / 2:
-        return False
-    latency_s = statistics.median(known)
+    latency_s = statistics.median(h.latency_s for h in known)
     return (
         health.latency_s > LATENCY_FACTOR * latency_s
         and health.latency_s > latency_s + LATENCY_MARGIN_S
--- a/savoryspar/routing/selection.py
+++ b/savoryspar/routing/selection.py
@@ -26,6 +26,7 @@
             for state in states
             if state.health.may_probe(now)
             and not state.is_closed(now)
+            and state.has_room(now)
             and state.tier is not servers.Tier.ELSEWHERE
         ),
         None,
--- a/savoryspar/routing/subsets.py
+++ b/savoryspar/routing/subsets.py
@@ -4,7 +4,7 @@
 has to tell another which servers it uses.
 """
 
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 import functools
 import hashlib
 import math
@@ -24,7 +24,8 @@
     In each round every entry process takes the server with its highest weight
     that is not full. The bound of a round is the mean number of entry
     processes on a server after it, rounded up, so the last bound holds the
-    fullest server below the mean plus one.
+    fullest server below the mean plus one. The last round fills the servers
+    that are below the mean first, so that none is left out.
 
     Args:
         entries: Names of the entry processes.
@@ -41,17 +42,28 @@
     }
     assigned: dict[str, list[str]] = {entry: [] for entry in left}
     for number in range(1, size + 1):
-        bound = math.ceil(number * len(entries) / len(servers))
+        mean = number * len(entries) / len(servers)
+        bounds = [math.ceil(mean)]
+        if number == size:
+            bounds.insert(0, math.floor(mean))
         for entry, names in left.items():
-            taken = next((s for s in names if used[s] < bound), None)
-            if taken is None:
-                taken = min(names, key=used.__getitem__)
+            taken = _first_below(names, used, bounds)
             names.remove(taken)
             assigned[entry].append(taken)
             used[taken] += 1
     return {entry: tuple(names) for entry, names in assigned.items()}
 
 
+def _first_below(
+    names: Sequence[str], used: Mapping[str, int], bounds: Sequence[int]
+) -> str:
+    for bound in bounds:
+        for name in names:
+            if used[name] < bound:
+                return name
+    return min(names, key=used.__getitem__)
+
+
 def subset(
     own: str, entries: Sequence[str], servers: Sequence[str], size: int
 ) -> frozenset[str]:
