--- a/savoryspar/cli/wiring.py
+++ b/savoryspar/cli/wiring.py
@@ -1,6 +1,6 @@
 """Builds the parts of an entry process and connects them."""
 
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping, Sequence
 import time
 from typing import Any
 
@@ -43,6 +43,7 @@
         "_config_client",
         "_decisions",
         "_logger",
+        "_reports",
         "_router",
         "_vm_list",
         "scheduler",
@@ -59,6 +60,7 @@
         sheets: sheet.SheetHolder,
         router: routing.Router,
         scheduler: scheduling.Scheduler,
+        reports: routing.ReportReader,
         config_client: platform.ConfigClient,
         vm_list: platform.VmListClient,
         decisions: log.DecisionLog,
@@ -69,6 +71,7 @@
         self.sheets = sheets
         self._router = router
         self.scheduler = scheduler
+        self._reports = reports
         self._config_client = config_client
         self._vm_list = vm_list
         self._decisions = decisions
@@ -87,6 +90,7 @@
         eventlet.spawn(self._follow_sheet)
         eventlet.spawn(self._follow_vm_list)
         eventlet.spawn(self._poll_scheduler)
+        eventlet.spawn(self._read_reports)
 
     def request_stop(self) -> None:
         """Asks the process to leave; asking again changes nothing."""
@@ -140,18 +144,46 @@
     def _follow_vm_list(self) -> None:
         while True:
             try:
-                servers = [
-                    backends.Server(
-                        vm.name, vm.address, vm.region, vm.zone, vm.pool
-                    )
-                    for vm in self._vm_list.read()
-                    if vm.role == "backend" and not vm.is_leaving
-                ]
-                self._router.replace_servers(servers, time.monotonic())
+                self._take_vm_list(self._vm_list.read())
             except platform.PlatformError as exc:
                 self._logger.warning(f"VM list not read. {exc}")
             eventlet.sleep(self._cfg.platform.vm_list_interval_s)
 
+    def _take_vm_list(self, vms: Sequence[platform.Vm]) -> None:
+        live = [vm for vm in vms if not vm.is_leaving]
+        self._router.replace_servers(
+            [_server(vm) for vm in live if vm.role == "backend"],
+            time.monotonic(),
+            [_server(vm) for vm in vms if vm.is_leaving],
+            [_server(vm) for vm in live if vm.role == "entry"],
+        )
+
+    def _read_reports(self) -> None:
+        interval_s = self._cfg.routing.report_interval_s
+        while True:
+            current = self.sheets.get()
+            pools = current.pools.values() if current is not None else ()
+            engines = [
+                server
+                for pool in pools
+                if pool.kind == "engine"
+                for server in self._router.servers_of(pool.name)
+            ]
+            for server in engines:
+                # Spread over the interval, so that no burst delays requests.
+                eventlet.sleep(interval_s / len(engines))
+                try:
+                    self._reports.read(server, time.monotonic())
+                except backends.BackendError as exc:
+                    self._logger.debug(f"Reports not read. {exc}")
+            self._reports.retain(frozenset(s.address for s in engines))
+            if not engines:
+                eventlet.sleep(interval_s)
+
+
+def _server(vm: platform.Vm) -> backends.Server:
+    return backends.Server(vm.name, vm.address, vm.region, vm.zone, vm.pool)
+
 
 def _missing(sheets: sheet.SheetHolder, router: routing.Router) -> str:
     """Returns what the process lacks before it can serve, or an empty text."""
@@ -198,7 +230,8 @@
     """Builds an entry process from its settings."""
     sheets = sheet.new_sheet_holder()
     decisions = log.new_decision_log(cfg.log.decision_sample_percent)
-    router = routing.new_router(decisions)
+    router = routing.new_router(decisions, routing.new_options(cfg))
+    client = backends.new_client()
     scheduler = scheduling.new_scheduler(
         router.capacity, cfg.scheduling, decisions=decisions
     )
@@ -206,7 +239,7 @@
         lambda current: scheduler.configure(current, time.monotonic())
     )
     runner = pipelines.new_runner(
-        sheets.get, scheduler, router, backends.new_client(), time.monotonic
+        sheets.get, scheduler, router, client, time.monotonic
     )
     app = http.new_app(
         cfg,
@@ -223,6 +256,7 @@
         sheets,
         router,
         scheduler,
+        routing.new_report_reader(router, client),
         platform.new_config_client(cfg.platform.config_url),
         platform.new_vm_list_client(cfg.platform.vm_list_url),
         decisions,
