Add membership: peer links, live view, requests, broadcasts, facts

Entry processes did not know each other. Evidence of life travels only on links whose both directions work.

--- a/savoryspar/bench/fleet.py
+++ b/savoryspar/bench/fleet.py
@@ -15,6 +15,7 @@
 import urllib3
 
 from savoryspar import sheet
+from savoryspar.bench import keys
 
 START_TIMEOUT_S = 20.0
 STOP_TIMEOUT_S = 15.0
@@ -26,21 +27,30 @@
     Attributes:
         name: Name in the fleet.
         port: TCP port that it printed.
+        peer_port: TCP port for peers that it printed, 0 if none.
         popen: The process.
     """
 
-    __slots__ = ("name", "popen", "port")
+    __slots__ = ("name", "peer_port", "popen", "port")
 
-    def __init__(self, name: str, popen: subprocess.Popen, port: int):
+    def __init__(
+        self, name: str, popen: subprocess.Popen, port: int, peer_port: int
+    ):
         self.name = name
         self.popen = popen
         self.port = port
+        self.peer_port = peer_port
 
     @property
     def address(self) -> str:
         """``IP:port`` of the process."""
         return f"127.0.0.1:{self.port}"
 
+    @property
+    def peer_address(self) -> str:
+        """``IP:port`` at which peers reach the process."""
+        return f"127.0.0.1:{self.peer_port}"
+
     @property
     def url(self) -> str:
         """Base URL of the process."""
@@ -83,6 +93,7 @@
         self.vms: list[dict[str, Any]] = []
         self.http = urllib3.PoolManager(maxsize=64, retries=False)
         self.platform: Process | None = None
+        self.ca = keys.new_test_ca(self.directory / "keys")
 
     def __enter__(self) -> "Fleet":
         return self
@@ -107,7 +118,7 @@
                 stderr=log_file,
                 env={**os.environ, "PYTHONUNBUFFERED": "1"},
             )
-        process = Process(name, popen, _read_port(popen))
+        process = Process(name, popen, *_read_ports(popen))
         self.processes[name] = process
         return process
 
@@ -167,6 +178,7 @@
                 "vm_list_url": self.platform.url,
                 "vm_list_interval_s": 0.2,
             },
+            "membership": dict(self.ca.issue(name).settings()),
         }
         for section, values in settings.items():
             sections.setdefault(section, {}).update(values)
@@ -180,11 +192,42 @@
                 "region": region,
                 "zone": zone,
                 "role": "entry",
+                "peer_address": process.peer_address,
                 "state": "live",
             }
         )
         return process
 
+    def start_members(
+        self,
+        name: str,
+        zones: int = 1,
+        first: int = 0,
+        count: int = 1,
+        settings: Mapping[str, object] = {},
+    ) -> Process:
+        """Starts a process of members that serve no callers."""
+        sections = {
+            "entry": {
+                "name": name,
+                "region": "r0",
+                "zone": "z0",
+                "listen_port": 0,
+            },
+            "platform": {
+                "config_url": "http://127.0.0.1:9",
+                "vm_list_url": "http://127.0.0.1:9",
+            },
+            "membership": {**self.ca.issue(name).settings(), **settings},
+        }
+        path = self.directory / f"{name}.ini"
+        path.write_text(_ini(sections))
+        numbers = {"--zones": zones, "--first": first, "--count": count}
+        options = [str(text) for item in numbers.items() for text in item]
+        return self.start(
+            name, ["standin", "members", "--config", str(path), *options]
+        )
+
     def publish_vms(self) -> None:
         """Publishes the VM list as the fleet has it."""
         self.control(self.platform, {"vms": self.vms})
@@ -204,8 +247,14 @@
 
     def control(self, process: Process, body: Mapping[str, Any]) -> Any:
         """Changes how a stand-in behaves."""
+        return self.post_json(process, "/control", body)
+
+    def post_json(
+        self, process: Process, path: str, body: Mapping[str, Any]
+    ) -> Any:
+        """Sends a JSON document to a process and returns its answer."""
         resp = self.http.request(
-            "POST", f"{process.url}/control", body=json.dumps(body).encode()
+            "POST", process.url + path, body=json.dumps(body).encode()
         )
         return json.loads(resp.data)
 
@@ -230,7 +279,7 @@
                 time.sleep(0.05)
 
 
-def _read_port(popen: subprocess.Popen) -> int:
+def _read_ports(popen: subprocess.Popen) -> tuple[int, int]:
     timer = threading.Timer(START_TIMEOUT_S, popen.kill)
     timer.start()
     try:
@@ -239,7 +288,8 @@
         timer.cancel()
     if not line.startswith("listening "):
         raise RuntimeError(f"process {popen.args} did not start: {line!r}")
-    return int(line.split()[1])
+    words = line.split()
+    return int(words[1]), int(words[3]) if len(words) > 3 else 0
 
 
 def _ini(sections: Mapping[str, Mapping[str, object]]) -> str:
--- a/savoryspar/cli/entry.py
+++ b/savoryspar/cli/entry.py
@@ -8,7 +8,7 @@
 import eventlet
 from eventlet import event
 
-from savoryspar import conf, log
+from savoryspar import conf, errors, log
 from savoryspar.cli import exit_codes, faults, wiring
 
 
@@ -28,10 +28,14 @@
             faults.print_faults(self, group)
             return exit_codes.USAGE
         log.configure(cfg.log.level, cfg.log.format)
-        node = wiring.new_node(cfg)
+        try:
+            node = wiring.new_node(cfg)
+        except errors.SavorysparError as exc:
+            self.line_error(str(exc))
+            return exit_codes.USAGE
         stopped = event.Event()
         node.start()
-        self.line(f"listening {node.server.address[1]}")
+        self.line(f"listening {node.server.address[1]} peers {node.peer_port}")
         self.io.output.flush()
 
         def on_signal(number: int, frame: object) -> None:
--- a/savoryspar/cli/standin.py
+++ b/savoryspar/cli/standin.py
@@ -3,8 +3,9 @@
 from cleo.commands import command
 from cleo.helpers import argument, option
 
+from savoryspar import conf
 from savoryspar.cli import exit_codes
-from savoryspar.standins import engine, platform, pool, wsgi
+from savoryspar.standins import engine, members, platform, pool, wsgi
 
 
 class StandinCommand(command.Command):
@@ -12,7 +13,9 @@
 
     name = "standin"
     description = "Run a stand-in: engine, pool, service or platform."
-    arguments = [argument("kind", "engine, pool, service or platform.")]
+    arguments = [
+        argument("kind", "engine, pool, service, platform or members.")
+    ]
     options = [
         option("name", None, "Name of the server.", flag=False, default="s1"),
         option("port", None, "TCP port.", flag=False, default="0"),
@@ -21,6 +24,10 @@
         option("work-ms", None, "Time per call.", flag=False, default="5"),
         option("rate", None, "Calls per second.", flag=False, default="2000"),
         option("seed", None, "Seed.", flag=False, default="1"),
+        option("config", None, "Settings file of members.", flag=False),
+        option("zones", None, "Zones of members.", flag=False, default="1"),
+        option("first", None, "First member.", flag=False, default="0"),
+        option("count", None, "Members.", flag=False, default="1"),
     ]
     help = "Example: savoryspar standin engine --port 9001 --step-ms 10"
 
@@ -36,6 +43,7 @@
             "pool": self._new_pool_server,
             "service": self._new_pool_server,
             "platform": lambda: platform.new_platform(int(self.option("rate"))),
+            "members": self._new_members,
         }
         kind = self.argument("kind")
         if kind not in factories:
@@ -45,6 +53,14 @@
         wsgi.serve("127.0.0.1", int(self.option("port")), server.handle)
         return exit_codes.OK
 
+    def _new_members(self) -> members.Members:
+        return members.new_members(
+            conf.load_settings(self.option("config") or "", {}),
+            int(self.option("zones")),
+            int(self.option("first")),
+            int(self.option("count")),
+        )
+
     def _new_pool_server(self) -> pool.PoolServer:
         return pool.new_pool_server(
             self.option("name"), float(self.option("work-ms"))
--- a/savoryspar/cli/wiring.py
+++ b/savoryspar/cli/wiring.py
@@ -9,6 +9,7 @@
     conf,
     http,
     log,
+    membership,
     metrics,
     pipelines,
     platform,
@@ -18,6 +19,8 @@
 )
 
 RETRY_S = 0.5
+LEAVE_S = 0.1
+"""Time to write the last frames to peers before the process ends."""
 
 
 class Node:
@@ -26,6 +29,7 @@
     Attributes:
         server: The callers' server.
         sheets: The sheet in force.
+        members: The peers.
     """
 
     __slots__ = (
@@ -35,6 +39,7 @@
         "_logger",
         "_router",
         "_vm_list",
+        "members",
         "server",
         "sheets",
     )
@@ -48,6 +53,7 @@
         router: routing.Router,
         config_client: platform.ConfigClient,
         vm_list: platform.VmListClient,
+        members: membership.Membership,
     ):
         self._cfg = cfg
         self._app = app
@@ -56,10 +62,17 @@
         self._router = router
         self._config_client = config_client
         self._vm_list = vm_list
+        self.members = members
         self._logger = log.new_logger("entry")
 
+    @property
+    def peer_port(self) -> int:
+        """TCP port on which peers are served."""
+        return int(self.members.connector.address.rpartition(":")[2])
+
     def start(self) -> None:
         """Starts the server and the background duties."""
+        self.members.start()
         self.server.start()
         eventlet.spawn(self._follow_sheet)
         eventlet.spawn(self._follow_vm_list)
@@ -67,9 +80,12 @@
     def stop(self) -> None:
         """Leaves: not ready first, then finishes every request."""
         self._app.is_draining = True
+        self.members.leave(time.monotonic())
         self._logger.notice("Draining.")
         eventlet.sleep(self._cfg.entry.drain_notice_s)
         self.server.stop()
+        self.members.stop(time.monotonic())
+        eventlet.sleep(LEAVE_S)
         self._logger.notice("Stopped. Every request was answered.")
 
     def _follow_sheet(self) -> None:
@@ -88,11 +104,13 @@
     def _follow_vm_list(self) -> None:
         while True:
             try:
+                vms = self._vm_list.read()
+                self.members.set_listed(vm.peer_address for vm in vms)
                 servers = [
                     backends.Server(
                         vm.name, vm.address, vm.region, vm.zone, vm.pool
                     )
-                    for vm in self._vm_list.read()
+                    for vm in vms
                     if vm.role == "backend" and not vm.is_leaving
                 ]
                 self._router.replace_servers(servers, time.monotonic())
@@ -122,4 +140,5 @@
         router,
         platform.new_config_client(cfg.platform.config_url),
         platform.new_vm_list_client(cfg.platform.vm_list_url),
+        membership.new_membership(cfg, time.monotonic(), time.time()),
     )
--- /dev/null
+++ b/savoryspar/membership/__init__.py
@@ -0,0 +1,9 @@
+"""Peers: links, live view, requests, facts and spread configuration."""
+
+from savoryspar.membership.exceptions import (
+    FrameError,
+    MembershipError,
+    PeerUnreachableError,
+)
+from savoryspar.membership.model import Member, Record, State, View
+from savoryspar.membership.service import Membership, new_membership
--- /dev/null
+++ b/savoryspar/membership/frames.py
@@ -0,0 +1,106 @@
+"""Frames between peers: ``[version, type, incarnation, sequence, body]``."""
+
+from typing import Any
+
+import cbor2
+
+from savoryspar.membership import exceptions
+
+VERSION = 1
+TYPES = (
+    "hello",
+    "heartbeat",
+    "members",
+    "request",
+    "reply",
+    "broadcast",
+    "sheet_delta",
+    "leave",
+)
+
+
+class Frame:
+    """One decoded frame."""
+
+    __slots__ = ("body", "incarnation", "kind", "sequence")
+
+    def __init__(self, kind: str, incarnation: str, sequence: int, body: Any):
+        self.kind = kind
+        self.incarnation = incarnation
+        self.sequence = sequence
+        self.body = body
+
+
+def encode(kind: str, incarnation: str, sequence: int, body: Any) -> bytes:
+    """Returns the frame as it is sent."""
+    return cbor2.dumps([VERSION, kind, incarnation, sequence, body])
+
+
+def decode(raw: bytes | str) -> Frame:
+    """Decodes a frame.
+
+    Raises:
+        FrameError: It is not a frame, or of an unknown version or type.
+    """
+    try:
+        items = cbor2.loads(raw if isinstance(raw, bytes) else raw.encode())
+    except Exception as exc:
+        raise _malformed(f"a frame cannot be decoded: {exc!r}") from exc
+    if not isinstance(items, list) or not items:
+        raise _malformed("a frame is not a list")
+    if items[0] != VERSION:
+        raise exceptions.FrameError(
+            "version",
+            f"a frame has the version {items[0]!r:.20}",
+            f"use version {VERSION}, the only supported one",
+        )
+    if len(items) != 5:
+        raise _malformed(f"a frame has {len(items)} items")
+    _, kind, incarnation, sequence, body = items
+    if kind not in TYPES:
+        raise exceptions.FrameError(
+            "type",
+            f"a frame has the type {kind!r:.20}",
+            "use one of " + ", ".join(TYPES),
+        )
+    if not isinstance(incarnation, str) or not isinstance(sequence, int):
+        raise _malformed("incarnation or sequence have a wrong type")
+    return Frame(kind, incarnation, sequence, body)
+
+
+class Sequence:
+    """Accepts rising sequence numbers of one incarnation on one link."""
+
+    __slots__ = ("incarnation", "last")
+
+    def __init__(self) -> None:
+        self.incarnation = ""
+        self.last = 0
+
+    def accept(self, frame: Frame) -> None:
+        """Accepts the frame's number.
+
+        Raises:
+            FrameError: The frame is replayed or of another incarnation.
+        """
+        if self.incarnation and frame.incarnation != self.incarnation:
+            raise exceptions.FrameError(
+                "incarnation",
+                f"a frame names the sender {frame.incarnation!r:.40} on the"
+                f" link of {self.incarnation}",
+                "open a link for each incarnation",
+            )
+        if frame.sequence <= self.last:
+            raise exceptions.FrameError(
+                "replay",
+                f"a frame has the sequence {frame.sequence} after {self.last}",
+                "look for a proxy that repeats data between peers",
+            )
+        self.incarnation = frame.incarnation
+        self.last = frame.sequence
+
+
+def _malformed(message: str) -> exceptions.FrameError:
+    return exceptions.FrameError(
+        "malformed", message, "check what connects to the peer port"
+    )
--- /dev/null
+++ b/savoryspar/membership/links.py
@@ -0,0 +1,327 @@
+"""One link to a peer: a WebSocket that carries CBOR frames."""
+
+import collections
+from collections.abc import Callable
+import contextlib
+import socket
+import ssl
+import struct
+import time
+from typing import Any
+
+import eventlet
+from eventlet import queue
+from websockets import exceptions as ws_exceptions
+from websockets import server as ws_server
+from websockets.sync import client, connection, server
+
+from savoryspar.membership import exceptions, frames, model
+
+CONNECT_TIMEOUT_S = 1.0
+HANDSHAKE_TIMEOUT_S = 2.0
+CLOSE_TIMEOUT_S = 0.5
+OUTBOX_SIZE = 512
+ECHO_MEMORY = 16
+TCP_INFO_END = 144
+TOO_BIG_CODE = 1009
+SOCKET_ERRORS = (
+    OSError,
+    EOFError,
+    ssl.SSLError,
+    ws_exceptions.WebSocketException,
+    # An abrupt close removes the TLS object that a reader still waits on.
+    AttributeError,
+    ValueError,
+)
+
+
+class Outgoing:
+    """A frame on its way to the socket.
+
+    Attributes:
+        has_started: Whether a byte of it may have left.
+        is_cancelled: Whether it is to be dropped if it has not started.
+    """
+
+    __slots__ = ("body", "has_started", "is_cancelled", "kind")
+
+    def __init__(self, kind: str, body: Any):
+        self.kind = kind
+        self.body = body
+        self.has_started = False
+        self.is_cancelled = False
+
+
+class Link:
+    """A link whose hello frames were exchanged.
+
+    Attributes:
+        peer: Record that the peer sent in its hello.
+        is_outgoing: Whether this process opened it.
+        used_at: When it last carried something else than a heartbeat.
+        echo: Sequence of the newest frame of the peer.
+        is_two_way_at: When a frame was sent that the peer is known to have
+            received, minus infinity before the first one.
+        facts_sent: Newest counter of each member's facts on this link.
+        mismatches: Heartbeats in a row that showed another view digest.
+    """
+
+    __slots__ = (
+        "_conn",
+        "_incoming",
+        "_outbox",
+        "_own",
+        "_sent",
+        "_sequence",
+        "_writer",
+        "echo",
+        "facts_sent",
+        "is_closed",
+        "is_outgoing",
+        "is_two_way_at",
+        "mismatches",
+        "peer",
+        "used_at",
+    )
+
+    def __init__(
+        self, conn: connection.Connection, own: str, is_outgoing: bool
+    ):
+        self._conn = conn
+        self._own = own
+        self._incoming = frames.Sequence()
+        self._outbox: queue.LightQueue = queue.LightQueue(OUTBOX_SIZE)
+        self._sent: collections.deque[tuple[int, float]] = collections.deque(
+            maxlen=ECHO_MEMORY
+        )
+        self._sequence = 0
+        self._writer: eventlet.greenthread.GreenThread | None = None
+        self.echo = 0
+        self.facts_sent: dict[str, int] = {}
+        self.is_closed = False
+        self.is_outgoing = is_outgoing
+        self.is_two_way_at = float("-inf")
+        self.mismatches = 0
+        self.peer: model.Record | None = None
+        self.used_at = time.monotonic()
+
+    def send_now(self, kind: str, body: Any) -> None:
+        """Writes a frame from the calling green thread."""
+        self._sequence += 1
+        self._sent.append((self._sequence, time.monotonic()))
+        self._conn.send(frames.encode(kind, self._own, self._sequence, body))
+
+    def receive(self, timeout_s: float | None = None) -> frames.Frame:
+        """Waits for the next frame.
+
+        Raises:
+            FrameError: It was refused.
+            OSError, WebSocketException: The link is closed.
+        """
+        raw = self._conn.recv(timeout=timeout_s, decode=False)
+        frame = frames.decode(raw)
+        self._incoming.accept(frame)
+        self.echo = frame.sequence
+        return frame
+
+    def post(self, kind: str, body: Any) -> Outgoing | None:
+        """Queues a frame; returns None when the peer reads too slowly."""
+        item = Outgoing(kind, body)
+        if self.is_closed:
+            return None
+        if kind != "heartbeat":
+            self.used_at = time.monotonic()
+        try:
+            self._outbox.put_nowait(item)
+        except queue.Full:
+            return None
+        return item
+
+    def start_writer(
+        self,
+        interval_s: Callable[[], float],
+        heartbeat: Callable[["Link"], Any],
+    ) -> None:
+        """Writes queued frames and heartbeats in a green thread."""
+        self._writer = eventlet.spawn(self._write, interval_s, heartbeat)
+
+    def _write(
+        self,
+        interval_s: Callable[[], float],
+        heartbeat: Callable[["Link"], Any],
+    ) -> None:
+        due_at = time.monotonic()
+        try:
+            while not self.is_closed:
+                wait_s = due_at - time.monotonic()
+                try:
+                    item = self._outbox.get(timeout=max(0.0, wait_s))
+                except queue.Empty:
+                    due_at = time.monotonic() + interval_s()
+                    self.send_now("heartbeat", heartbeat(self))
+                    continue
+                self._send_item(item)
+        except SOCKET_ERRORS:
+            self.abort()
+
+    def _send_item(self, item: Outgoing) -> None:
+        if not item.is_cancelled:
+            item.has_started = True
+            self.send_now(item.kind, item.body)
+
+    def note_echo(self, sequence: int) -> float:
+        """Returns when the frame was sent that the peer has received."""
+        for number, at in self._sent:
+            if number == sequence:
+                self.is_two_way_at = max(self.is_two_way_at, at)
+                break
+        return self.is_two_way_at
+
+    def close(self) -> None:
+        """Closes the link after what is queued, without waiting."""
+        if not self.is_closed:
+            self.is_closed = True
+            eventlet.spawn(self._close)
+
+    def _close(self) -> None:
+        with contextlib.suppress(*SOCKET_ERRORS):
+            while not self._outbox.empty():
+                self._send_item(self._outbox.get_nowait())
+            self._conn.close()
+        self.abort()
+
+    def abort(self) -> None:
+        """Closes the link at once; a blocked writer is released."""
+        self.is_closed = True
+        with contextlib.suppress(*SOCKET_ERRORS):
+            self._conn.socket.shutdown(socket.SHUT_RDWR)
+
+    def tcp_info(self) -> bytes:
+        """Returns the kernel's counters of the connection (``tcp_info``)."""
+        with contextlib.suppress(OSError):
+            return self._conn.socket.getsockopt(
+                socket.IPPROTO_TCP, socket.TCP_INFO, 256
+            )
+        return b""
+
+
+def dial(
+    address: str,
+    context: ssl.SSLContext | None,
+    own: model.Record,
+    max_frame_bytes: int,
+) -> Link:
+    """Opens a link and exchanges the hello frames.
+
+    Raises:
+        OSError, WebSocketException: There is no connection.
+        FrameError: The peer's hello was refused.
+    """
+    host, _, port = address.rpartition(":")
+    sock = socket.create_connection((host, int(port)), CONNECT_TIMEOUT_S)
+    conn = client.connect(
+        f"{'wss' if context else 'ws'}://{address}/",
+        sock=sock,
+        ssl=context,
+        compression=None,
+        open_timeout=HANDSHAKE_TIMEOUT_S,
+        close_timeout=CLOSE_TIMEOUT_S,
+        ping_interval=None,
+        max_size=max_frame_bytes,
+        proxy=None,
+        user_agent_header=None,
+    )
+    link = Link(conn, own.incarnation, is_outgoing=True)
+    try:
+        link.send_now("hello", own.to_body())
+        link.peer = _receive_hello(link)
+    except Exception:
+        link.abort()
+        raise
+    return link
+
+
+def accept(
+    sock: socket.socket,
+    context: ssl.SSLContext | None,
+    own: Callable[[], model.Record],
+    owner: server.Server,
+    max_frame_bytes: int,
+) -> Link:
+    """Answers a link that a peer opens; raises as ``dial``."""
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    try:
+        if context:
+            sock.settimeout(HANDSHAKE_TIMEOUT_S)
+            sock = context.wrap_socket(sock, server_side=True)
+        sock.settimeout(None)
+        conn = server.ServerConnection(
+            sock,
+            ws_server.ServerProtocol(max_size=max_frame_bytes),
+            owner,
+            ping_interval=None,
+            close_timeout=CLOSE_TIMEOUT_S,
+        )
+    except Exception:
+        sock.close()
+        raise
+    link = Link(conn, own().incarnation, is_outgoing=False)
+    try:
+        conn.handshake(server_header=None, timeout=HANDSHAKE_TIMEOUT_S)
+        if conn.protocol.handshake_exc is not None:
+            raise conn.protocol.handshake_exc
+        link.peer = _receive_hello(link)
+        link.send_now("hello", own().to_body())
+    except Exception:
+        link.abort()
+        raise
+    return link
+
+
+def _receive_hello(link: Link) -> model.Record:
+    frame = link.receive(HANDSHAKE_TIMEOUT_S)
+    if frame.kind != "hello":
+        raise exceptions.FrameError(
+            "hello",
+            f"a link starts with the type {frame.kind!r}",
+            "send a hello first",
+        )
+    try:
+        record = model.decode_record(frame.body)
+    except (ValueError, TypeError) as exc:
+        raise exceptions.FrameError(
+            "hello", f"a hello is wrong: {exc}", "check the peer's version"
+        ) from exc
+    if record.incarnation != frame.incarnation:
+        raise exceptions.FrameError(
+            "hello",
+            f"a hello of {frame.incarnation} describes {record.incarnation}",
+            "check the peer's version",
+        )
+    return record
+
+
+def is_oversize(exc: Exception) -> bool:
+    """Tells whether a link closed because a frame was too large."""
+    return (
+        isinstance(exc, ws_exceptions.ConnectionClosed)
+        and exc.sent is not None
+        and exc.sent.code == TOO_BIG_CODE
+    )
+
+
+def decode_tcp_info(raw: bytes) -> dict[str, int]:
+    """Returns bytes and segments of both directions (``linux/tcp.h``).
+
+    Bytes are those of the TCP payload, TLS included.
+    """
+    if len(raw) < TCP_INFO_END:
+        return {}
+    received, out_segments, in_segments = struct.unpack_from("=QII", raw, 128)
+    (sent,) = struct.unpack_from("=Q", raw, 120)
+    return {
+        "sent_bytes": sent,
+        "received_bytes": received,
+        "sent_segments": out_segments,
+        "received_segments": in_segments,
+    }
--- a/savoryspar/platform/vms.py
+++ b/savoryspar/platform/vms.py
@@ -22,12 +22,14 @@
         role: ``entry`` or ``backend``.
         pool: Pool of a backend server, else empty.
         is_leaving: Whether it is to get no new work.
+        peer_address: ``IP:port`` for peers of an entry VM, else empty.
     """
 
     __slots__ = (
         "address",
         "is_leaving",
         "name",
+        "peer_address",
         "pool",
         "region",
         "role",
@@ -43,6 +45,7 @@
         role: str,
         pool: str,
         is_leaving: bool,
+        peer_address: str = "",
     ):
         self.name = name
         self.address = address
@@ -51,6 +54,7 @@
         self.role = role
         self.pool = pool
         self.is_leaving = is_leaving
+        self.peer_address = peer_address
 
 
 class VmListClient:
@@ -97,6 +101,7 @@
         role=item["role"],
         pool=item.get("pool", ""),
         is_leaving=item["state"] == "leaving",
+        peer_address=item.get("peer_address", ""),
     )
 
 
