--- a/savoryspar/sheet/__init__.py
+++ b/savoryspar/sheet/__init__.py
@@ -8,6 +8,7 @@
     MANIFEST_KEY,
     Manifest,
     apply_changes,
+    bucket_digests,
     bucket_key,
     bucket_of,
     content_digest,
@@ -16,12 +17,14 @@
     new_sheet,
     render_keys,
     row_digest,
+    updated_digest,
 )
 from savoryspar.sheet.model import (
     RANKS,
     Pipeline,
     Pool,
     Rank,
+    Rows,
     Sheet,
     Stage,
     Work,
@@ -29,4 +32,5 @@
 )
 from savoryspar.sheet.parse import parse_csv, read_rows
 from savoryspar.sheet.reader import read_sheet, refresh
+from savoryspar.sheet.update import Changes, update_sheet
 from savoryspar.sheet.validate import build_sheet
--- a/savoryspar/sheet/keys.py
+++ b/savoryspar/sheet/keys.py
@@ -53,6 +53,28 @@
     return f"{total % _DIGEST_MODULUS:064x}"
 
 
+def updated_digest(
+    base: model.Sheet,
+    changes: Mapping[tuple[str, str], Mapping[str, str] | None],
+) -> str:
+    """Returns the content digest after the changes."""
+    total = int(base.digest, 16) + sum(
+        row_digest(item, fields or None) - row_digest(item, base.rows.get(item))
+        for item, fields in changes.items()
+    )
+    return f"{total % _DIGEST_MODULUS:064x}"
+
+
+def bucket_digests(rows: model.Rows) -> dict[int, int]:
+    """Returns the digest of each bucket that is not empty, of 64 bits."""
+    digests: dict[int, int] = {}
+    for item, fields in rows.items():
+        number = bucket_of(item)
+        total = digests.get(number, 0) + row_digest(item, fields)
+        digests[number] = total % 2**64
+    return digests
+
+
 def bucket_of(item: tuple[str, str]) -> int:
     """Returns the number of the bucket that holds the row."""
     return hashlib.sha256("/".join(item).encode()).digest()[0]
--- a/savoryspar/sheet/model.py
+++ b/savoryspar/sheet/model.py
@@ -173,6 +173,7 @@
         models: Mapping[str, Model],
         works: Mapping[str, Work],
         pipelines: Mapping[str, Pipeline],
+        workspace_by_key: Mapping[str, str] | None = None,
     ):
         self.revision = revision
         self.digest = digest
@@ -183,11 +184,15 @@
         self.models = models
         self.works = works
         self.pipelines = pipelines
-        self.workspace_by_key = {
-            digest: workspace.name
-            for workspace in workspaces.values()
-            for digest in workspace.key_digests
-        }
+        self.workspace_by_key = (
+            {
+                digest: workspace.name
+                for workspace in workspaces.values()
+                for digest in workspace.key_digests
+            }
+            if workspace_by_key is None
+            else workspace_by_key
+        )
 
     def is_idempotent(self, pipeline: Pipeline) -> bool:
         """Tells whether every stage of the pipeline may be repeated."""
