Spread the configuration between peers; two members a zone watch

Every process watched the configuration service, and one without the service never got a new revision. Accepted revisions now spread as deltas with their digest; a peer that missed some asks for the merged delta or for the buckets that differ. The two lowest members of a zone by rendezvous hash watch, those that cannot reach the service let others watch, and each client keeps a budget of calls.

--- a/savoryspar/cli/wiring.py
+++ b/savoryspar/cli/wiring.py
@@ -18,7 +18,6 @@
     sheet,
 )
 
-RETRY_S = 0.5
 LEAVE_S = 0.1
 """Time to write the last frames to peers before the process ends."""
 
@@ -35,9 +34,9 @@
     __slots__ = (
         "_app",
         "_cfg",
-        "_config_client",
         "_logger",
         "_router",
+        "_sheet_watch",
         "_vm_list",
         "members",
         "server",
@@ -51,7 +50,7 @@
         server: http.Server,
         sheets: sheet.SheetHolder,
         router: routing.Router,
-        config_client: platform.ConfigClient,
+        sheet_watch: membership.SheetWatch,
         vm_list: platform.VmListClient,
         members: membership.Membership,
     ):
@@ -60,7 +59,7 @@
         self.server = server
         self.sheets = sheets
         self._router = router
-        self._config_client = config_client
+        self._sheet_watch = sheet_watch
         self._vm_list = vm_list
         self.members = members
         self._logger = log.new_logger("entry")
@@ -74,7 +73,7 @@
         """Starts the server and the background duties."""
         self.members.start()
         self.server.start()
-        eventlet.spawn(self._follow_sheet)
+        eventlet.spawn(self._sheet_watch.run)
         eventlet.spawn(self._follow_vm_list)
 
     def stop(self) -> None:
@@ -88,19 +87,6 @@
         eventlet.sleep(LEAVE_S)
         self._logger.notice("Stopped. Every request was answered.")
 
-    def _follow_sheet(self) -> None:
-        while True:
-            try:
-                self._config_client.watch(
-                    self.sheets.revision, self._cfg.platform.watch_timeout_s
-                )
-                sheet.refresh(
-                    self._config_client, self.sheets, time.monotonic()
-                )
-            except platform.PlatformError as exc:
-                self._logger.warning(f"Configuration not read. {exc}")
-                eventlet.sleep(RETRY_S)
-
     def _follow_vm_list(self) -> None:
         while True:
             try:
@@ -122,6 +108,8 @@
 def new_node(cfg: conf.Settings) -> Node:
     """Builds an entry process from its settings."""
     sheets = sheet.new_sheet_holder()
+    members = membership.new_membership(cfg, time.monotonic(), time.time())
+    membership.new_sheet_spreader(members, sheets, time.monotonic)
     router = routing.new_router(
         log.new_decision_log(cfg.log.decision_sample_percent)
     )
@@ -138,7 +126,17 @@
         http.new_server(app, cfg),
         sheets,
         router,
-        platform.new_config_client(cfg.platform.config_url),
+        membership.new_sheet_watch(
+            members,
+            sheets,
+            platform.new_config_client(
+                cfg.platform.config_url,
+                cfg.platform.config_calls_per_s,
+                cfg.platform.config_burst_calls,
+            ),
+            cfg.platform.watch_timeout_s,
+            time.monotonic,
+        ),
         platform.new_vm_list_client(cfg.platform.vm_list_url),
-        membership.new_membership(cfg, time.monotonic(), time.time()),
+        members,
     )
--- a/savoryspar/conf/sections/platform.py
+++ b/savoryspar/conf/sections/platform.py
@@ -31,4 +31,19 @@
         "20",
         "Longest wait of one long poll at the configuration service.",
     ),
+    setting.Setting(
+        "platform",
+        "config_calls_per_s",
+        converters.size,
+        "5",
+        "Calls at the configuration service that a process may make a second.",
+    ),
+    setting.Setting(
+        "platform",
+        "config_burst_calls",
+        converters.size,
+        "300",
+        "Calls that it may make at once after a quiet time; a whole read"
+        " takes 257.",
+    ),
 )
--- a/savoryspar/membership/__init__.py
+++ b/savoryspar/membership/__init__.py
@@ -7,3 +7,5 @@
 )
 from savoryspar.membership.model import Member, Record, State, View
 from savoryspar.membership.service import Membership, new_membership
+from savoryspar.membership.sheet_watch import SheetWatch, new_sheet_watch
+from savoryspar.membership.spread import SheetSpreader, new_sheet_spreader
--- a/savoryspar/membership/connector.py
+++ b/savoryspar/membership/connector.py
@@ -10,7 +10,7 @@
 from websockets.sync import server
 
 from savoryspar import log
-from savoryspar.membership import exceptions, links, model, tls
+from savoryspar.membership import exceptions, links, model, opening, tls
 
 RETRY_S = 1.0
 LATE_DIAL_S = 1.0
@@ -172,7 +172,7 @@
     def _accept(self, sock: socket.socket, source: str) -> None:
         context = self._contexts.server() if self._contexts else None
         try:
-            link = links.accept(
+            link = opening.accept(
                 sock, context, self._own, self._owner, self._max_frame_bytes
             )
         except (exceptions.FrameError, *links.SOCKET_ERRORS) as exc:
@@ -184,7 +184,7 @@
         context = self._contexts.client() if self._contexts else None
         link = None
         try:
-            link = links.dial(
+            link = opening.dial(
                 address, context, self._own(), self._max_frame_bytes
             )
         except ConnectionRefusedError:
--- a/savoryspar/membership/evidence.py
+++ b/savoryspar/membership/evidence.py
@@ -81,7 +81,7 @@
     reached = sum(
         records.contact_at.get(member, float("-inf")) > since
         for member in known
-        if member != records.own
+        if member != records.own and records.records[member].is_counted()
     )
     if len(known) > 1:
         return 2 * (reached + 1) > len(known)
--- /dev/null
+++ b/savoryspar/membership/rows.py
@@ -0,0 +1,79 @@
+"""Rows of the configuration as they travel between peers."""
+
+from collections.abc import Iterable, Mapping
+
+import cbor2
+
+from savoryspar import sheet
+
+MAX_REPLY_BYTES = 400_000
+
+Encoded = list[list]
+"""Rows as ``[table, name, fields]``; no fields removes the row."""
+
+
+class BucketIndex:
+    """The rows of a sheet by bucket, with the digest of each bucket.
+
+    Attributes:
+        revision: Revision of the sheet.
+        digests: Digest of each bucket that is not empty.
+    """
+
+    __slots__ = ("_rows", "digests", "revision")
+
+    def __init__(self, current: sheet.Sheet):
+        self.revision = current.revision
+        self.digests = sheet.bucket_digests(current.rows)
+        self._rows: dict[int, Encoded] = {}
+        for item, fields in current.rows.items():
+            number = sheet.bucket_of(item)
+            row = [*item, dict(fields)]
+            self._rows.setdefault(number, []).append(row)
+
+    def reply(self, digests: Mapping[int, int], first: int) -> dict:
+        """Returns the differing buckets from ``first`` on, up to a size."""
+        changes: Encoded = []
+        replaced: list[int] = []
+        size = 0
+        for number in range(first, sheet.BUCKET_COUNT):
+            if self.digests.get(number) == digests.get(number):
+                continue
+            rows = self._rows.get(number, [])
+            size += len(cbor2.dumps(rows))
+            if replaced and size > MAX_REPLY_BYTES:
+                return _buckets(changes, replaced, number)
+            replaced.append(number)
+            changes += rows
+        return _buckets(changes, replaced, sheet.BUCKET_COUNT)
+
+
+def _buckets(changes: Encoded, replaced: list[int], following: int) -> dict:
+    return {
+        "kind": "buckets",
+        "changes": changes,
+        "replaced": replaced,
+        "next": following,
+    }
+
+
+def changed_rows(old: sheet.Rows, new: sheet.Rows) -> sheet.Changes:
+    """Returns the rows that turn the old ones into the new ones."""
+    changes: dict = {
+        item: fields for item, fields in new.items() if old.get(item) != fields
+    }
+    changes.update({item: None for item in old if item not in new})
+    return changes
+
+
+def encode_changes(changes: sheet.Changes) -> Encoded:
+    """Returns the changes as they are sent."""
+    return [
+        [*item, dict(fields) if fields else None]
+        for item, fields in changes.items()
+    ]
+
+
+def decode_changes(encoded: Iterable[list]) -> dict:
+    """Decodes changes; raises ``ValueError`` or ``TypeError``."""
+    return {(table, name): fields for table, name, fields in encoded}
--- a/savoryspar/membership/service.py
+++ b/savoryspar/membership/service.py
@@ -1,34 +1,30 @@
 """The membership of one process: links, live view, requests and facts."""
 
 from collections.abc import Callable, Iterable
-import itertools
 import secrets
 import time
 from typing import Any
 
 import eventlet
 
-from savoryspar import conf, log
+from savoryspar import conf
 from savoryspar.membership import (
     calls,
     connector,
     evidence,
     exceptions,
     facts,
+    gossip,
     heartbeats,
     links,
     model,
     pause,
     table,
     tls,
-    topology,
+    upkeep,
 )
 
 TICK_S = 0.1
-SLOW_TICK_S = 1.0
-EXPLORE_LIMIT = 4
-"""Unknown addresses dialled in one tick."""
-
 OPEN_TIMEOUT_S = 3.0
 VIEW_AGE_S = 0.2
 
@@ -47,16 +43,10 @@
         "_calls",
         "_dispatch",
         "_facts",
+        "_gossip",
         "_is_stopped",
-        "_listed",
-        "_logger",
-        "_missing_since",
-        "_policy",
-        "_seeds",
-        "_slow_at",
-        "_tls",
+        "_upkeep",
         "_view",
-        "_wanted",
         "beats",
         "connector",
         "on_sheet_delta",
@@ -86,19 +76,20 @@
             lambda incarnation, body: None
         )
         self._calls = calls.Calls(own.incarnation)
-        self._tls = contexts
-        self._policy = topology.POLICIES[cfg.topology]()
-        self._seeds = set(cfg.seeds)
-        self._listed: frozenset[str] = frozenset()
-        self._missing_since: dict[str, float] = {}
-        self._wanted: tuple[tuple[int, int], frozenset[str]] = (
-            (-1, -1),
-            frozenset(),
+        self._gossip = gossip.Gossip(self.records, links_of_own)
+        self._upkeep = upkeep.Upkeep(
+            self.records,
+            links_of_own,
+            self.beats,
+            self._facts,
+            self._gossip,
+            self.watcher,
+            contexts,
+            cfg.topology,
+            cfg.seeds,
         )
         self._view: tuple[int, float, tuple[model.Member, ...]] = (-1, 0.0, ())
-        self._slow_at = now
         self._is_stopped = False
-        self._logger = log.new_logger("membership")
         self._dispatch = {
             "heartbeat": self._take_heartbeat,
             "members": self._take_members,
@@ -116,14 +107,13 @@
 
     def leave(self, now: float) -> None:
         """Announces that this process drains; it still serves its peers."""
-        self._spread([self.records.announce_leaving(now)], None)
+        self._gossip.spread([self.records.announce_leaving(now)], None)
 
     def stop(self, now: float) -> None:
         """Announces that this process is gone and closes its links."""
         self._is_stopped = True
         record = self.records.announce_left(now)
-        for link in self._open_links():
-            link.post("leave", record.to_body())
+        self._gossip.flood("leave", record.to_body(), None)
         self.connector.stop()
 
     def view(self, now: float, wall_now: float | None = None) -> model.View:
@@ -207,7 +197,8 @@
 
     def broadcast(self, kind: str, body: Any) -> None:
         """Floods a small fact to all members; each sees it at most once."""
-        self._flood("broadcast", self._calls.new_broadcast(kind, body), None)
+        new = self._calls.new_broadcast(kind, body)
+        self._gossip.flood("broadcast", new, None)
 
     def publish_fact(self, name: str, body: Any) -> None:
         """Adds a small fact to the own heartbeats in the zone."""
@@ -225,48 +216,22 @@
 
     def flood_sheet_delta(self, body: Any, source: str = "") -> None:
         """Sends a delta of the configuration on all links but its source's."""
-        self._flood("sheet_delta", body, self.connector.links.get(source))
+        link = self.connector.links.get(source)
+        self._gossip.flood("sheet_delta", body, link)
 
     def set_listed(self, addresses: Iterable[str]) -> None:
         """Takes the peer addresses of the VM list."""
-        self._listed = frozenset(filter(None, addresses))
-
-    def _open_links(self) -> list[links.Link]:
-        return [
-            link for link in self.connector.links.values() if not link.is_closed
-        ]
-
-    def _flood(self, kind: str, body: Any, source: links.Link | None) -> None:
-        for link in self._open_links():
-            if link is not source:
-                link.post(kind, body)
-
-    def _spread(
-        self, changed: Iterable[model.Record], source: links.Link | None
-    ) -> None:
-        bodies = [record.to_body() for record in changed]
-        for record in bodies:
-            self._logger.info(f"Member changed. record={record}")
-        if bodies:
-            self._flood("members", [1, bodies], source)
-
-    def _merge(
-        self, records: Iterable[model.Record], source: links.Link | None
-    ) -> None:
-        changed = self.records.merge(records, time.monotonic())
-        refuted = [r for r in changed if r.incarnation == self.records.own]
-        self._spread([r for r in changed if r not in refuted], source)
-        self._spread(refuted, None)
+        self._upkeep.listed = frozenset(filter(None, addresses))
 
     def _run_link(self, link: links.Link) -> None:
         now = time.monotonic()
-        self._merge([link.peer], None)
+        self._gossip.merge([link.peer], None, now)
         self.records.note_heard(link.peer.incarnation, now)
         link.start_writer(
             lambda: self.beats.link_interval_s(link),
             lambda link: self.beats.render(link, time.monotonic()),
         )
-        link.post("members", [0, dict(self.records.zone_digests())])
+        self._gossip.send_digests(link)
         source = f"{link.peer.name} {link.peer.address}"
         try:
             while True:
@@ -299,30 +264,22 @@
 
     def _link_lost(self, link: links.Link) -> None:
         """Dials a neighbour again at once, to learn whether it died."""
-        if not self._is_stopped and link.peer.incarnation in self.wanted(
-            time.monotonic()
+        if not self._is_stopped and link.peer.incarnation in (
+            self._upkeep.wanted(time.monotonic())
         ):
             self.connector.dial(link.peer.address, time.monotonic())
 
     def _take_heartbeat(self, link: links.Link, body: Any) -> None:
         if self.beats.take(link, body, time.monotonic()):
-            link.post("members", [0, dict(self.records.zone_digests())])
+            self._gossip.send_digests(link)
 
     def _take_members(self, link: links.Link, body: Any) -> None:
         step, content = body
-        if step == 1:
-            records = [model.decode_record(item) for item in content]
-            self._merge(records, link)
+        if step == 0:
+            self._gossip.answer_digests(link, content)
             return
-        own = self.records.zone_digests()
-        differing = [
-            zone
-            for zone in {*own, *content}
-            if own.get(zone) != content.get(zone)
-        ]
-        if differing:
-            records = self.records.records_of(differing)
-            link.post("members", [1, [r.to_body() for r in records]])
+        records = [model.decode_record(item) for item in content]
+        self._gossip.merge(records, link, time.monotonic())
 
     def _take_request(self, link: links.Link, body: Any) -> None:
         self._calls.serve(link, body)
@@ -333,106 +290,20 @@
 
     def _take_broadcast(self, link: links.Link, body: Any) -> None:
         if self._calls.take_broadcast(body):
-            self._flood("broadcast", body, link)
+            self._gossip.flood("broadcast", body, link)
 
     def _take_sheet_delta(self, link: links.Link, body: Any) -> None:
         self.on_sheet_delta(link.peer.incarnation, body)
 
     def _take_leave(self, link: links.Link, body: Any) -> None:
-        self._merge([model.decode_record(body)], link)
-
-    def wanted(self, now: float) -> frozenset[str]:
-        """Returns the incarnations to keep links to."""
-        key = (self.records.generation, self._period(now))
-        if self._wanted[0] != key:
-            by_zone = self.records.members_by_zone()
-            own, zone = self.records.own, self.records.zone
-            neighbours = topology.zone_neighbours(
-                self._policy, own, by_zone[zone], key[1]
-            ) | topology.relay_neighbours(own, zone, by_zone)
-            self._wanted = (key, frozenset(neighbours))
-        return self._wanted[1]
-
-    def _period(self, now: float) -> int:
-        is_changing = isinstance(self._policy, topology.Probe)
-        return int(now / self.beats.interval_s()) if is_changing else 0
+        record = model.decode_record(body)
+        self._gossip.merge([record], link, time.monotonic())
 
     def _tick_always(self) -> None:
         while not self._is_stopped:
-            self.tick(time.monotonic(), time.time())
+            self._upkeep.tick(time.monotonic(), time.time())
             eventlet.sleep(TICK_S)
 
-    def tick(self, now: float, wall_now: float) -> None:
-        """Does what is due: checks neighbours, links and the clock."""
-        if self.watcher.check(now, wall_now):
-            self._logger.warning("Resumed after a pause. View not confirmed.")
-            self.records.forgive(now)
-        wanted = self.wanted(now)
-        zone = {
-            incarnation
-            for incarnation in wanted
-            if self.records.records[incarnation].zone == self.records.zone
-        }
-        silent = self.records.silent(zone, self.connector.refused_at, now)
-        changed = self.records.suspect(silent, now)
-        changed += self.records.expire(now)
-        if now - self._slow_at >= SLOW_TICK_S:
-            self._slow_at = now
-            changed += self.records.suspect(self.records.stale(now), now)
-            self._slow_tick(wanted, now)
-        self._drop_dead(changed)
-        self._spread(changed, None)
-        self._dial_wanted(wanted, now)
-
-    def _slow_tick(self, wanted: Iterable[str], now: float) -> None:
-        if self._tls:
-            self._tls.refresh()
-        self.records.forget(now, self._listed | self._seeds)
-        self.connector.reap(wanted, now)
-        known = {
-            record.address
-            for record in self.records.records.values()
-            if record.is_counted()
-        }
-        unknown = sorted(
-            (self._listed | self._seeds)
-            - known
-            - self.connector.open_addresses()
-        )
-        # Members start at different places, so that they do not all dial
-        # the same dead address first.
-        order = topology.rendezvous(unknown, f"{self.records.own}{now:.0f}")
-        for address in itertools.islice(order, EXPLORE_LIMIT):
-            self.connector.dial(address, now)
-
-    def _drop_dead(self, changed: Iterable[model.Record]) -> None:
-        for record in changed:
-            if record.state == model.State.DEAD:
-                self._logger.notice(
-                    f"Member dead. name={record.name} zone={record.zone}"
-                    f" incarnation={record.incarnation}"
-                )
-                self._facts.drop(record.incarnation)
-                link = self.connector.links.get(record.incarnation)
-                if link:
-                    link.abort()
-
-    def _dial_wanted(self, wanted: Iterable[str], now: float) -> None:
-        missing = {
-            incarnation
-            for incarnation in wanted
-            if incarnation not in self.connector.links
-        }
-        self._missing_since = {
-            incarnation: self._missing_since.get(incarnation, now)
-            for incarnation in missing
-        }
-        for incarnation, since in self._missing_since.items():
-            is_late = now - since >= connector.LATE_DIAL_S
-            if self.records.own < incarnation or is_late:
-                record = self.records.records[incarnation]
-                self.connector.dial(record.address, now)
-
 
 def _oversize() -> exceptions.FrameError:
     return exceptions.FrameError(
--- /dev/null
+++ b/savoryspar/membership/spread.py
@@ -0,0 +1,267 @@
+"""Spreads the configuration between peers; the highest revision wins."""
+
+import collections
+from collections.abc import Callable, Mapping
+from typing import Any
+
+import cbor2
+import eventlet
+
+from savoryspar import log, sheet
+from savoryspar.membership import exceptions, rows, service
+
+HISTORY = 64
+"""Deltas kept for peers that missed some."""
+
+MAX_DELTA_BYTES = 32_768
+"""A larger delta is announced only; peers ask for its rows."""
+
+REQUEST_TIMEOUT_S = 2.0
+DIGEST_START = 8
+"""Bytes of the digest in heartbeats."""
+
+REFUSED_RETRY_S = 10.0
+"""Time before a refused sheet is fetched from peers again."""
+
+REQUEST = "sheet_request"
+
+
+class Delta:
+    """One accepted change."""
+
+    __slots__ = ("changes", "previous")
+
+    def __init__(self, previous: int, changes: sheet.Changes):
+        self.previous = previous
+        self.changes = changes
+
+
+class SheetSpreader:
+    """Sends what comes into force to peers and asks for what it missed."""
+
+    __slots__ = (
+        "_clock",
+        "_fetching",
+        "_history",
+        "_index",
+        "_last",
+        "_logger",
+        "_members",
+        "_retry_at",
+        "_sheets",
+        "_source",
+    )
+
+    def __init__(
+        self,
+        members: service.Membership,
+        sheets: sheet.SheetHolder,
+        clock: Callable[[], float],
+    ):
+        self._members = members
+        self._sheets = sheets
+        self._clock = clock
+        self._history: collections.OrderedDict[int, Delta] = (
+            collections.OrderedDict()
+        )
+        self._last: sheet.Sheet | None = sheets.current
+        self._fetching = ""
+        self._source = ""
+        self._retry_at = float("-inf")
+        self._index: rows.BucketIndex | None = None
+        self._logger = log.new_logger("sheet")
+        members.beats.sheet_state = self._state
+        members.beats.on_sheet_state = self._take_state
+        members.on_sheet_delta = self._take_delta
+        members.handle(REQUEST, self._serve)
+        sheets.listen(self._spread)
+
+    def _state(self) -> tuple[int, bytes]:
+        current = self._sheets.current
+        if current is None:
+            return 0, b""
+        return current.revision, bytes.fromhex(current.digest)[:DIGEST_START]
+
+    def _spread(self, accepted: sheet.Sheet) -> None:
+        """Remembers the delta to the former sheet and sends it on."""
+        former, self._last = self._last, accepted
+        changes = rows.changed_rows(
+            former.rows if former else {}, accepted.rows
+        )
+        previous = former.revision if former else 0
+        self._history[accepted.revision] = Delta(previous, changes)
+        while len(self._history) > HISTORY:
+            self._history.popitem(last=False)
+        encoded = rows.encode_changes(changes)
+        is_small = previous and len(cbor2.dumps(encoded)) <= MAX_DELTA_BYTES
+        self._members.flood_sheet_delta(
+            [
+                accepted.revision,
+                previous,
+                accepted.digest,
+                encoded if is_small else None,
+            ],
+            self._source,
+        )
+
+    def _take_state(self, sender: str, revision: int, digest: bytes) -> None:
+        if revision > self._sheets.revision:
+            self._start_fetch(sender, revision)
+        else:
+            self._sheets.note_digest(revision, digest.hex())
+
+    def _take_delta(self, sender: str, body: Any) -> None:
+        revision, previous, digest, encoded = body
+        current = self._sheets.current
+        if revision <= self._sheets.revision:
+            self._sheets.note_digest(revision, digest)
+            return
+        if current is None or previous != current.revision or encoded is None:
+            self._start_fetch(sender, revision)
+            return
+        changes = rows.decode_changes(encoded)
+        if sheet.updated_digest(current, changes) != digest:
+            self._start_fetch(sender, revision)
+            return
+        self._offer(current, changes, revision, digest, sender)
+
+    def _offer(
+        self,
+        base: sheet.Sheet | None,
+        changes: sheet.Changes,
+        revision: int,
+        digest: str,
+        sender: str,
+    ) -> None:
+        """Builds a sheet from a peer's rows and offers it to the holder."""
+        try:
+            if base is None:
+                offered = sheet.new_sheet(
+                    sheet.apply_changes({}, changes), revision, digest
+                )
+            else:
+                offered = sheet.update_sheet(base, changes, revision, digest)
+        except ExceptionGroup as group:
+            self._sheets.refuse(revision, group)
+            self._retry_at = self._clock() + REFUSED_RETRY_S
+            return
+        self._source = sender
+        try:
+            self._sheets.offer(offered, f"peer {sender}", self._clock())
+        finally:
+            self._source = ""
+
+    def _start_fetch(self, sender: str, revision: int) -> None:
+        # One fetch at a time; a newer revision is seen in the next heartbeat.
+        if self._fetching or (
+            revision == self._sheets.refused_revision
+            and self._clock() < self._retry_at
+        ):
+            return
+        self._fetching = sender
+        eventlet.spawn(self._fetch, sender)
+
+    def _fetch(self, sender: str) -> None:
+        try:
+            self._fetch_from(sender)
+        except exceptions.PeerUnreachableError as exc:
+            self._logger.warning(f"Sheet not fetched. {exc}")
+        except (TypeError, ValueError, KeyError) as exc:
+            self._logger.error(f"Sheet not fetched. peer={sender} {exc!r}")
+        finally:
+            self._fetching = ""
+
+    def _fetch_from(self, sender: str) -> None:
+        base = self._sheets.current
+        reply = self._ask(sender, [self._sheets.revision, None, 0])
+        if reply["kind"] == "whole":
+            digests = self._indexed(base).digests if base else {}
+            reply = self._fetch_buckets(sender, digests)
+            if reply is None:
+                return
+        if reply["kind"] == "none":
+            return
+        changes = rows.decode_changes(reply["changes"])
+        removed = [
+            item
+            for item in (base.rows if base else {})
+            if sheet.bucket_of(item) in set(reply.get("replaced", ()))
+            and item not in changes
+        ]
+        changes.update(dict.fromkeys(removed))
+        if self._sheets.current is base:
+            self._offer(
+                base, changes, reply["revision"], reply["digest"], sender
+            )
+
+    def _fetch_buckets(
+        self, sender: str, digests: Mapping[int, int]
+    ) -> dict | None:
+        """Asks for the differing buckets in parts of limited size."""
+        changes: rows.Encoded = []
+        replaced: list[int] = []
+        first, revision = 0, 0
+        while first < sheet.BUCKET_COUNT:
+            reply = self._ask(
+                sender, [self._sheets.revision, dict(digests), first]
+            )
+            if reply["kind"] == "none" or (
+                revision and reply["revision"] != revision
+            ):
+                return None
+            revision, first = reply["revision"], reply["next"]
+            changes += reply["changes"]
+            replaced += reply["replaced"]
+        return {**reply, "changes": changes, "replaced": replaced}
+
+    def _ask(self, sender: str, body: list) -> dict:
+        return self._members.request(sender, REQUEST, body, REQUEST_TIMEOUT_S)
+
+    def _serve(self, sender: str, body: list) -> dict:
+        """Answers a peer that missed deltas: a delta, or rows by bucket."""
+        del sender
+        revision, digests, first = body
+        current = self._sheets.current
+        if current is None or current.revision <= revision:
+            return {"kind": "none"}
+        reply = {"revision": current.revision, "digest": current.digest}
+        if digests is None:
+            changes = self._changes_since(revision)
+            if changes is None:
+                return {**reply, "kind": "whole"}
+            return {
+                **reply,
+                "kind": "delta",
+                "changes": rows.encode_changes(changes),
+            }
+        return {**reply, **self._indexed(current).reply(digests, first)}
+
+    def _indexed(self, current: sheet.Sheet) -> rows.BucketIndex:
+        if self._index is None or self._index.revision != current.revision:
+            self._index = rows.BucketIndex(current)
+        return self._index
+
+    def _changes_since(self, revision: int) -> sheet.Changes | None:
+        """Returns the merged deltas, or None when one is not remembered."""
+        chain = []
+        at = self._sheets.revision
+        while at != revision:
+            delta = self._history.get(at)
+            if delta is None or delta.previous < revision:
+                return None
+            chain.append(delta.changes)
+            at = delta.previous
+        merged: dict = {}
+        for changes in reversed(chain):
+            merged.update(changes)
+        size = len(cbor2.dumps(rows.encode_changes(merged)))
+        return merged if size <= rows.MAX_REPLY_BYTES else None
+
+
+def new_sheet_spreader(
+    members: service.Membership,
+    sheets: sheet.SheetHolder,
+    clock: Callable[[], float],
+) -> SheetSpreader:
+    """Connects the holder with the peers."""
+    return SheetSpreader(members, sheets, clock)
--- a/savoryspar/platform/config.py
+++ b/savoryspar/platform/config.py
@@ -1,10 +1,12 @@
 """Client of the configuration service, which can be read and watched only."""
 
 import json
+import time
 
+import eventlet
 import urllib3
 
-from savoryspar.platform import exceptions
+from savoryspar.platform import budget, exceptions
 
 CONNECT_TIMEOUT_S = 1.0
 READ_TIMEOUT_S = 2.0
@@ -14,11 +16,14 @@
 class ConfigClient:
     """Reads keys and waits for revisions."""
 
-    __slots__ = ("_pool", "_url")
+    __slots__ = ("_budget", "_pool", "_url")
 
-    def __init__(self, url: str, pool: urllib3.PoolManager):
+    def __init__(
+        self, url: str, pool: urllib3.PoolManager, calls: budget.CallBudget
+    ):
         self._url = url.rstrip("/")
         self._pool = pool
+        self._budget = calls
 
     def get(self, key: str) -> str:
         """Returns the value of a key.
@@ -48,6 +53,9 @@
 
     def _fetch(self, path: str, timeout_s: float) -> bytes:
         timeout = urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=timeout_s)
+        eventlet.sleep(self._budget.wait_s(time.monotonic()))
+        started_at = time.monotonic()
+        self._budget.spend(1.0, started_at)
         try:
             resp = self._pool.request(
                 "GET", self._url + path, timeout=timeout, retries=False
@@ -57,6 +65,9 @@
                 f"the configuration service does not answer: {exc}",
                 "the last revision stays in force; check the service",
             ) from exc
+        finally:
+            ended_at = time.monotonic()
+            self._budget.spend(ended_at - started_at, ended_at)
         if resp.status != 200:
             raise exceptions.PlatformError(
                 f"the configuration service answered {resp.status} to {path}",
@@ -65,6 +76,18 @@
         return resp.data
 
 
-def new_config_client(url: str) -> ConfigClient:
-    """Returns a client with connections of its own."""
-    return ConfigClient(url, urllib3.PoolManager(maxsize=4, block=False))
+def new_config_client(
+    url: str, calls_per_s: float, burst_calls: float
+) -> ConfigClient:
+    """Returns a client with connections and a budget of its own.
+
+    Args:
+        url: Base URL of the service.
+        calls_per_s: Calls that it may make on average.
+        burst_calls: Calls that it may make at once after a quiet time.
+    """
+    return ConfigClient(
+        url,
+        urllib3.PoolManager(maxsize=4, block=False),
+        budget.CallBudget(calls_per_s, burst_calls, time.monotonic()),
+    )
--- a/savoryspar/sheet/holder.py
+++ b/savoryspar/sheet/holder.py
@@ -15,14 +15,23 @@
         current: The sheet in force, or None before the first one.
         conflict: The last conflict of two contents under one revision.
         refused: Faults of the last refused sheet, as texts.
+        refused_revision: Its revision, 0 if none was refused.
     """
 
-    __slots__ = ("_listeners", "_logger", "conflict", "current", "refused")
+    __slots__ = (
+        "_listeners",
+        "_logger",
+        "conflict",
+        "current",
+        "refused",
+        "refused_revision",
+    )
 
     def __init__(self) -> None:
         self.current: model.Sheet | None = None
         self.conflict: exceptions.RevisionConflictError | None = None
         self.refused: tuple[str, ...] = ()
+        self.refused_revision = 0
         self._listeners: list[Listener] = []
         self._logger = log.new_logger("sheet")
 
@@ -54,11 +63,7 @@
         if offered.revision < self.revision:
             return False
         if self.current and offered.revision == self.current.revision:
-            if offered.digest != self.current.digest:
-                self.conflict = exceptions.RevisionConflictError(
-                    offered.revision, self.current.digest, offered.digest
-                )
-                self._logger.error(f"Sheet refused. {self.conflict}")
+            self.note_digest(offered.revision, offered.digest)
             return False
         self.current = offered
         self._logger.notice(
@@ -69,8 +74,26 @@
             listener(offered)
         return True
 
+    def note_digest(self, revision: int, digest: str) -> None:
+        """Records a conflict if the revision in force has another digest.
+
+        Args:
+            revision: Revision that a peer or the service has.
+            digest: Its content digest, or the start of it.
+        """
+        if not self.current or revision != self.current.revision:
+            return
+        if digest and not self.current.digest.startswith(digest):
+            found = exceptions.RevisionConflictError(
+                revision, self.current.digest, digest
+            )
+            if str(found) != str(self.conflict):
+                self._logger.error(f"Sheet refused. {found}")
+            self.conflict = found
+
     def refuse(self, revision: int, faults: ExceptionGroup) -> None:
         """Records why a sheet was refused."""
+        self.refused_revision = revision
         self.refused = tuple(str(fault) for fault in faults.exceptions)
         self._logger.error(
             f"Sheet refused. revision={revision} faults={len(self.refused)}"
--- a/savoryspar/sheet/reader.py
+++ b/savoryspar/sheet/reader.py
@@ -1,7 +1,7 @@
 """Reads a revision from the configuration service, by delta or whole."""
 
 from savoryspar import platform
-from savoryspar.sheet import exceptions, holder, keys, model
+from savoryspar.sheet import exceptions, holder, keys, model, update
 
 
 def read_sheet(
@@ -24,10 +24,20 @@
     manifest = keys.decode_manifest(client.get(keys.MANIFEST_KEY))
     if current and manifest.revision < current.revision:
         return None
-    if current and manifest.previous == current.revision:
-        rows = keys.apply_changes(current.rows, manifest.changes)
-        if keys.content_digest(rows) == manifest.digest:
-            return keys.new_sheet(rows, manifest.revision, manifest.digest)
+    if (
+        current
+        and manifest.revision == current.revision
+        and manifest.digest == current.digest
+    ):
+        return None
+    if (
+        current
+        and manifest.previous == current.revision
+        and keys.updated_digest(current, manifest.changes) == manifest.digest
+    ):
+        return update.update_sheet(
+            current, manifest.changes, manifest.revision, manifest.digest
+        )
     rows = {}
     for number in range(keys.BUCKET_COUNT):
         rows.update(keys.decode_rows(client.get(keys.bucket_key(number))))
@@ -35,20 +45,29 @@
 
 
 def refresh(
-    client: platform.ConfigClient, sheets: holder.SheetHolder, now: float
+    client: platform.ConfigClient,
+    sheets: holder.SheetHolder,
+    revision: int,
+    now: float,
 ) -> None:
     """Offers the newest sheet of the service to the holder.
 
+    Args:
+        client: The configuration service.
+        sheets: The sheet in force.
+        revision: Revision that the service announced, for the refusal.
+        now: Monotonic time in seconds.
+
     Raises:
         PlatformError: The service is down or over its rate.
     """
     try:
         offered = read_sheet(client, sheets.current)
     except exceptions.SheetError as exc:
-        sheets.refuse(0, ExceptionGroup("sheet", [exc]))
+        sheets.refuse(revision, ExceptionGroup("sheet", [exc]))
         return
     except ExceptionGroup as group:
-        sheets.refuse(0, group)
+        sheets.refuse(revision, group)
         return
     if offered is not None:
         sheets.offer(offered, "service", now)
