--- a/savoryspar/bench/fleet.py
+++ b/savoryspar/bench/fleet.py
@@ -16,6 +16,7 @@
 import urllib3
 
 from savoryspar import sheet
+from savoryspar.bench import keys
 
 START_TIMEOUT_S = 20.0
 STOP_TIMEOUT_S = 15.0
@@ -29,25 +30,38 @@
         popen: The process.
     """
 
-    __slots__ = ("_port", "name", "popen")
+    __slots__ = ("_ports", "name", "popen")
 
     def __init__(self, name: str, popen: subprocess.Popen):
         self.name = name
         self.popen = popen
-        self._port: int | None = None
+        self._ports: tuple[int, int] | None = None
 
     @property
     def port(self) -> int:
         """TCP port that the process printed; waits for it the first time."""
-        if self._port is None:
-            self._port = _read_port(self.popen)
-        return self._port
+        return self._read()[0]
+
+    @property
+    def peer_port(self) -> int:
+        """TCP port for peers that the process printed, 0 if none."""
+        return self._read()[1]
+
+    def _read(self) -> tuple[int, int]:
+        if self._ports is None:
+            self._ports = _read_ports(self.popen)
+        return self._ports
 
     @property
     def address(self) -> str:
         """``IP:port`` of the process."""
         return f"127.0.0.1:{self.port}"
 
+    @property
+    def peer_address(self) -> str:
+        """``IP:port`` at which peers reach the process."""
+        return f"127.0.0.1:{self.peer_port}"
+
     @property
     def url(self) -> str:
         """Base URL of the process."""
@@ -90,6 +104,7 @@
         self.vms: list[dict[str, Any]] = []
         self.http = urllib3.PoolManager(maxsize=64, retries=False)
         self.platform: Process | None = None
+        self.ca = keys.new_test_ca(self.directory / "keys")
 
     def __enter__(self) -> "Fleet":
         return self
@@ -177,6 +192,7 @@
                 "vm_list_url": self.platform.url,
                 "vm_list_interval_s": 0.2,
             },
+            "membership": dict(self.ca.issue(name).settings()),
         }
         for section, values in settings.items():
             sections.setdefault(section, {}).update(values)
@@ -194,10 +210,44 @@
         )
         return process
 
+    def start_members(
+        self,
+        name: str,
+        zones: int = 1,
+        first: int = 0,
+        count: int = 1,
+        settings: Mapping[str, object] = {},
+    ) -> Process:
+        """Starts a process of members that serve no callers."""
+        sections = {
+            "entry": {
+                "name": name,
+                "region": "r0",
+                "zone": "z0",
+                "listen_port": 0,
+            },
+            "platform": {
+                "config_url": "http://127.0.0.1:9",
+                "vm_list_url": "http://127.0.0.1:9",
+            },
+            "membership": {**self.ca.issue(name).settings(), **settings},
+        }
+        path = self.directory / f"{name}.ini"
+        path.write_text(_ini(sections))
+        numbers = {"--zones": zones, "--first": first, "--count": count}
+        options = [str(text) for item in numbers.items() for text in item]
+        return self.start(
+            name, ["standin", "members", "--config", str(path), *options]
+        )
+
     def publish_vms(self) -> None:
         """Publishes the VM list as the fleet has it."""
         vms = [
-            {**vm, "address": self.processes[vm["name"]].address}
+            {
+                **vm,
+                "address": self.processes[vm["name"]].address,
+                "peer_address": self.processes[vm["name"]].peer_address,
+            }
             for vm in self.vms
         ]
         self.control(self.platform, {"vms": vms})
@@ -217,8 +267,14 @@
 
     def control(self, process: Process, body: Mapping[str, Any]) -> Any:
         """Changes how a stand-in behaves."""
+        return self.post_json(process, "/control", body)
+
+    def post_json(
+        self, process: Process, path: str, body: Mapping[str, Any]
+    ) -> Any:
+        """Sends a JSON document to a process and returns its answer."""
         resp = self.http.request(
-            "POST", f"{process.url}/control", body=json.dumps(body).encode()
+            "POST", process.url + path, body=json.dumps(body).encode()
         )
         return json.loads(resp.data)
 
@@ -262,7 +318,7 @@
                 time.sleep(0.05)
 
 
-def _read_port(popen: subprocess.Popen) -> int:
+def _read_ports(popen: subprocess.Popen) -> tuple[int, int]:
     timer = threading.Timer(START_TIMEOUT_S, popen.kill)
     timer.start()
     try:
@@ -271,7 +327,8 @@
         timer.cancel()
     if not line.startswith("listening "):
         raise RuntimeError(f"process {popen.args} did not start: {line!r}")
-    return int(line.split()[1])
+    words = line.split()
+    return int(words[1]), int(words[3]) if len(words) > 3 else 0
 
 
 def _ini(sections: Mapping[str, Mapping[str, object]]) -> str:
--- a/savoryspar/cli/entry.py
+++ b/savoryspar/cli/entry.py
@@ -7,7 +7,7 @@
 from cleo.helpers import option
 import eventlet
 
-from savoryspar import checks, conf, log
+from savoryspar import checks, conf, errors, log
 from savoryspar.cli import exit_codes, faults, wiring
 
 
@@ -29,20 +29,25 @@
         log.configure(cfg.log.level, cfg.log.format)
         if not self._passes_checks(cfg):
             return exit_codes.USAGE
-        node = wiring.new_node(cfg)
-        stopped = node.stop_requested
-        node.start()
-        self.line(f"listening {node.server.address[1]}")
+        try:
+            entry_node = wiring.new_node(cfg)
+        except errors.SavorysparError as exc:
+            self.line_error(str(exc))
+            return exit_codes.USAGE
+        stopped = entry_node.stop_requested
+        entry_node.start()
+        port = entry_node.server.address[1]
+        self.line(f"listening {port} peers {entry_node.peer_port}")
         self.io.output.flush()
 
         def on_signal(number: int, frame: object) -> None:
             del number, frame
-            node.request_stop()
+            entry_node.request_stop()
 
         signal.signal(signal.SIGTERM, on_signal)
         signal.signal(signal.SIGINT, on_signal)
         stopped.wait()
-        node.stop()
+        entry_node.stop()
         eventlet.sleep(0)
         return exit_codes.OK
 
--- a/savoryspar/sheet/keys.py
+++ b/savoryspar/sheet/keys.py
@@ -53,6 +53,16 @@
     return f"{total % DIGEST_MODULUS:064x}"
 
 
+def bucket_digests(rows: model.Rows) -> dict[int, int]:
+    """Returns the digest of each bucket that is not empty, of 64 bits."""
+    digests: dict[int, int] = {}
+    for item, fields in rows.items():
+        number = bucket_of(item)
+        total = digests.get(number, 0) + row_digest(item, fields)
+        digests[number] = total % 2**64
+    return digests
+
+
 def bucket_of(item: tuple[str, str]) -> int:
     """Returns the number of the bucket that holds the row."""
     return hashlib.sha256("/".join(item).encode()).digest()[0]
--- a/savoryspar/sheet/reader.py
+++ b/savoryspar/sheet/reader.py
@@ -24,7 +24,17 @@
     manifest = keys.decode_manifest(client.get(keys.MANIFEST_KEY))
     if current and manifest.revision < current.revision:
         return None
-    if current and manifest.previous == current.revision:
+    if (
+        current
+        and manifest.revision == current.revision
+        and manifest.digest == current.digest
+    ):
+        return None
+    if (
+        current
+        and manifest.previous == current.revision
+        and delta.delta_digest(current, manifest.changes) == manifest.digest
+    ):
         return delta.apply_delta(
             current, manifest.changes, manifest.revision, manifest.digest
         )
@@ -42,20 +52,29 @@
 
 
 def refresh(
-    client: platform.ConfigClient, sheets: holder.SheetHolder, now: float
+    client: platform.ConfigClient,
+    sheets: holder.SheetHolder,
+    revision: int,
+    now: float,
 ) -> None:
     """Offers the newest sheet of the service to the holder.
 
+    Args:
+        client: The configuration service.
+        sheets: The sheet in force.
+        revision: Revision that the service announced, for the refusal.
+        now: Monotonic time in seconds.
+
     Raises:
         PlatformError: The service is down or over its rate.
     """
     try:
         offered = read_sheet(client, sheets.current)
     except exceptions.SheetError as exc:
-        sheets.refuse(0, ExceptionGroup("sheet", [exc]))
+        sheets.refuse(revision, ExceptionGroup("sheet", [exc]))
         return
     except ExceptionGroup as group:
-        sheets.refuse(0, group)
+        sheets.refuse(revision, group)
         return
     if offered is not None:
         sheets.offer(offered, "service", now)
--- a/tests/platform/test_config.py
+++ b/tests/platform/test_config.py
@@ -15,7 +15,7 @@
 
     def new_client(self, *options):
         process = self.fleet.start_platform(*options)
-        return platform.new_config_client(process.url)
+        return platform.new_config_client(process.url, 100, 100)
 
     def test_watch_returns_a_newer_revision(self):
         """A change must reach a waiting reader."""
