Run non-idempotent pipelines at most once, with signed tickets

Cause: a resend of a registration or sewing order could run it again, and a request cut off during a call was not marked as sent.

An order needs a ticket that names the only incarnation that may run it. The owner's ledger has an entry from the issue on and marks the order before the first byte; the check of both clocks and the mark sit in the connection, after connecting and before the first byte.

--- a/savoryspar/backends/client.py
+++ b/savoryspar/backends/client.py
@@ -4,7 +4,7 @@
 
 import urllib3
 
-from savoryspar.backends import exceptions, model, relay
+from savoryspar.backends import exceptions, guarded, model, relay
 
 CONNECT_TIMEOUT_S = 0.5
 CONNECTIONS_PER_SERVER = 64
@@ -80,15 +80,16 @@
             connect=min(CONNECT_TIMEOUT_S, call.timeout_s), read=call.timeout_s
         )
         try:
-            return self._pool.request(
-                "POST",
-                f"http://{server.address}{call.path}",
-                body=json.dumps(call.body).encode(),
-                headers=headers,
-                timeout=timeout,
-                retries=False,
-                preload_content=preload_content,
-            )
+            with guarded.before_first_byte(call.before_send):
+                return self._pool.request(
+                    "POST",
+                    f"http://{server.address}{call.path}",
+                    body=json.dumps(call.body).encode(),
+                    headers=headers,
+                    timeout=timeout,
+                    retries=False,
+                    preload_content=preload_content,
+                )
         except (
             urllib3.exceptions.NewConnectionError,
             urllib3.exceptions.ConnectTimeoutError,
@@ -161,7 +162,7 @@
 def new_client() -> Client:
     """Returns a client with connection pools of its own."""
     return Client(
-        urllib3.PoolManager(
+        guarded.new_pool_manager(
             num_pools=1024, maxsize=CONNECTIONS_PER_SERVER, block=False
         )
     )
--- /dev/null
+++ b/savoryspar/backends/guarded.py
@@ -0,0 +1,48 @@
+"""HTTP connections that ask for permission before the first byte leaves."""
+
+from collections.abc import Callable, Iterator
+import contextlib
+import threading
+
+import urllib3
+from urllib3 import connection, connectionpool
+
+_pending = threading.local()
+"""The check of the request that this green thread is about to send."""
+
+
+class GuardedConnection(connection.HTTPConnection):
+    """Calls the check after connecting and before the first byte."""
+
+    def send(self, data: object) -> None:
+        """Sends a part of a request."""
+        check = getattr(_pending, "check", None)
+        if check is not None:
+            if self.sock is None:
+                self.connect()
+            _pending.check = None
+            check()
+        super().send(data)
+
+
+class GuardedPool(connectionpool.HTTPConnectionPool):
+    """Connections to one server."""
+
+    ConnectionCls = GuardedConnection
+
+
+@contextlib.contextmanager
+def before_first_byte(check: Callable[[], None] | None) -> Iterator[None]:
+    """Runs the check before the first byte of the request in the body."""
+    _pending.check = check
+    try:
+        yield
+    finally:
+        _pending.check = None
+
+
+def new_pool_manager(**options: object) -> urllib3.PoolManager:
+    """Returns a pool manager whose connections honour the check."""
+    pool = urllib3.PoolManager(**options)
+    pool.pool_classes_by_scheme = {"http": GuardedPool}
+    return pool
--- a/savoryspar/backends/model.py
+++ b/savoryspar/backends/model.py
@@ -1,5 +1,6 @@
 """Backend servers, calls to them and their results."""
 
+from collections.abc import Callable
 from typing import Any
 
 
@@ -36,10 +37,13 @@
         timeout_s: Time left for the call.
         rank_priority: Priority for the engine, 0 is the most urgent.
         idempotency_key: Key for services that accept one, else empty.
+        before_send: Called right before the first byte leaves; the call is
+            not sent when it raises.
     """
 
     __slots__ = (
         "attempt_id",
+        "before_send",
         "body",
         "idempotency_key",
         "path",
@@ -57,6 +61,7 @@
         timeout_s: float,
         rank_priority: int,
         idempotency_key: str = "",
+        before_send: Callable[[], None] | None = None,
     ):
         self.attempt_id = attempt_id
         self.request_id = request_id
@@ -65,6 +70,7 @@
         self.timeout_s = timeout_s
         self.rank_priority = rank_priority
         self.idempotency_key = idempotency_key
+        self.before_send = before_send
 
 
 class StageResult:
--- a/savoryspar/bench/demo.py
+++ b/savoryspar/bench/demo.py
@@ -119,6 +119,21 @@
     )
 
 
+def _get_ticket(
+    http: urllib3.PoolManager,
+    entry: fleet_lib.Process,
+    sample: Sample,
+    headers: dict[str, str],
+) -> str:
+    resp = http.request(
+        "POST",
+        f"{entry.url}/v1/tickets",
+        body=json.dumps({"pipeline": sample.pipeline}).encode(),
+        headers=headers,
+    )
+    return json.loads(resp.data)["ticket"]
+
+
 def _send(
     http: urllib3.PoolManager,
     entry: fleet_lib.Process,
@@ -127,6 +142,8 @@
     number: int,
 ) -> bool:
     headers = {"Authorization": f"Bearer {key}"}
+    if sample.is_order:
+        headers["Order-Ticket"] = _get_ticket(http, entry, sample, headers)
     if sample.is_chat:
         body = {
             "model": sample.pipeline,
--- a/savoryspar/bench/fleet.py
+++ b/savoryspar/bench/fleet.py
@@ -18,6 +18,8 @@
 
 START_TIMEOUT_S = 20.0
 STOP_TIMEOUT_S = 15.0
+TICKET_KEYS = "fleet:" + "5a" * 32
+"""Key with which all entry processes of a fleet sign tickets."""
 
 
 class Process:
@@ -167,6 +169,7 @@
                 "vm_list_url": self.platform.url,
                 "vm_list_interval_s": 0.2,
             },
+            "idempotency": {"ticket_keys": TICKET_KEYS},
         }
         for section, values in settings.items():
             sections.setdefault(section, {}).update(values)
--- a/savoryspar/cli/wiring.py
+++ b/savoryspar/cli/wiring.py
@@ -1,5 +1,6 @@
 """Builds the parts of an entry process and connects them."""
 
+import secrets
 import time
 
 import eventlet
@@ -8,6 +9,7 @@
     backends,
     conf,
     http,
+    idempotency,
     log,
     metrics,
     pipelines,
@@ -32,6 +34,7 @@
         "_app",
         "_cfg",
         "_config_client",
+        "_desk",
         "_logger",
         "_router",
         "_vm_list",
@@ -48,6 +51,7 @@
         router: routing.Router,
         config_client: platform.ConfigClient,
         vm_list: platform.VmListClient,
+        desk: idempotency.OrderDesk,
     ):
         self._cfg = cfg
         self._app = app
@@ -56,6 +60,7 @@
         self._router = router
         self._config_client = config_client
         self._vm_list = vm_list
+        self._desk = desk
         self._logger = log.new_logger("entry")
 
     def start(self) -> None:
@@ -70,6 +75,7 @@
         self._logger.notice("Draining.")
         eventlet.sleep(self._cfg.entry.drain_notice_s)
         self.server.stop()
+        self._desk.shut_down(self._cfg.idempotency.handover_timeout_s)
         self._logger.notice("Stopped. Every request was answered.")
 
     def _follow_sheet(self) -> None:
@@ -111,8 +117,14 @@
     runner = pipelines.new_runner(
         sheets.get, scheduler, router, backends.new_client(), time.monotonic
     )
+    desk = _new_order_desk(
+        cfg,
+        secrets.token_hex(8),
+        idempotency.NoLinks(),
+        pipelines.new_order_runner(sheets.get, runner, time.monotonic),
+    )
     app = http.new_app(
-        cfg, sheets.get, runner, metrics.new_metrics(), time.monotonic
+        cfg, sheets.get, runner, metrics.new_metrics(), time.monotonic, desk
     )
     return Node(
         cfg,
@@ -122,4 +134,27 @@
         router,
         platform.new_config_client(cfg.platform.config_url),
         platform.new_vm_list_client(cfg.platform.vm_list_url),
+        desk,
+    )
+
+
+def _new_order_desk(
+    cfg: conf.Settings,
+    incarnation: str,
+    links: idempotency.Links,
+    order_runner: pipelines.OrderRunner,
+) -> idempotency.OrderDesk:
+    settings = cfg.idempotency
+    return idempotency.new_order_desk(
+        incarnation,
+        idempotency.new_ticket_signer(
+            settings.ticket_keys, settings.ticket_ttl_s
+        ),
+        idempotency.new_ledger(
+            settings.ledger_max_entries,
+            settings.ledger_workspace_percent,
+            settings.ledger_max_result_bytes,
+        ),
+        links,
+        order_runner.execute,
     )
--- a/savoryspar/http/app.py
+++ b/savoryspar/http/app.py
@@ -8,8 +8,16 @@
 
 from eventlet import wsgi
 
-from savoryspar import conf, log, metrics, pipelines, sheet
-from savoryspar.http import auth, bodies, chat, hangup, problems, streaming
+from savoryspar import conf, idempotency, log, metrics, pipelines, sheet
+from savoryspar.http import (
+    auth,
+    bodies,
+    chat,
+    hangup,
+    orders,
+    problems,
+    streaming,
+)
 
 Handler = Callable[["App", "Exchange"], Iterable[bytes]]
 MIN_DEADLINE_MS = 1
@@ -58,6 +66,7 @@
         "_current_sheet",
         "_logger",
         "_metrics",
+        "_orders",
         "_runner",
         "is_draining",
     )
@@ -69,8 +78,10 @@
         runner: pipelines.Runner,
         registry: metrics.Metrics,
         clock: Callable[[], float],
+        counter: orders.OrderCounter,
     ):
         self._cfg = cfg
+        self._orders = counter
         self._current_sheet = current_sheet
         self._runner = runner
         self._metrics = registry
@@ -86,6 +97,11 @@
         exchange = Exchange(environ, start_response, request_id)
         try:
             return self._route(exchange)
+        except orders.TicketRequiredError as exc:
+            self._metrics.count_problem(exc.kind)
+            return orders.respond_ticket_required(
+                start_response, exc, request_id
+            )
         except pipelines.RunError as exc:
             self._metrics.count_problem(exc.kind)
             extra = [("X-Request-Id", request_id)]
@@ -101,8 +117,15 @@
     def _route(self, exchange: Exchange) -> Iterable[bytes]:
         method = exchange.environ["REQUEST_METHOD"]
         handler = _ROUTES.get((method, exchange.path))
-        if handler is None and exchange.path.startswith(PIPELINES_PATH):
-            handler = _PREFIX_ROUTES.get(method)
+        if handler is None:
+            handler = next(
+                (
+                    found
+                    for (verb, prefix), found in _PREFIX_ROUTES.items()
+                    if verb == method and exchange.path.startswith(prefix)
+                ),
+                None,
+            )
         if handler is None:
             raise problems.new_problem(
                 "not_found",
@@ -144,9 +167,9 @@
         req = self._new_request(
             exchange, current, workspace, body["model"], body
         )
-        if body.get("stream"):
+        if body.get("stream") and current.is_idempotent(req.pipeline):
             return self._stream(exchange, req)
-        output = self._run(exchange, req)
+        output = self._run(exchange, current, req)
         return exchange.answer_json(
             chat.completion_document(req, output, int(time.time()))
         )
@@ -158,9 +181,9 @@
         bodies.check_max_tokens(body)
         name = exchange.path[len(PIPELINES_PATH) :]
         req = self._new_request(exchange, current, workspace, name, body)
-        if body.get("stream") is True:
+        if body.get("stream") is True and current.is_idempotent(req.pipeline):
             return self._stream(exchange, req)
-        output = self._run(exchange, req)
+        output = self._run(exchange, current, req)
         return exchange.answer_json(
             {
                 "request_id": req.request_id,
@@ -170,6 +193,19 @@
             }
         )
 
+    def issue_ticket(self, exchange: Exchange) -> Iterable[bytes]:
+        """Answers with a ticket for one order."""
+        current, workspace = self._authenticate(exchange)
+        body = self._read_body(exchange)
+        ticket = self._orders.issue(exchange.environ, current, workspace, body)
+        return exchange.answer_json(ticket, "201 Created")
+
+    def order(self, exchange: Exchange) -> Iterable[bytes]:
+        """Answers with the state of an order."""
+        _, workspace = self._authenticate(exchange)
+        text = exchange.path[len(ORDERS_PATH) :]
+        return exchange.answer_json(self._orders.state(workspace, text))
+
     def _authenticate(
         self, exchange: Exchange
     ) -> tuple[sheet.Sheet, sheet.Workspace]:
@@ -220,11 +256,17 @@
         )
 
     def _run(
-        self, exchange: Exchange, req: pipelines.Request
+        self,
+        exchange: Exchange,
+        current: sheet.Sheet,
+        req: pipelines.Request,
     ) -> dict[str, Any]:
         sock = exchange.environ["eventlet.input"].get_socket()
         with hangup.cancel_on_hangup(sock):
-            output = self._runner.run(req)
+            if current.is_idempotent(req.pipeline):
+                output = self._runner.run(req)
+            else:
+                output = self._orders.run(exchange.environ, req)
         self._metrics.count_request(req.pipeline.name, req.rank)
         return output
 
@@ -266,6 +308,7 @@
     return max(rank, asked, key=sheet.RANKS.index)
 
 
+ORDERS_PATH = "/v1/orders/"
 PIPELINES_PATH = "/v1/pipelines/"
 _ROUTES: dict[tuple[str, str], Handler] = {
     ("GET", "/healthz"): App.health,
@@ -273,8 +316,12 @@
     ("GET", "/metrics"): App.metrics,
     ("GET", "/v1/models"): App.models,
     ("POST", "/v1/chat/completions"): App.chat,
+    ("POST", "/v1/tickets"): App.issue_ticket,
+}
+_PREFIX_ROUTES: dict[tuple[str, str], Handler] = {
+    ("GET", ORDERS_PATH): App.order,
+    ("POST", PIPELINES_PATH): App.pipeline,
 }
-_PREFIX_ROUTES: dict[str, Handler] = {"POST": App.pipeline}
 
 
 def new_app(
@@ -283,6 +330,8 @@
     runner: pipelines.Runner,
     registry: metrics.Metrics,
     clock: Callable[[], float],
+    desk: idempotency.OrderDesk,
 ) -> App:
     """Returns the application over the given parts."""
-    return App(cfg, current_sheet, runner, registry, clock)
+    counter = orders.OrderCounter(desk, clock)
+    return App(cfg, current_sheet, runner, registry, clock, counter)
--- a/savoryspar/http/problems.py
+++ b/savoryspar/http/problems.py
@@ -1,6 +1,6 @@
 """Problem documents (RFC 9457)."""
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 import json
 import math
 
@@ -22,8 +22,12 @@
     "overloaded": "The request cannot be served in time",
     "internal": "The request failed",
     "refused_fingerprint": "The request crashed backend servers",
+    "result_evicted": "The order ran, its result is no longer kept",
     "slow_caller": "The request came too slowly",
+    "ticket_expired": "The ticket has expired",
+    "ticket_mismatch": "The ticket is not for this order",
     "ticket_required": "The request needs a ticket",
+    "ticket_unused": "The order has not run",
     "unauthorized": "The API key is not known",
 }
 REASONS = {
@@ -32,6 +36,7 @@
     404: "Not Found",
     405: "Method Not Allowed",
     408: "Request Timeout",
+    410: "Gone",
     411: "Length Required",
     413: "Content Too Large",
     422: "Unprocessable Content",
@@ -78,10 +83,11 @@
     exc: pipelines.RunError,
     request_id: str,
     extra: Iterable[tuple[str, str]] = (),
+    members: Mapping[str, object] = {},
 ) -> list[bytes]:
-    """Answers a request with the problem document."""
+    """Answers a request with the problem document and further members."""
     headers = [("Content-Type", "application/problem+json"), *extra]
     if exc.retry_after_s is not None:
         headers.append(("Retry-After", str(math.ceil(exc.retry_after_s))))
     start_response(f"{exc.status} {REASONS[exc.status]}", headers)
-    return [json.dumps(document(exc, request_id)).encode()]
+    return [json.dumps({**document(exc, request_id), **members}).encode()]
--- /dev/null
+++ b/savoryspar/idempotency/desk.py
@@ -0,0 +1,315 @@
+"""Runs an order here, forwards it to its owner, or says what is known."""
+
+from collections.abc import Callable
+import hashlib
+from typing import Any
+
+import eventlet
+
+from savoryspar import errors, log
+from savoryspar.idempotency import (
+    answer as answer_lib,
+)
+from savoryspar.idempotency import (
+    clocks,
+    exceptions,
+    handover,
+)
+from savoryspar.idempotency import (
+    entry as entry_lib,
+)
+from savoryspar.idempotency import (
+    ledger as ledger_lib,
+)
+from savoryspar.idempotency import (
+    links as links_lib,
+)
+from savoryspar.idempotency import (
+    order as order_lib,
+)
+from savoryspar.idempotency import (
+    ticket as ticket_lib,
+)
+
+Answer = answer_lib.Answer
+Guard = Callable[[], None]
+"""Raises ``TicketExpiredError`` when the order must not start any more."""
+Execute = Callable[[order_lib.Order, ticket_lib.Ticket, Guard], Answer]
+"""Runs an order; calls the guard right before the first byte leaves."""
+
+RUN = "order_run"
+STATE = "order_state"
+MAX_HOPS = 4
+"""Forwards of one order, along a chain of hand-overs."""
+REPLY_MARGIN_S = 0.05
+"""Part of the caller's time that is kept for the owner's reply."""
+SHUTDOWN_POLL_S = 0.02
+
+
+class TicketExpiredError(exceptions.OrderError):
+    """The ticket expired before the first byte of the order left."""
+
+
+class OrderDesk:
+    """Orders of one process; construct it with ``new_order_desk``."""
+
+    __slots__ = (
+        "_clocks",
+        "_execute",
+        "_incarnation",
+        "_links",
+        "_logger",
+        "_signer",
+        "heirs",
+        "ledger",
+    )
+
+    def __init__(
+        self,
+        incarnation: str,
+        signer: ticket_lib.TicketSigner,
+        ledger: ledger_lib.Ledger,
+        links: links_lib.Links,
+        execute: Execute,
+        read_clocks: Callable[[], clocks.Moment],
+    ):
+        self._incarnation = incarnation
+        self._signer = signer
+        self.ledger = ledger
+        self._links = links
+        self._execute = execute
+        self._clocks = read_clocks
+        self.heirs = handover.Heirs(incarnation, ledger, links, read_clocks)
+        self._logger = log.new_logger("idempotency")
+        links.handle(RUN, self._serve_run)
+        links.handle(STATE, self._serve_state)
+
+    def issue(
+        self, workspace: str, pipeline: str, idempotency_key: str = ""
+    ) -> ticket_lib.Ticket:
+        """Returns a ticket that this process alone may run.
+
+        The same Idempotency-Key gets the same ticket until it expires.
+
+        Raises:
+            LedgerFullError: No ticket can be issued now.
+        """
+        moment = self._clocks()
+        digest = key_digest(idempotency_key)
+        if digest:
+            text = self.ledger.ticket_for_key(
+                workspace, pipeline, digest, moment
+            )
+            if text:
+                return self._signer.verify(text)
+        if self.ledger.is_closed:
+            raise exceptions.LedgerFullError(
+                "this entry VM is leaving", "ask another entry VM", 1.0
+            )
+        self.ledger.check_room(workspace, moment)
+        ticket = self._signer.issue(
+            self._incarnation, workspace, pipeline, digest, moment
+        )
+        self.ledger.reserve(ticket, moment)
+        return ticket
+
+    def run(self, order: order_lib.Order) -> Answer:
+        """Runs the order at most once over all processes.
+
+        Raises:
+            TicketError: The ticket is forged or of another workspace.
+        """
+        ticket = self._verify(order.ticket, order.workspace)
+        refusal = ledger_lib.check_binding(ticket, order)
+        if refusal is not None:
+            return refusal
+        return self._dispatch(ticket, order, MAX_HOPS)
+
+    def state(self, text: str, workspace: str, timeout_s: float) -> Answer:
+        """Returns what is known of an order.
+
+        Raises:
+            TicketError: The ticket is forged or of another workspace.
+        """
+        ticket = self._verify(text, workspace)
+        return self._state(ticket, timeout_s, MAX_HOPS)
+
+    def shut_down(self, timeout_s: float) -> str:
+        """Stops running orders for good and hands the ledgers to one peer.
+
+        Returns:
+            The heir's incarnation, or empty when none confirmed.
+        """
+        started_at = self._clocks().monotonic_s
+        self.heirs.close()
+        while self.heirs.is_running:
+            if self._clocks().monotonic_s >= started_at + timeout_s:
+                break
+            eventlet.sleep(SHUTDOWN_POLL_S)
+        return self.heirs.hand_over(timeout_s)
+
+    def _verify(self, text: str, workspace: str) -> ticket_lib.Ticket:
+        ticket = self._signer.verify(text)
+        if ticket.workspace != workspace:
+            raise exceptions.TicketError
+        return ticket
+
+    def _dispatch(
+        self, ticket: ticket_lib.Ticket, order: order_lib.Order, hops: int
+    ) -> Answer:
+        ledger = self.heirs.ledger_of(ticket.incarnation)
+        if ledger is not None:
+            return self._run_here(ledger, ticket, order)
+        body = {"order": order.to_message(), "hops": hops - 1}
+        timeout_s = max(REPLY_MARGIN_S, order.timeout_s - REPLY_MARGIN_S)
+        return self._ask_owner(ticket, RUN, body, timeout_s, hops)
+
+    def _state(
+        self, ticket: ticket_lib.Ticket, timeout_s: float, hops: int
+    ) -> Answer:
+        ledger = self.heirs.ledger_of(ticket.incarnation)
+        if ledger is None:
+            body = {
+                "ticket": ticket.text,
+                "timeout_s": timeout_s,
+                "hops": hops - 1,
+            }
+            return self._ask_owner(ticket, STATE, body, timeout_s, hops)
+        found = ledger.find(ticket.nonce)
+        if found is None:
+            return _not_in_ledger(ticket)
+        if found.state is entry_lib.State.ISSUED:
+            found.is_void |= found.is_expired(self._clocks())
+        return ledger.known_answer(found, ticket.text)
+
+    def _ask_owner(
+        self,
+        ticket: ticket_lib.Ticket,
+        kind: str,
+        body: dict[str, Any],
+        timeout_s: float,
+        hops: int,
+    ) -> Answer:
+        owner = self.heirs.owner_of(ticket.incarnation)
+        if not self._links.is_live(owner, self._clocks().monotonic_s):
+            self.heirs.look_up(owner)
+            owner = self.heirs.owner_of(owner)
+        if hops <= 0 or owner == self._incarnation:
+            return answer_lib.unknown(
+                "no process answers for the owner of the ticket", ticket.text
+            )
+        try:
+            reply = self._links.request(owner, kind, body, timeout_s)
+            return answer_lib.from_message(reply)
+        except errors.SavorysparError as exc:
+            # Even if no byte of this send left, an earlier send may have run.
+            self._logger.warning(
+                f"Owner not reached. order={ticket.nonce} owner={owner} {exc}"
+            )
+        except (KeyError, TypeError, ValueError) as exc:
+            self._logger.error(
+                f"Reply not understood. order={ticket.nonce} owner={owner}"
+                f" {exc!r}"
+            )
+        return answer_lib.unknown(
+            f"the owner {owner} of the ticket gave no answer", ticket.text
+        )
+
+    def _run_here(
+        self,
+        ledger: ledger_lib.Ledger,
+        ticket: ticket_lib.Ticket,
+        order: order_lib.Order,
+    ) -> Answer:
+        found = ledger.find(ticket.nonce)
+        if found is None:
+            return _not_in_ledger(ticket)
+        is_first = found.state is entry_lib.State.ISSUED
+        known = ledger.begin(found, order, self._clocks())
+        if known is not None:
+            return known
+        done = found.done
+        if is_first:
+            # In a green thread of its own: an order that has begun goes on
+            # when its caller hangs up, and a resend gets the result.
+            eventlet.spawn(self._run, ledger, found, ticket, order)
+        with eventlet.Timeout(max(0.0, order.timeout_s), False):
+            return done.wait()
+        return ledger.known_answer(found, ticket.text)
+
+    def _run(
+        self,
+        ledger: ledger_lib.Ledger,
+        found: entry_lib.Entry,
+        ticket: ticket_lib.Ticket,
+        order: order_lib.Order,
+    ) -> None:
+        result = answer_lib.unknown("the run was cut off", ticket.text)
+        try:
+            result = self._execute(order, ticket, self._new_guard(found))
+        except TicketExpiredError as exc:
+            found.is_void = True
+            result = answer_lib.not_run(
+                "ticket_expired", 410, exc.message, exc.remedy
+            )
+        except Exception as exc:
+            self._logger.error(f"Run failed. order={ticket.nonce} {exc!r}")
+        finally:
+            ledger.finish(found, result)
+        self._logger.info(
+            f"Run ended. order={ticket.nonce} state={result.run_state.value}"
+        )
+
+    def _new_guard(self, found: entry_lib.Entry) -> Guard:
+        def guard() -> None:
+            if found.is_expired(self._clocks()):
+                raise TicketExpiredError(
+                    "the ticket expired before the order was sent",
+                    "get a new ticket from POST /v1/tickets",
+                )
+
+        return guard
+
+    def _serve_run(self, sender: str, body: dict[str, Any]) -> dict[str, Any]:
+        del sender
+        order = order_lib.from_message(body["order"])
+        try:
+            ticket = self._verify(order.ticket, order.workspace)
+        except exceptions.TicketError as exc:
+            # The keys of the two processes differ for a while in a rotation.
+            return answer_lib.unknown(exc.message, order.ticket).to_message()
+        return self._dispatch(ticket, order, body["hops"]).to_message()
+
+    def _serve_state(self, sender: str, body: dict[str, Any]) -> dict[str, Any]:
+        del sender
+        try:
+            ticket = self._signer.verify(body["ticket"])
+        except exceptions.TicketError as exc:
+            return answer_lib.unknown(exc.message, body["ticket"]).to_message()
+        found = self._state(ticket, body["timeout_s"], body["hops"])
+        return found.to_message()
+
+
+def _not_in_ledger(ticket: ticket_lib.Ticket) -> Answer:
+    return answer_lib.unknown(
+        "the ticket expired long ago and its entry was dropped", ticket.text
+    )
+
+
+def key_digest(idempotency_key: str) -> str:
+    """Returns the SHA-256 of an Idempotency-Key, empty for no key."""
+    if not idempotency_key:
+        return ""
+    return hashlib.sha256(idempotency_key.encode()).hexdigest()
+
+
+def new_order_desk(
+    incarnation: str,
+    signer: ticket_lib.TicketSigner,
+    ledger: ledger_lib.Ledger,
+    links: links_lib.Links,
+    execute: Execute,
+    read_clocks: Callable[[], clocks.Moment] = clocks.read_clocks,
+) -> OrderDesk:
+    """Returns the desk of a process and connects it to its peers."""
+    return OrderDesk(incarnation, signer, ledger, links, execute, read_clocks)
--- /dev/null
+++ b/savoryspar/idempotency/entry.py
@@ -0,0 +1,186 @@
+"""The record of one ticket in a ledger."""
+
+import enum
+import json
+from typing import Any
+
+from eventlet import event
+
+from savoryspar.idempotency import answer, clocks
+
+MAX_REFUSED_SENDS = 32
+"""Sends answered ``not_run`` after which a ticket is void.
+
+A doubled message of such a send must not run later, so the sends are
+remembered, and the memory has a bound.
+"""
+
+
+class State(enum.Enum):
+    """What has happened to an order."""
+
+    ISSUED = "issued"
+    RUNNING = "running"
+    COMPLETE = "complete"
+    UNKNOWN = "unknown"
+
+
+class Entry:
+    """One ticket.
+
+    Attributes:
+        nonce, workspace, pipeline: Of the ticket.
+        expires_wall_s, expires_monotonic_s: Expiry by either clock.
+        state: What has happened.
+        is_void: Whether it must never run (again), whatever a clock says.
+        digest: Digest of the body that it was first sent with, or empty.
+        output: Encoded output of a complete order, None when evicted.
+        refused: Sends answered ``not_run``.
+        sends: Sends that wait for the run in progress.
+        done: Sent with the ``Answer`` when the run in progress ends.
+    """
+
+    __slots__ = (
+        "digest",
+        "done",
+        "expires_monotonic_s",
+        "expires_wall_s",
+        "is_void",
+        "nonce",
+        "output",
+        "pipeline",
+        "refused",
+        "sends",
+        "state",
+        "workspace",
+    )
+
+    def __init__(
+        self,
+        nonce: str,
+        workspace: str,
+        pipeline: str,
+        expires_wall_s: float,
+        expires_monotonic_s: float,
+    ):
+        self.nonce = nonce
+        self.workspace = workspace
+        self.pipeline = pipeline
+        self.expires_wall_s = expires_wall_s
+        self.expires_monotonic_s = expires_monotonic_s
+        self.state = State.ISSUED
+        self.is_void = False
+        self.digest = ""
+        self.output: bytes | None = None
+        self.refused: tuple[str, ...] = ()
+        self.sends: tuple[str, ...] = ()
+        self.done: event.Event | None = None
+
+    def is_expired(self, moment: clocks.Moment) -> bool:
+        """Tells whether either clock has reached the expiry."""
+        return (
+            moment.wall_s >= self.expires_wall_s
+            or moment.monotonic_s >= self.expires_monotonic_s
+        )
+
+    def refuse(self, sends: tuple[str, ...]) -> None:
+        """Remembers that these sends are told that they did not run."""
+        self.refused += tuple(s for s in sends if s not in self.refused)
+        self.is_void |= len(self.refused) >= MAX_REFUSED_SENDS
+
+    def known_answer(self, ticket: str) -> answer.Answer:
+        """Returns what is known of the order now."""
+        return _KNOWN[self.state](self, ticket)
+
+    def to_message(self, moment: clocks.Moment) -> dict[str, Any]:
+        """Returns the entry for a hand-over.
+
+        A run in progress is handed over as unknown.
+        """
+        is_running = self.state is State.RUNNING
+        return {
+            "nonce": self.nonce,
+            "workspace": self.workspace,
+            "pipeline": self.pipeline,
+            "expires_wall_s": self.expires_wall_s,
+            "remaining_s": self.expires_monotonic_s - moment.monotonic_s,
+            "state": (State.UNKNOWN if is_running else self.state).value,
+            "is_void": self.is_void or self.is_expired(moment),
+            "digest": self.digest,
+            "output": self.output,
+            "refused": list(self.refused),
+        }
+
+
+def from_message(message: dict[str, Any], moment: clocks.Moment) -> Entry:
+    """Returns the entry of a hand-over; raises ``KeyError``, ``ValueError``."""
+    entry = Entry(
+        message["nonce"],
+        message["workspace"],
+        message["pipeline"],
+        message["expires_wall_s"],
+        moment.monotonic_s + message["remaining_s"],
+    )
+    entry.state = State(message["state"])
+    entry.is_void = message["is_void"]
+    entry.digest = message["digest"]
+    entry.output = message["output"]
+    entry.refused = tuple(message["refused"])
+    return entry
+
+
+def _issued(entry: Entry, ticket: str) -> answer.Answer:
+    if not entry.is_void:
+        return answer.not_run(
+            "ticket_unused",
+            503,
+            "the order has not run so far",
+            "send it with its ticket",
+        )
+    found = answer.not_run(
+        "ticket_expired",
+        410,
+        "the ticket has expired and the order never ran",
+        "get a new ticket from POST /v1/tickets",
+    )
+    found.is_final = True
+    return found
+
+
+def _running(entry: Entry, ticket: str) -> answer.Answer:
+    return answer.unknown("the order is still running", ticket)
+
+
+def _unknown(entry: Entry, ticket: str) -> answer.Answer:
+    found = answer.unknown(
+        "the order was sent to a backend server, which gave no answer", ticket
+    )
+    found.remedy = "ask the service that runs the order; it is not run again"
+    found.retry_after_s = None
+    found.is_final = True
+    return found
+
+
+def _complete(entry: Entry, ticket: str) -> answer.Answer:
+    if entry.output is not None:
+        return answer.Answer(
+            answer.RunState.COMPLETE,
+            output=json.loads(entry.output),
+            is_final=True,
+        )
+    return answer.Answer(
+        answer.RunState.COMPLETE,
+        kind="result_evicted",
+        status=410,
+        message="the order ran once, but its result is no longer kept",
+        remedy="read the result from the service that ran the order",
+        is_final=True,
+    )
+
+
+_KNOWN = {
+    State.ISSUED: _issued,
+    State.RUNNING: _running,
+    State.UNKNOWN: _unknown,
+    State.COMPLETE: _complete,
+}
--- a/savoryspar/pipelines/model.py
+++ b/savoryspar/pipelines/model.py
@@ -1,5 +1,6 @@
 """A caller's request on its way through a pipeline."""
 
+from collections.abc import Callable
 from typing import Any
 
 from savoryspar import sheet
@@ -17,12 +18,15 @@
         body: Decoded JSON body.
         idempotency_key: Key passed to services that accept one, or empty.
         outputs: Output of each finished stage by stage name.
+        guard: Called before the first byte of each stage call; it raises when
+            the call must not be sent.
         has_sent: Whether a byte of any stage call may have left.
     """
 
     __slots__ = (
         "body",
         "deadline_at",
+        "guard",
         "has_sent",
         "idempotency_key",
         "outputs",
@@ -41,6 +45,7 @@
         deadline_at: float,
         body: dict[str, Any],
         idempotency_key: str = "",
+        guard: Callable[[], None] | None = None,
     ):
         self.request_id = request_id
         self.workspace = workspace
@@ -50,4 +55,11 @@
         self.body = body
         self.idempotency_key = idempotency_key
         self.outputs: dict[str, dict[str, Any]] = {}
+        self.guard = guard
         self.has_sent = False
+
+    def before_send(self) -> None:
+        """Records, right before it happens, that a byte leaves."""
+        if self.guard is not None:
+            self.guard()
+        self.has_sent = True
--- a/savoryspar/pipelines/runner.py
+++ b/savoryspar/pipelines/runner.py
@@ -99,7 +99,10 @@
     def _call_once(
         self, req: model.Request, stage: sheet.Stage, choice: routing.Choice
     ) -> dict[str, Any]:
-        call = self.new_call(req, "/v1/run", bodies.run_body(req, stage))
+        supports = self.sheet().pools[stage.pool].supports
+        key = req.idempotency_key if "idempotency-key" in supports else ""
+        body = bodies.run_body(req, stage)
+        call = self.new_call(req, "/v1/run", body, key)
         outcome = routing.Outcome.CANCELLED
         load = -1
         try:
@@ -109,11 +112,9 @@
                 self._router.mark_leaving(choice.server.name, self._clock())
         except backends.BackendError as exc:
             outcome = self.outcome_of(exc)
-            req.has_sent = req.has_sent or exc.has_sent
             raise
         finally:
             self._router.observe(choice, outcome, load, self._clock())
-        req.has_sent = True
         return result.output
 
     def admit(
@@ -168,7 +169,11 @@
             ) from exc
 
     def new_call(
-        self, req: model.Request, path: str, body: dict[str, Any]
+        self,
+        req: model.Request,
+        path: str,
+        body: dict[str, Any],
+        idempotency_key: str = "",
     ) -> backends.StageCall:
         """Returns an attempt with an ID of its own."""
         now = self._clock()
@@ -187,7 +192,8 @@
             body,
             req.deadline_at - now,
             bodies.PRIORITIES[req.rank],
-            req.idempotency_key,
+            idempotency_key,
+            req.before_send,
         )
 
     def start_stream(
@@ -201,10 +207,8 @@
         try:
             stream = self._client.open_stream(choice.server, call)
         except backends.BackendError as exc:
-            req.has_sent = req.has_sent or exc.has_sent
             self.observe(choice, self.outcome_of(exc), -1)
             raise
-        req.has_sent = True
         if stream.is_leaving:
             self._router.mark_leaving(choice.server.name, self._clock())
         return stream
--- /dev/null
+++ b/tests/idempotency/test_ledger.py
@@ -0,0 +1,112 @@
+"""Tests of the ledger's bounds and of what it tells."""
+
+import testtools
+
+from savoryspar import idempotency
+from savoryspar.idempotency import entry as entry_lib
+from savoryspar.idempotency import ledger as ledger_lib
+
+TTL_S = 60.0
+NOT_RUN = idempotency.RunState.NOT_RUN
+COMPLETE = idempotency.RunState.COMPLETE
+
+
+def at(seconds, wall_offset=1000.0):
+    return idempotency.Moment(seconds, seconds + wall_offset)
+
+
+class LedgerTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.ledger = idempotency.new_ledger(4, 50.0, 40)
+        self.signer = idempotency.new_ticket_signer([("k", b"k" * 32)], TTL_S)
+
+    def issue(self, now=0.0, workspace="w"):
+        self.ledger.check_room(workspace, at(now))
+        ticket = self.signer.issue("i", workspace, "p", "", at(now))
+        self.ledger.reserve(ticket, at(now))
+        return ticket, self.ledger.find(ticket.nonce)
+
+    def order(self, ticket, send_id="s1", body=None):
+        return idempotency.Order(
+            send_id, ticket.text, "w", "p", "urgent", body or {}, "", 1.0
+        )
+
+    def begin(self, ticket, found, send_id="s1", now=1.0, body=None):
+        order = self.order(ticket, send_id, body)
+        return self.ledger.begin(found, order, at(now))
+
+    def test_room_is_bounded_in_all_and_for_each_workspace(self):
+        """A caller that only fetches tickets must not use up the memory."""
+        self.issue(0.0, "a"), self.issue(0.0, "a")
+        self.assertRaises(idempotency.LedgerFullError, self.issue, 0.0, "a")
+        self.issue(0.0, "b"), self.issue(0.0, "c")
+        exc = self.assertRaises(
+            idempotency.LedgerFullError, self.issue, 20.0, "d"
+        )
+        self.assertEqual(40.0, exc.retry_after_s)
+        self.issue(TTL_S, "d")
+        self.assertEqual(1, len(self.ledger))
+
+    def test_evicted_result_still_says_complete(self):
+        """A caller told anything else would order a second time."""
+        answers = []
+        for number in range(2):
+            ticket, found = self.issue(0.0, f"w{number}")
+            self.begin(ticket, found)
+            result = idempotency.Answer(COMPLETE, output={"n": "x" * 20})
+            self.ledger.finish(found, result)
+            answers.append((ticket, found))
+        first, second = (self.begin(t, f, "s2") for t, f in answers)
+        self.assertEqual(("result_evicted", COMPLETE),
+                         (first.kind, first.run_state))  # fmt: skip
+        self.assertEqual({"n": "x" * 20}, second.output)
+        self.assertLessEqual(self.ledger.result_bytes, 40)
+
+    def test_refused_send_never_runs_but_a_resend_may(self):
+        """A doubled message of a send told ``not_run`` must not run later."""
+        ticket, found = self.issue()
+        self.assertIsNone(self.begin(ticket, found, "s1"))
+        self.assertIsNone(self.begin(ticket, found, "s2"))
+        self.ledger.finish(found, idempotency.Answer(NOT_RUN))
+        for send_id in ("s1", "s2"):
+            self.assertEqual(
+                NOT_RUN, self.begin(ticket, found, send_id).run_state
+            )
+        self.assertIsNone(self.begin(ticket, found, "s3"))
+
+    def test_many_refused_sends_void_the_ticket(self):
+        """The memory of refused sends must not grow without bound."""
+        ticket, found = self.issue()
+        found.refuse(tuple(map(str, range(entry_lib.MAX_REFUSED_SENDS))))
+        answer = self.begin(ticket, found, "s1")
+        self.assertEqual((NOT_RUN, True), (answer.run_state, answer.is_final))
+
+    def test_expiry_by_either_clock_is_latched(self):
+        """A clock set back must not revive a ticket that was refused."""
+        for moment in (
+            idempotency.Moment(TTL_S, 1001.0),
+            idempotency.Moment(1.0, 1000.0 + TTL_S),
+        ):
+            ticket, found = self.issue()
+            order = self.order(ticket)
+            answer = self.ledger.begin(found, order, moment)
+            self.assertEqual("ticket_expired", answer.kind)
+            self.assertIsNotNone(self.begin(ticket, found, "s2", now=1.0))
+
+    def test_another_body_is_refused(self):
+        """One ticket must not run two different orders."""
+        ticket, found = self.issue()
+        self.begin(ticket, found, "s1", body={"fee": 1})
+        answer = self.begin(ticket, found, "s2", body={"fee": 2})
+        self.assertEqual((422, NOT_RUN), (answer.status, answer.run_state))
+
+    def test_ticket_is_bound_to_pipeline_and_key(self):
+        """A ticket of one order must not open another one."""
+        ticket, _ = self.issue()
+        order = self.order(ticket)
+        self.assertIsNone(ledger_lib.check_binding(ticket, order))
+        order.pipeline = "other"
+        self.assertEqual(422, ledger_lib.check_binding(ticket, order).status)
+        ticket.key_digest, order.pipeline = "abc", "p"
+        self.assertEqual(422, ledger_lib.check_binding(ticket, order).status)
