--- a/savoryspar/bench/fleet.py
+++ b/savoryspar/bench/fleet.py
@@ -20,6 +20,8 @@
 
 START_TIMEOUT_S = 20.0
 STOP_TIMEOUT_S = 15.0
+TICKET_KEYS = "fleet:" + "5a" * 32
+"""Key with which all entry processes of a fleet sign tickets."""
 
 
 class Process:
@@ -193,6 +195,7 @@
                 "vm_list_interval_s": 0.2,
             },
             "membership": dict(self.ca.issue(name).settings()),
+            "idempotency": {"ticket_keys": TICKET_KEYS},
         }
         for section, values in settings.items():
             sections.setdefault(section, {}).update(values)
--- a/savoryspar/cli/node.py
+++ b/savoryspar/cli/node.py
@@ -10,6 +10,7 @@
 from savoryspar import (
     conf,
     http,
+    idempotency,
     log,
     membership,
     platform,
@@ -29,6 +30,7 @@
     __slots__ = (
         "app",
         "decisions",
+        "desk",
         "members",
         "reports",
         "router",
@@ -43,6 +45,7 @@
         self,
         app: http.App,
         decisions: log.DecisionLog,
+        desk: idempotency.OrderDesk,
         members: membership.Membership,
         reports: routing.ReportReader,
         router: routing.Router,
@@ -54,6 +57,7 @@
     ):
         self.app = app
         self.decisions = decisions
+        self.desk = desk
         self.members = members
         self.reports = reports
         self.router = router
@@ -125,6 +129,7 @@
         self._logger.notice("Draining.")
         eventlet.sleep(self._cfg.entry.drain_notice_s)
         parts.server.stop()
+        parts.desk.shut_down(self._cfg.idempotency.handover_timeout_s)
         parts.members.stop(time.monotonic())
         eventlet.sleep(LEAVE_S)
         self._logger.notice("Stopped. Every request was answered.")
--- a/savoryspar/cli/wiring.py
+++ b/savoryspar/cli/wiring.py
@@ -6,6 +6,7 @@
     backends,
     conf,
     http,
+    idempotency,
     log,
     membership,
     metrics,
@@ -15,7 +16,7 @@
     scheduling,
     sheet,
 )
-from savoryspar.cli import duties, node
+from savoryspar.cli import duties, links, node
 
 
 def new_node(cfg: conf.Settings) -> node.Node:
@@ -35,6 +36,11 @@
     runner = pipelines.new_runner(
         sheets.get, scheduler, router, client, time.monotonic
     )
+    desk = _new_order_desk(
+        cfg,
+        members,
+        pipelines.new_order_runner(sheets.get, runner, time.monotonic),
+    )
     app = http.new_app(
         cfg,
         sheets.get,
@@ -42,10 +48,12 @@
         metrics.new_metrics(),
         time.monotonic,
         lambda: _missing(sheets, router),
+        desk,
     )
     parts = node.Parts(
         app=app,
         decisions=decisions,
+        desk=desk,
         members=members,
         reports=routing.new_report_reader(router, client),
         router=router,
@@ -91,6 +99,27 @@
     )
 
 
+def _new_order_desk(
+    cfg: conf.Settings,
+    members: membership.Membership,
+    order_runner: pipelines.OrderRunner,
+) -> idempotency.OrderDesk:
+    settings = cfg.idempotency
+    return idempotency.new_order_desk(
+        members.view(time.monotonic()).own.incarnation,
+        idempotency.new_ticket_signer(
+            settings.ticket_keys, settings.ticket_ttl_s
+        ),
+        idempotency.new_ledger(
+            settings.ledger_max_entries,
+            settings.ledger_workspace_percent,
+            settings.ledger_max_result_bytes,
+        ),
+        links.MemberLinks(members),
+        order_runner.execute,
+    )
+
+
 def _missing(sheets: sheet.SheetHolder, router: routing.Router) -> str:
     """Returns what the process lacks before it can serve, or an empty text."""
     if sheets.current is None:
--- a/savoryspar/pipelines/runner.py
+++ b/savoryspar/pipelines/runner.py
@@ -107,21 +107,22 @@
     def _call_once(
         self, req: model.Request, stage: sheet.Stage, choice: routing.Choice
     ) -> dict[str, Any]:
+        supports = self.sheet().pools[stage.pool].supports
+        key = req.idempotency_key if "idempotency-key" in supports else ""
         outcome = routing.Outcome.CANCELLED
         load = -1
         try:
-            call = self.new_call(req, "/v1/run", bodies.run_body(req, stage))
+            body = bodies.run_body(req, stage)
+            call = self.new_call(req, "/v1/run", body, key)
             result = self._client.call(choice.server, call)
             outcome, load = routing.Outcome.OK, result.load
             if result.is_leaving:
                 self._mark_leaving(choice)
         except backends.BackendError as exc:
             outcome = self.outcome_of(exc)
-            req.has_sent = req.has_sent or exc.has_sent
             raise
         finally:
             self._router.observe(choice, outcome, load, self._clock())
-        req.has_sent = True
         self.clear_suspect(req, choice)
         return result.output
 
@@ -184,7 +185,11 @@
             self._router.suspects.record_success(req.fingerprint, self._clock())
 
     def new_call(
-        self, req: model.Request, path: str, body: dict[str, Any]
+        self,
+        req: model.Request,
+        path: str,
+        body: dict[str, Any],
+        idempotency_key: str = "",
     ) -> backends.StageCall:
         """Returns an attempt with an ID of its own."""
         now = self._clock()
@@ -203,7 +208,8 @@
             body,
             req.deadline_at - now,
             bodies.PRIORITIES[req.rank],
-            req.idempotency_key,
+            idempotency_key,
+            req.before_send,
         )
 
     def start_stream(
@@ -219,7 +225,6 @@
             stream = self._client.open_stream(choice.server, call)
             outcome = None
         except backends.BackendError as exc:
-            req.has_sent = req.has_sent or exc.has_sent
             outcome = self.outcome_of(exc)
             raise
         finally:
@@ -227,7 +232,6 @@
             # leave it counted as in flight.
             if outcome is not None:
                 self.observe(choice, outcome, -1)
-        req.has_sent = True
         self._router.take_load(choice, stream.load, self._clock())
         if stream.is_leaving:
             self._mark_leaving(choice)
