Add the open-loop load tool

The scenarios need load whose arrivals do not wait for answers, or a slow system would receive less of it.

--- /dev/null
+++ b/savoryspar/bench/load_worker.py
@@ -0,0 +1,27 @@
+"""One load process: reads its part of the load as JSON, writes its report."""
+
+import json
+import sys
+import warnings
+
+
+def main() -> None:
+    """Runs the load that standard input describes."""
+    warnings.filterwarnings("ignore", message="(?s).*Eventlet is deprecated")
+    import eventlet
+
+    eventlet.monkey_patch()
+    from savoryspar.bench import flows, load
+
+    document = json.load(sys.stdin)
+    report = load.run(
+        [flows.decode_flow(flow) for flow in document["flows"]],
+        document["addresses"],
+        document["duration_s"],
+        document["seed"],
+    )
+    json.dump(report.to_document(), sys.stdout)
+
+
+if __name__ == "__main__":
+    main()
