Relay streams in the hub's loop and check their framing

A green thread that reads and writes costs two switches, two registrations with the poller and a timer for each token. In the hub's loop, a chunk costs one read and one write.

Chunk framing used to be passed on unchecked, and events whose blank line was cut across two chunks were held for ever.

--- a/savoryspar/backends/__init__.py
+++ b/savoryspar/backends/__init__.py
@@ -8,4 +8,4 @@
     StreamBrokenError,
 )
 from savoryspar.backends.model import Server, StageCall, StageResult
-from savoryspar.backends.relay import EngineStream, split_events
+from savoryspar.backends.relay import EngineStream
--- a/savoryspar/backends/relay.py
+++ b/savoryspar/backends/relay.py
@@ -2,33 +2,24 @@
 
 The engine sends server-sent events in HTTP chunks. Whole chunks are passed to
 the caller's socket as they came, framing included, so the cost of a token is
-little more than one read and one write. Only the end of an event is looked
-for, so that a stream that breaks never leaves half an event at the caller.
+little more than one read and one write. Only the framing is checked and the
+end of an event looked for, so that a stream that breaks never leaves half an
+event or a wrong chunk at the caller.
 """
 
+from collections.abc import Callable
 import contextlib
 import http.client
+import socket
 
 import urllib3
 
-from savoryspar.backends import exceptions
+from savoryspar.backends import exceptions, framing, pump
 
 READ_BYTES = 65536
-EVENT_END = b"\n\n\r\n"
-"""Blank line that ends an event, then the end of its HTTP chunk."""
-LAST_CHUNK = b"0\r\n\r\n"
-DONE_END = b"data: [DONE]" + EVENT_END
 
-
-def split_events(data: bytes) -> tuple[bytes, bytes]:
-    """Returns the whole events in raw chunked data, and the rest."""
-    if data.endswith(EVENT_END):
-        return data, b""
-    end = data.rfind(EVENT_END)
-    if end < 0:
-        return b"", data
-    end += len(EVENT_END)
-    return data[:end], data[end:]
+OnEvents = Callable[[bytes], object]
+"""Takes whole events in HTTP chunk framing."""
 
 
 class EngineStream:
@@ -38,16 +29,13 @@
         server: Name of the backend server.
         load: Load that the server reported with its headers, or -1.
         is_leaving: Whether the server said that it is leaving.
-        events: Whole events read so far.
         is_complete: Whether the last event was read.
     """
 
     __slots__ = (
-        "_is_done",
-        "_pending",
+        "_events",
         "_reader",
         "_resp",
-        "events",
         "is_complete",
         "is_leaving",
         "load",
@@ -65,12 +53,15 @@
         self.server = server
         self.load = load
         self.is_leaving = is_leaving
-        self.events = 0
         self.is_complete = False
+        self._events = framing.EventReader()
         self._resp = resp
         self._reader = reader
-        self._pending = b""
-        self._is_done = False
+
+    @property
+    def events(self) -> int:
+        """Whole events read so far."""
+        return self._events.events
 
     def read(self) -> bytes:
         """Waits for data and returns whole events in HTTP chunk framing.
@@ -80,24 +71,61 @@
             chunk of the stream is left out.
 
         Raises:
-            StreamBrokenError: The stream ended before its last event.
+            StreamBrokenError: The stream ended before its last event, or its
+                framing is wrong.
         """
         whole = b""
         while not whole and not self.is_complete:
-            data = self._pending + self._receive()
-            whole, self._pending = split_events(data)
-            if whole:
-                self.events += whole.count(EVENT_END)
-                self._is_done = whole.endswith(DONE_END)
-            if self._pending == LAST_CHUNK:
+            try:
+                whole = self._events.feed(self._receive())
+            except framing.FramingError as exc:
+                raise self._malformed(exc) from exc
+            if self._events.is_ended:
                 self._finish()
         return whole
 
+    def relay(self, sink: socket.socket, on_events: OnEvents) -> None:
+        """Passes all further events to a caller's socket.
+
+        Args:
+            sink: The caller's socket.
+            on_events: Called with events before they are sent.
+
+        Raises:
+            StreamBrokenError: As ``read``.
+            OSError: The caller's connection broke.
+        """
+        source = self._socket()
+        if not pump.is_pumpable(source, sink):
+            while data := self.read():
+                on_events(data)
+                sink.sendall(data)
+            return
+
+        def feed(data: bytes) -> bytes:
+            whole = self._events.feed(data)
+            if whole:
+                on_events(whole)
+            return whole
+
+        while not self.is_complete:
+            moved = pump.Pump(source, sink, feed, lambda: self._events.is_ended)
+            moved.run()
+            self._raise_for(moved)
+            if moved.rest:
+                sink.sendall(moved.rest)
+            if self._events.is_ended:
+                self._finish()
+
     def close(self) -> None:
         """Closes the connection, which cancels the generation."""
         with contextlib.suppress(OSError, urllib3.exceptions.HTTPError):
             self._resp.close()
 
+    def _socket(self) -> object:
+        raw = getattr(self._reader.fp, "raw", None)
+        return getattr(raw, "_sock", None)
+
     def _receive(self) -> bytes:
         try:
             data = self._reader.fp.read1(READ_BYTES)
@@ -107,23 +135,45 @@
             raise self._broken("the connection ended early")
         return data
 
+    def _raise_for(self, moved: pump.Pump) -> None:
+        if moved.sink_error:
+            raise moved.sink_error
+        if moved.is_eof:
+            raise self._broken("the connection ended early")
+        if isinstance(moved.source_error, framing.FramingError):
+            raise self._malformed(moved.source_error)
+        if isinstance(moved.source_error, OSError):
+            raise self._broken(f"reading failed: {moved.source_error}")
+        if moved.source_error:
+            raise moved.source_error
+
     def _finish(self) -> None:
-        if not self._is_done:
+        if not self._events.is_done:
             raise self._broken("the stream ended without its last event")
         self.is_complete = True
+        if not self._events.is_clean:
+            self.close()
+            return
         # The body was read past http.client, which must be told so before
         # urllib3 may reuse the connection.
         self._reader._close_conn()
         self._resp.release_conn()
 
-    def _broken(self, reason: str) -> exceptions.StreamBrokenError:
+    def _malformed(
+        self, exc: framing.FramingError
+    ) -> exceptions.StreamBrokenError:
+        return self._broken(f"the stream is malformed: {exc}", is_crash=False)
+
+    def _broken(
+        self, reason: str, is_crash: bool = True
+    ) -> exceptions.StreamBrokenError:
         self.close()
         return exceptions.StreamBrokenError(
             self.server,
             reason,
             "resume the stream on another server",
             has_sent=True,
-            is_crash=True,
+            is_crash=is_crash,
         )
 
 
--- a/savoryspar/bench/catalog.py
+++ b/savoryspar/bench/catalog.py
@@ -3,8 +3,12 @@
 from collections.abc import Callable, Mapping
 
 from savoryspar.bench import results
+from savoryspar.bench.scenarios import relay
 
 Scenario = Callable[[int], list[results.Row]]
 """Runs a scenario with a seed and returns its rows."""
 
-SCENARIOS: Mapping[str, Scenario] = {}
+SCENARIOS: Mapping[str, Scenario] = {
+    "relay-cost": relay.relay_cost,
+    "relay-gap": relay.relay_gap,
+}
--- /dev/null
+++ b/savoryspar/bench/stream_reader.py
@@ -0,0 +1,167 @@
+"""A process that reads many streams of a token source and times the tokens.
+
+It reads its task as JSON from standard input. It writes ``open`` when all
+streams run, and at the end one JSON line with the histograms.
+"""
+
+from collections.abc import Sequence
+import json
+import re
+import select
+import socket
+import subprocess
+import sys
+import time
+from typing import Any
+
+from savoryspar.bench import load_client, tally
+
+RECEIVE_BYTES = 65536
+POLL_S = 0.2
+OPEN_GAP_S = 0.002
+_TOKEN = re.compile(rb'"content": "(\d+) ')
+
+
+class Reading:
+    """One stream: when its last token was sent and received."""
+
+    __slots__ = ("received_ns", "sent_ns", "sock")
+
+    def __init__(self, sock: socket.socket):
+        self.sock = sock
+        self.sent_ns = 0
+        self.received_ns = 0
+
+
+class Figures:
+    """What one reader saw.
+
+    Attributes:
+        tokens: Tokens received in the measured time.
+        broken: Streams that ended early.
+        gap: Time between two tokens of a stream at the caller.
+        added: Gap at the caller minus gap at the engine; 0 when negative.
+        delay: Time that a token was under way.
+    """
+
+    __slots__ = ("added", "broken", "delay", "gap", "tokens")
+
+    def __init__(self) -> None:
+        self.tokens = 0
+        self.broken = 0
+        self.gap = tally.Histogram()
+        self.added = tally.Histogram()
+        self.delay = tally.Histogram()
+
+    def add(self, document: dict[str, Any]) -> None:
+        """Adds what another reader wrote."""
+        self.tokens += document["tokens"]
+        self.broken += document["broken"]
+        for name in ("gap", "added", "delay"):
+            other = tally.decode_histogram(document[name])
+            getattr(self, name).add(other)
+
+    def to_document(self) -> dict[str, Any]:
+        """Returns the figures as a JSON object."""
+        document: dict[str, Any] = {
+            "tokens": self.tokens,
+            "broken": self.broken,
+        }
+        for name in ("gap", "added", "delay"):
+            document[name] = getattr(self, name).to_text()
+        return document
+
+
+def read_streams(
+    readings: Sequence[Reading], warm_up_s: float, duration_s: float
+) -> Figures:
+    """Reads all streams and returns the figures after the warm-up."""
+    poll = select.epoll()
+    by_fileno = {reading.sock.fileno(): reading for reading in readings}
+    for fileno in by_fileno:
+        poll.register(fileno, select.EPOLLIN)
+    samples: list[tuple[int, int, int]] = []
+    figures = Figures()
+    start_ns = time.monotonic_ns() + int(warm_up_s * 1e9)
+    end_ns = start_ns + int(duration_s * 1e9)
+    now_ns = 0
+    while now_ns < end_ns:
+        for fileno, _ in poll.poll(POLL_S):
+            reading = by_fileno[fileno]
+            data = reading.sock.recv(RECEIVE_BYTES)
+            now_ns = time.monotonic_ns()
+            if not data:
+                poll.unregister(fileno)
+                figures.broken += 1
+            for sent in _TOKEN.findall(data):
+                sent_ns = int(sent)
+                if reading.received_ns > start_ns:
+                    gap_ns = now_ns - reading.received_ns
+                    added_ns = gap_ns - (sent_ns - reading.sent_ns)
+                    samples.append((gap_ns, added_ns, now_ns - sent_ns))
+                reading.sent_ns, reading.received_ns = sent_ns, now_ns
+        now_ns = max(now_ns, time.monotonic_ns())
+    # Recorded at the end, so that the histograms delay no read.
+    figures.tokens = len(samples)
+    for gap_ns, added_ns, delay_ns in samples:
+        figures.gap.record(gap_ns / 1e9)
+        figures.added.record(added_ns / 1e9)
+        figures.delay.record(delay_ns / 1e9)
+    return figures
+
+
+def main() -> None:
+    """Opens the streams of the task and reads them."""
+    task = json.load(sys.stdin)
+    body = json.dumps(task["body"]).encode()
+    request = load_client.render_request(
+        "POST", "/v1/chat/completions", task["headers"], body
+    )
+    readings = []
+    for number in range(task["streams"]):
+        address = task["addresses"][number % len(task["addresses"])]
+        host, _, port = address.rpartition(":")
+        sock = socket.create_connection((host, int(port)))
+        sock.sendall(request)
+        readings.append(Reading(sock))
+        time.sleep(OPEN_GAP_S)
+    print("open", flush=True)
+    figures = read_streams(readings, task["warm_up_s"], task["duration_s"])
+    print(json.dumps(figures.to_document()), flush=True)
+
+
+class Readers:
+    """Reader processes; use ``wait_open`` and then ``finish``."""
+
+    __slots__ = ("_workers",)
+
+    def __init__(self, tasks: Sequence[dict[str, Any]]):
+        self._workers = [_start(task) for task in tasks]
+
+    def wait_open(self) -> None:
+        """Waits until every stream has been asked for."""
+        for worker in self._workers:
+            worker.stdout.readline()
+
+    def finish(self) -> Figures:
+        """Waits for the end and returns the sum of the figures."""
+        figures = Figures()
+        for worker in self._workers:
+            figures.add(json.loads(worker.stdout.readline()))
+            worker.wait()
+        return figures
+
+
+def _start(task: dict[str, Any]) -> subprocess.Popen:
+    worker = subprocess.Popen(
+        [sys.executable, "-m", "savoryspar.bench.stream_reader"],
+        stdin=subprocess.PIPE,
+        stdout=subprocess.PIPE,
+    )
+    worker.stdin.write(json.dumps(task).encode())
+    worker.stdin.close()
+    return worker
+
+
+if __name__ == "__main__":
+    main()
--- a/savoryspar/cli/standin.py
+++ b/savoryspar/cli/standin.py
@@ -4,7 +4,14 @@
 from cleo.helpers import argument, option
 
 from savoryspar.cli import exit_codes
-from savoryspar.standins import engine, platform, pool, wsgi
+from savoryspar.standins import (
+    engine,
+    plain_relay,
+    platform,
+    pool,
+    token_source,
+    wsgi,
+)
 
 
 class StandinCommand(command.Command):
@@ -20,6 +27,8 @@
         option("max-batch", None, "Batch size.", flag=False, default="16"),
         option("work-ms", None, "Time per call.", flag=False, default="5"),
         option("rate", None, "Calls per second.", flag=False, default="2000"),
+        option("target", None, "IP:port to pass on to.", flag=False),
+        option("groups", None, "Batches.", flag=False, default="8"),
         option("seed", None, "Seed.", flag=False, default="1"),
     ]
     help = "Example: savoryspar standin engine --port 9001 --step-ms 10"
@@ -36,6 +45,12 @@
             "pool": self._new_pool_server,
             "service": self._new_pool_server,
             "platform": lambda: platform.new_platform(int(self.option("rate"))),
+            "plain-relay": lambda: plain_relay.new_plain_relay(
+                self.option("target")
+            ),
+            "token-source": lambda: token_source.new_token_source(
+                float(self.option("step-ms")), int(self.option("groups"))
+            ),
         }
         kind = self.argument("kind")
         if kind not in factories:
--- a/savoryspar/conf/sections/http.py
+++ b/savoryspar/conf/sections/http.py
@@ -24,4 +24,11 @@
         "10",
         "Longest wait for a caller to send its request.",
     ),
+    setting.Setting(
+        "http",
+        "relay_mode",
+        converters.choice("hub", "thread"),
+        "hub",
+        "Where streams are relayed: in the hub's loop or in green threads.",
+    ),
 )
--- a/savoryspar/http/app.py
+++ b/savoryspar/http/app.py
@@ -235,7 +235,9 @@
         with hangup.cancel_on_hangup(sock):
             stream = self._runner.stream(req)
             wsgi.WSGI_LOCAL.already_handled = True
-            streaming.relay(sock, stream, req.request_id)
+            streaming.relay(
+                sock, stream, req.request_id, self._cfg.http.relay_mode
+            )
         self._metrics.count_request(req.pipeline.name, req.rank)
         return []
 
--- a/savoryspar/http/streaming.py
+++ b/savoryspar/http/streaming.py
@@ -18,20 +18,31 @@
 
 
 def relay(
-    sock: socket.socket, stream: pipelines.AnswerStream, request_id: str
+    sock: socket.socket,
+    stream: pipelines.AnswerStream,
+    request_id: str,
+    mode: str,
 ) -> None:
     """Relays the stream; its last event tells an interrupted answer.
 
+    Args:
+        sock: The caller's socket.
+        stream: The answer.
+        request_id: ID of the request.
+        mode: ``hub`` moves events in the hub's loop, ``thread`` reads and
+            writes in this green thread.
+
     Raises:
         OSError: The caller's connection broke; the stream is closed.
     """
     try:
         data = stream.read()
         sock.sendall(HEAD % request_id.encode() + data)
-        while data:
+        if mode == "hub" and data:
+            stream.relay(sock)
+        while data and mode == "thread":
             data = stream.read()
-            if data:
-                sock.sendall(data)
+            sock.sendall(data)
         sock.sendall(LAST_CHUNK)
     except pipelines.RunError as exc:
         sock.sendall(_error_chunk(exc, request_id) + LAST_CHUNK)
--- a/savoryspar/pipelines/streaming.py
+++ b/savoryspar/pipelines/streaming.py
@@ -1,6 +1,7 @@
 """An answer that is streamed, resumed on another engine when one fails."""
 
 import json
+import socket
 from typing import TYPE_CHECKING
 
 from savoryspar import backends, routing, sheet
@@ -42,7 +43,7 @@
         self._req = req
         self._stage = stage
         self._excluded: frozenset[str] = frozenset()
-        self._relayed: list[bytes] = []
+        self._relayed = bytearray()
         self._choice: routing.Choice | None = None
         self._stream: backends.EngineStream | None = None
         self.tokens = 0
@@ -66,11 +67,25 @@
             except backends.StreamBrokenError as exc:
                 self._resume(exc)
                 continue
-            self._relayed.append(data)
+            self._take(data)
             if not data:
                 self._end(routing.Outcome.OK)
             return data
 
+    def relay(self, sink: socket.socket) -> None:
+        """Passes all further events to the caller's socket.
+
+        Raises:
+            RunError: The stream broke and could not be resumed.
+            OSError: The caller's connection broke.
+        """
+        while self._stream is not None:
+            try:
+                self._stream.relay(sink, self._take)
+                self._end(routing.Outcome.OK)
+            except backends.StreamBrokenError as exc:
+                self._resume(exc)
+
     def read_text(self) -> str:
         """Reads the whole stream and returns its text."""
         while self.read():
@@ -84,6 +99,9 @@
             self._stream.close()
             self._end(routing.Outcome.CANCELLED)
 
+    def _take(self, data: bytes) -> None:
+        self._relayed += data
+
     def _open(self) -> None:
         text, self.tokens = relayed_text(self._relayed)
         body = bodies.engine_body(self._req, self._stage, self.tokens, text)
@@ -121,11 +139,11 @@
         self._grant.release(self._runner.clock())
 
 
-def relayed_text(relayed: list[bytes]) -> tuple[str, int]:
+def relayed_text(relayed: bytes | bytearray) -> tuple[str, int]:
     """Returns the text and the number of tokens in relayed raw chunks."""
     pieces = [
         choice["delta"].get("content", "")
-        for event in event_payloads(b"".join(relayed))
+        for event in event_payloads(bytes(relayed))
         if event != DONE
         for choice in json.loads(event).get("choices", ())
         if choice["delta"].get("content")
--- /dev/null
+++ b/tests/backends/test_pump.py
@@ -0,0 +1,100 @@
+"""Tests of moving events in the hub's loop."""
+
+import socket
+
+import eventlet
+from eventlet import greenio
+import testtools
+
+from savoryspar.backends import framing, pump
+
+EVENT = framing.chunk(b"data: " + b"x" * 1000 + b"\n\n")
+
+
+def new_pair():
+    """Returns two connected sockets of the hub."""
+    return [greenio.GreenSocket(sock) for sock in socket.socketpair()]
+
+
+class PumpTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.engine, self.source = new_pair()
+        self.sink, self.caller = new_pair()
+        for sock in (self.engine, self.source, self.sink, self.caller):
+            self.addCleanup(sock.close)
+        self.reader = framing.EventReader()
+
+    def new_pump(self, feed=None):
+        return pump.Pump(
+            self.source,
+            self.sink,
+            feed or self.reader.feed,
+            lambda: self.reader.is_ended,
+        )
+
+    def run_pump(self, feed=None):
+        moved = self.new_pump(feed)
+        moved.run()
+        return moved
+
+    def test_each_event_reaches_the_caller_before_the_next_is_sent(self):
+        """Tokens collected on the way would arrive in bursts."""
+        thread = eventlet.spawn(self.run_pump)
+        for _ in range(5):
+            self.engine.sendall(EVENT)
+            self.assertEqual(EVENT, self.caller.recv(65536))
+        self.engine.sendall(b"0\r\n\r\n")
+        moved = thread.wait()
+        self.assertEqual((b"", None), (moved.rest, moved.source_error))
+        self.assertTrue(self.reader.is_ended)
+
+    def test_slow_caller_gets_every_byte(self):
+        """A full socket buffer must not lose or reorder bytes."""
+        count = 2000
+
+        def relay():
+            while not self.reader.is_ended:
+                moved = self.run_pump()
+                if moved.rest:
+                    self.sink.sendall(moved.rest)
+            self.sink.shutdown(socket.SHUT_WR)
+
+        eventlet.spawn(relay)
+        sender = eventlet.spawn(
+            self.engine.sendall, EVENT * count + b"0\r\n\r\n"
+        )
+        found = b""
+        while data := self.caller.recv(65536):
+            found += data
+            eventlet.sleep(0)
+        sender.wait()
+        self.assertEqual(EVENT * count, found)
+
+    def test_end_of_the_engine_is_told(self):
+        """A stream that is cut off must be resumed, not left open."""
+        self.engine.sendall(EVENT[:20])
+        self.engine.shutdown(socket.SHUT_WR)
+        self.assertTrue(self.run_pump().is_eof)
+
+    def test_silent_engine_times_out(self):
+        """An engine that hangs must not hold the caller for ever."""
+        self.source.settimeout(0.05)
+        self.assertIsInstance(self.run_pump().source_error, TimeoutError)
+
+    def test_error_of_the_feed_wakes_the_green_thread(self):
+        """The hub drops errors of its callbacks, and the stream would hang."""
+
+        def feed(data):
+            raise KeyError(data)
+
+        self.engine.sendall(EVENT)
+        self.assertIsInstance(self.run_pump(feed).source_error, KeyError)
+
+    def test_killed_thread_leaves_no_listener(self):
+        """A listener left behind would block the next user of the socket."""
+        thread = eventlet.spawn(self.run_pump)
+        eventlet.sleep(0)
+        thread.kill()
+        self.engine.sendall(EVENT)
+        self.assertEqual(EVENT, self.source.recv(65536))
