--- a/savoryspar/cli/standin.py
+++ b/savoryspar/cli/standin.py
@@ -5,7 +5,15 @@
 
 from savoryspar import conf
 from savoryspar.cli import exit_codes
-from savoryspar.standins import engine, members, platform, pool, wsgi
+from savoryspar.standins import (
+    engine,
+    members,
+    plain_relay,
+    platform,
+    pool,
+    token_source,
+    wsgi,
+)
 
 
 class StandinCommand(command.Command):
@@ -29,6 +37,8 @@
         option(
             "prefill-us", None, "Time per new token.", flag=False, default="0"
         ),
+        option("target", None, "IP:port to pass on to.", flag=False),
+        option("groups", None, "Batches.", flag=False, default="8"),
         option("seed", None, "Seed.", flag=False, default="1"),
         option("config", None, "Settings file of members.", flag=False),
         option("zones", None, "Zones of members.", flag=False, default="1"),
@@ -52,6 +62,12 @@
             "service": self._new_pool_server,
             "platform": lambda: platform.new_platform(int(self.option("rate"))),
             "members": self._new_members,
+            "plain-relay": lambda: plain_relay.new_plain_relay(
+                self.option("target")
+            ),
+            "token-source": lambda: token_source.new_token_source(
+                float(self.option("step-ms")), int(self.option("groups"))
+            ),
         }
         kind = self.argument("kind")
         if kind not in factories:
--- a/savoryspar/pipelines/streaming.py
+++ b/savoryspar/pipelines/streaming.py
@@ -1,6 +1,7 @@
 """An answer that is streamed, resumed on another engine when one fails."""
 
 import json
+import socket
 from typing import TYPE_CHECKING
 
 from savoryspar import backends, routing, sheet
@@ -10,6 +11,8 @@
     from savoryspar.pipelines import runner as runner_lib
 
 DONE = b"[DONE]"
+CHARGE_EVENTS = 16
+"""Events between two corrections of the account, which cost time each."""
 DONE_CHUNK = b"e\r\ndata: [DONE]\n\n\r\n"
 
 
@@ -44,7 +47,7 @@
         self._req = req
         self._stage = stage
         self._tries = runner.new_attempts(req, stage)
-        self._relayed: list[bytes] = []
+        self._relayed = bytearray()
         self._choice: routing.Choice | None = None
         self._stream: backends.EngineStream | None = None
         self._is_ended = False
@@ -75,12 +78,25 @@
             if self._choice.first_at is None:
                 self._choice.first_at = self._runner.clock()
             if data:
-                self._relayed.append(data)
-                self._charge()
+                self._take(data)
                 return data
             self._end(routing.Outcome.OK)
         return b""
 
+    def relay(self, sink: socket.socket) -> None:
+        """Passes all further events to the caller's socket.
+
+        Raises:
+            RunError: The stream broke and could not be resumed.
+            OSError: The caller's connection broke.
+        """
+        while self._stream is not None:
+            try:
+                self._stream.relay(sink, self._take)
+                self._end(routing.Outcome.OK)
+            except backends.StreamBrokenError as exc:
+                sink.sendall(self._resume(exc) or b"")
+
     def read_text(self) -> str:
         """Reads the whole stream and returns its text."""
         while self.read():
@@ -95,6 +111,14 @@
         if not self._is_ended:
             self._end(routing.Outcome.CANCELLED)
 
+    def _take(self, data: bytes) -> None:
+        self._relayed += data
+        if (
+            self._stream
+            and self._stream.events - self._charged >= CHARGE_EVENTS
+        ):
+            self._charge()
+
     def _open(self) -> None:
         text, self.tokens = relayed_text(self._relayed)
         body = bodies.engine_body(self._req, self._stage, self.tokens, text)
@@ -114,6 +138,7 @@
         Returns:
             The last event, if the answer lacked nothing else.
         """
+        self._charge()
         choice, self._stream = self._choice, None
         self._runner.observe(choice, self._runner.outcome_of(exc), -1)
         if is_finished(self._relayed):
@@ -135,6 +160,7 @@
 
     def _end(self, outcome: routing.Outcome) -> None:
         if self._stream is not None:
+            self._charge()
             self._stream = None
             self._runner.observe(self._choice, outcome, -1)
             if outcome is routing.Outcome.OK:
@@ -147,14 +173,12 @@
             self._grant.release(self._runner.clock(), is_complete)
 
     def _charge(self) -> None:
-        if self._stream is None:
-            return
         events = self._stream.events
         self._grant.charge(float(events - self._charged), self._runner.clock())
         self._charged = events
 
 
-def relayed_text(relayed: list[bytes]) -> tuple[str, int]:
+def relayed_text(relayed: bytes | bytearray) -> tuple[str, int]:
     """Returns the text and the number of tokens in relayed raw chunks."""
     pieces = [
         choice["delta"].get("content", "")
@@ -164,18 +188,17 @@
     return "".join(pieces), len(pieces)
 
 
-def is_finished(relayed: list[bytes]) -> bool:
-    """Tells whether the event that names the finish reason was relayed."""
+def is_finished(relayed: bytes | bytearray) -> bool:
+    """Tells whether an event that names the finish reason was relayed."""
     return any(
-        choice.get("finish_reason") is not None
-        for choice in _choices(relayed[-1:])
+        choice.get("finish_reason") is not None for choice in _choices(relayed)
     )
 
 
-def _choices(relayed: list[bytes]) -> list[dict]:
+def _choices(relayed: bytes | bytearray) -> list[dict]:
     return [
         choice
-        for event in event_payloads(b"".join(relayed))
+        for event in event_payloads(bytes(relayed))
         if event != DONE
         for choice in json.loads(event).get("choices", ())
     ]
