Share crash suspects between entry processes

Cause: three engines died of one request that was resent to three processes in turn. The word of the second crash reached the other process 9 ms after the resend had passed the only check, at its start; a replaced process served before it knew any suspect. The check is repeated before each attempt, and a process is ready once a peer told it of the suspects, or none is to be expected. Conclusion: sequential resends are bounded; resends at the same time at several processes are not measured yet.

--- a/savoryspar/cli/node.py
+++ b/savoryspar/cli/node.py
@@ -18,7 +18,7 @@
     scheduling,
     sheet,
 )
-from savoryspar.cli import duties
+from savoryspar.cli import duties, suspects
 
 LEAVE_S = 0.1
 """Time to write the last frames to peers before the process ends."""
@@ -38,6 +38,7 @@
         "server",
         "sheet_watch",
         "sheets",
+        "suspect_fetch",
         "vm_list",
     )
 
@@ -53,6 +54,7 @@
         server: http.Server,
         sheet_watch: membership.SheetWatch,
         sheets: sheet.SheetHolder,
+        suspect_fetch: suspects.SuspectFetch,
         vm_list: platform.VmListClient,
     ):
         self.app = app
@@ -65,6 +67,7 @@
         self.server = server
         self.sheet_watch = sheet_watch
         self.sheets = sheets
+        self.suspect_fetch = suspect_fetch
         self.vm_list = vm_list
 
 
@@ -106,6 +109,7 @@
             parts.router,
             parts.members,
         )
+        eventlet.spawn(parts.suspect_fetch.run, time.monotonic())
         eventlet.spawn(duties.poll_scheduler, parts.scheduler)
         eventlet.spawn(duties.exchange_reports, parts.scheduler, parts.members)
         eventlet.spawn(
--- a/savoryspar/cli/wiring.py
+++ b/savoryspar/cli/wiring.py
@@ -16,7 +16,7 @@
     scheduling,
     sheet,
 )
-from savoryspar.cli import duties, links, node
+from savoryspar.cli import duties, links, node, suspects
 
 
 def new_node(cfg: conf.Settings) -> node.Node:
@@ -31,6 +31,7 @@
     members = membership.new_membership(cfg, time.monotonic(), time.time())
     membership.new_sheet_spreader(members, sheets, time.monotonic)
     router = routing.new_router(decisions, routing.new_options(cfg))
+    suspects.share_suspects(router.suspects, members)
     client = backends.new_client()
     scheduler = _new_scheduler(cfg, router, decisions, sheets, members)
     runner = pipelines.new_runner(
@@ -41,13 +42,14 @@
         members,
         pipelines.new_order_runner(sheets.get, runner, time.monotonic),
     )
+    suspect_fetch = suspects.SuspectFetch(router.suspects, members)
     app = http.new_app(
         cfg,
         sheets.get,
         runner,
         metrics.new_metrics(),
         time.monotonic,
-        lambda: _missing(sheets, router),
+        lambda: _missing(sheets, router, suspect_fetch),
         desk,
     )
     parts = node.Parts(
@@ -61,6 +63,7 @@
         server=http.new_server(app, cfg),
         sheet_watch=_new_sheet_watch(cfg, members, sheets),
         sheets=sheets,
+        suspect_fetch=suspect_fetch,
         vm_list=platform.new_vm_list_client(cfg.platform.vm_list_url),
     )
     return node.Node(cfg, parts)
@@ -120,10 +123,16 @@
     )
 
 
-def _missing(sheets: sheet.SheetHolder, router: routing.Router) -> str:
+def _missing(
+    sheets: sheet.SheetHolder,
+    router: routing.Router,
+    suspect_fetch: suspects.SuspectFetch,
+) -> str:
     """Returns what the process lacks before it can serve, or an empty text."""
     if sheets.current is None:
         return "no configuration"
     if not router.has_servers():
         return "no backend servers"
+    if not suspect_fetch.is_done:
+        return "no peer told of crash suspects"
     return ""
--- a/savoryspar/membership/service.py
+++ b/savoryspar/membership/service.py
@@ -223,6 +223,10 @@
         """Takes the peer addresses of the VM list."""
         self._upkeep.listed = frozenset(filter(None, addresses))
 
+    def is_alone(self) -> bool:
+        """Tells whether the VM list names this process and no other."""
+        return self._upkeep.listed == {self.connector.address}
+
     def _run_link(self, link: links.Link) -> None:
         now = time.monotonic()
         self._gossip.merge([link.peer], None, now)
--- a/savoryspar/pipelines/attempts.py
+++ b/savoryspar/pipelines/attempts.py
@@ -60,6 +60,8 @@
             RunError: No server can take the attempt before the deadline.
         """
         req, stage = self._req, self._stage
+        # A peer may have met the second crash since the request came in.
+        check_fingerprint(self._router, req, self._clock())
         call = routing.Call(
             req.request_id,
             req.workspace.name,
@@ -174,7 +176,8 @@
         f"request {req.request_id} equals one that crashed two backend"
         f" servers (fingerprint {req.fingerprint})",
         "change the request; operators see docs/howto/poisonous-request.md",
-        run_state(req),
+        # An equal request ran before, which may have been an earlier send.
+        exceptions.RunState.UNKNOWN,
     )
 
 
