Test resumed streams, cancellation, retries and crashes with processes

Guards: an engine killed in the middle of a stream, one that closes cleanly without its last event, callers that hang up with and without headers, the retry budget at half errors, an order whose server stops, a leaving engine, a crashing request and the streams beside it.

--- /dev/null
+++ b/tests/pipelines/test_retries.py
@@ -0,0 +1,92 @@
+"""Tests of retries and crash suspects, with real processes."""
+
+import json
+
+import testtools
+
+from tests.pipelines import fleets
+
+
+class FleetTestCase(testtools.TestCase):
+    def start(self, **options):
+        fleet = fleets.EngineFleet()
+        self.addCleanup(fleet.close)
+        fleet.start_all(**options)
+        return fleet
+
+
+class RetryTest(FleetTestCase):
+    def test_retries_stay_within_the_budget(self):
+        """A pool that fails must not be loaded with twice the calls."""
+        fleet = self.start()
+        for seed, engine in enumerate(fleet.engines):
+            fleet.control(engine, {"fail_share": 0.5, "seed": seed})
+        for number in range(150):
+            fleet.post("draft", {"n": number, "max_tokens": 1})
+        runs = [run for book in fleet.runs().values() for run in book]
+        requests = {run["request_id"] for run in runs}
+        self.assertEqual(150, len(requests))
+        self.assertGreater(len(runs), 150)
+        self.assertLessEqual(len(runs), 165)
+
+    def test_order_is_not_retried(self):
+        """An order whose server dies while it runs may have run."""
+        fleet = self.start()
+        server = fleet.processes["inscripciones-0"]
+        server.pause()
+        resp = fleet.http.request(
+            "POST",
+            f"{fleet.entry.url}/v1/pipelines/registration",
+            body=b"{}",
+            headers={**fleets.HEADERS, "X-Deadline-Ms": "700"},
+        )
+        self.assertEqual("unknown", json.loads(resp.data)["run_state"])
+        server.resume()
+        book = fleet.get_json(server, "/book")["runs"]
+        self.assertLessEqual(len(book), 1)
+
+    def test_leaving_engine_finishes_and_gets_no_more(self):
+        """An engine that says that it leaves must get no new call."""
+        fleet = self.start()
+        leaving, *_ = fleet.engines
+        fleet.control(leaving, {"is_leaving": True})
+        for number in range(20):
+            fleet.post("draft", {"n": number, "max_tokens": 2})
+        first = len(fleet.runs()[leaving.name])
+        for number in range(30):
+            fleet.post("draft", {"n": number, "max_tokens": 2})
+        self.assertEqual(1, first)
+        self.assertEqual(1, len(fleet.runs()[leaving.name]))
+
+
+class CrashTest(FleetTestCase):
+    def test_crashing_request_takes_two_engines_at_most(self):
+        """One caller that resends must not take the pool down."""
+        fleet = self.start(engines=4)
+        fleet.control_engines(crash_mark=fleets.MARK)
+        answers = [
+            fleet.post("draft", {"text": fleets.MARK}) for _ in range(10)
+        ]
+        self.assertEqual([422] * 10, [answer.status for answer in answers])
+        self.assertEqual(2, len(fleet.engines))
+        documents = [json.loads(answer.data) for answer in answers]
+        self.assertEqual(
+            ["unknown"] + ["not_run"] * 9, [d["run_state"] for d in documents]
+        )
+        self.assertIn("refused_fingerprint", documents[0]["type"])
+        good = fleet.post("draft", {"text": "plaza"})
+        self.assertEqual(200, good.status)
+
+    def test_innocent_streams_beside_a_crash_are_finished(self):
+        """Requests that were only in flight must be answered whole."""
+        fleet = self.start(engines=4, step_ms=10)
+        fleet.control_engines(crash_mark=fleets.MARK)
+        streams = [fleet.stream(f"plaza {n}", 60) for n in range(8)]
+        starts = [stream.read(300) for stream in streams]
+        poison = fleet.post("draft", {"text": fleets.MARK})
+        self.assertEqual(422, poison.status)
+        for start, stream in zip(starts, streams, strict=True):
+            tokens, others = fleets.words(start + stream.read())
+            self.assertEqual((60, ["stop", "[DONE]"]), (len(tokens), others))
+        again = fleet.post("draft", {"text": "plaza", "max_tokens": 2})
+        self.assertEqual(200, again.status)
--- /dev/null
+++ b/tests/pipelines/test_streams.py
@@ -0,0 +1,92 @@
+"""Tests of streams over engines that die, with real processes."""
+
+import time
+
+import testtools
+
+from savoryspar.standins import engine
+from tests.pipelines import fleets
+
+TOKENS = 40
+PROMPT = "Guion: la plaza vacia."
+MESSAGES = [{"role": "user", "content": PROMPT}]
+WHOLE = (
+    [engine.token(MESSAGES, position, 1) for position in range(TOKENS)],
+    ["stop", "[DONE]"],
+)
+
+
+class StreamTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.fleet = fleets.EngineFleet()
+        self.addCleanup(self.fleet.close)
+        self.fleet.start_all(step_ms=10)
+
+    def running(self):
+        return [
+            (name, run)
+            for name, runs in self.fleet.runs().items()
+            for run in runs
+            if run["state"] == "running"
+        ]
+
+    def wait_idle(self):
+        for _ in range(200):
+            if not self.running():
+                return
+            time.sleep(0.02)
+
+    def whole_answer(self):
+        return fleets.words(self.fleet.stream(PROMPT, TOKENS).read())
+
+    def test_engine_killed_mid_stream(self):
+        """A resumed stream must have each token once, in order."""
+        resp = self.fleet.stream(PROMPT, TOKENS)
+        start = resp.read(600)
+        [(name, run)] = self.running()
+        self.assertLess(run["tokens_out"], TOKENS)
+        self.fleet.processes[name].kill()
+        tokens, others = fleets.words(start + resp.read())
+        self.assertEqual(WHOLE, (tokens, others))
+        attempts = [
+            run["attempt_id"]
+            for runs in self.fleet.runs().values()
+            for run in runs
+        ]
+        self.assertEqual(len(attempts), len(set(attempts)))
+
+    def test_engine_that_closes_cleanly_without_the_last_event(self):
+        """A clean close in the middle is no whole answer."""
+        self.fleet.control_engines(end_after_tokens=25)
+        self.assertEqual(WHOLE, self.whole_answer())
+        states = [r["state"] for rs in self.fleet.runs().values() for r in rs]
+        self.assertIn("ended_early", states)
+
+    def test_every_engine_closes_early(self):
+        """An answer that lacks its end must not look whole."""
+        self.fleet.control_engines(end_after_tokens=3)
+        tokens, others = self.whole_answer()
+        self.assertLess(len(tokens), TOKENS)
+        self.assertNotIn("[DONE]", others)
+        self.assertEqual(1, len(others))
+
+    def test_caller_that_hangs_up(self):
+        """A generation that nobody reads must free its slots."""
+        for _ in range(12):
+            resp = self.fleet.stream(PROMPT, 2000)
+            resp.read(300)
+            resp.close()
+        self.wait_idle()
+        self.assertEqual([], self.running())
+        states = [r["state"] for rs in self.fleet.runs().values() for r in rs]
+        self.assertEqual(12, states.count("cancelled"))
+
+    def test_hang_up_while_the_engine_is_silent(self):
+        """A call without headers yet must be cancelled as well."""
+        self.fleet.control_engines(is_paused=True)
+        for _ in range(30):
+            self.fleet.post_and_hang_up(PROMPT)
+        time.sleep(0.3)
+        self.fleet.control_engines(is_paused=False)
+        self.assertEqual(TOKENS, len(self.whole_answer()[0]))
