Read what came with the headers before a resumed stream is pumped

Cause: a resumed stream lost the tokens that arrived in one packet with the response headers: they were in http.client's buffer, and the pump reads the socket.

--- a/savoryspar/backends/relay.py
+++ b/savoryspar/backends/relay.py
@@ -108,6 +108,11 @@
                 on_events(whole)
             return whole
 
+        # Events that came with the headers are in the reader's buffer, where
+        # the pump does not look.
+        if first := self.read():
+            on_events(first)
+            sink.sendall(first)
         while not self.is_complete:
             moved = pump.Pump(source, sink, feed, lambda: self._events.is_ended)
             moved.run()
