--- a/savoryspar/standins/wsgi.py
+++ b/savoryspar/standins/wsgi.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable, Iterable
 import json
+import socket
 from typing import Any
 from urllib import parse
 
@@ -46,6 +47,13 @@
         self.start(status, [("Content-Type", "application/json"), *headers])
         return [json.dumps(document).encode()]
 
+    def drop(self) -> list[bytes]:
+        """Cuts the connection without an answer."""
+        sock = self.environ["eventlet.input"].get_socket()
+        sock.shutdown(socket.SHUT_RDWR)
+        wsgi.WSGI_LOCAL.already_handled = True
+        return []
+
     def answer_text(self, text: str) -> list[bytes]:
         """Answers with plain text."""
         self.start("200 OK", [("Content-Type", "text/plain")])
