--- a/savoryspar/http/app.py
+++ b/savoryspar/http/app.py
@@ -66,6 +66,7 @@
         "_current_sheet",
         "_logger",
         "_metrics",
+        "_missing",
         "_orders",
         "_runner",
         "is_draining",
@@ -78,6 +79,7 @@
         runner: pipelines.Runner,
         registry: metrics.Metrics,
         clock: Callable[[], float],
+        missing: Callable[[], str],
         counter: orders.OrderCounter,
     ):
         self._cfg = cfg
@@ -86,6 +88,7 @@
         self._runner = runner
         self._metrics = registry
         self._clock = clock
+        self._missing = missing
         self._logger = log.new_logger("http")
         self.is_draining = False
 
@@ -141,8 +144,8 @@
 
     def readiness(self, exchange: Exchange) -> Iterable[bytes]:
         """Answers whether the balancer should send requests."""
-        if self.is_draining or self._current_sheet() is None:
-            reason = "draining" if self.is_draining else "no configuration"
+        reason = "draining" if self.is_draining else self._missing()
+        if reason:
             return exchange.answer_json(
                 {"status": reason}, "503 Service Unavailable"
             )
@@ -277,7 +280,9 @@
         with hangup.cancel_on_hangup(sock):
             stream = self._runner.stream(req)
             wsgi.WSGI_LOCAL.already_handled = True
-            streaming.relay(sock, stream, req.request_id)
+            streaming.relay(
+                sock, stream, req.request_id, self._cfg.http.relay_mode
+            )
         self._metrics.count_request(req.pipeline.name, req.rank)
         return []
 
@@ -310,6 +315,7 @@
 
 ORDERS_PATH = "/v1/orders/"
 PIPELINES_PATH = "/v1/pipelines/"
+_PLACEHOLDERS = {ORDERS_PATH: "{ticket}", PIPELINES_PATH: "{name}"}
 _ROUTES: dict[tuple[str, str], Handler] = {
     ("GET", "/healthz"): App.health,
     ("GET", "/readyz"): App.readiness,
@@ -324,14 +330,34 @@
 }
 
 
+def endpoints() -> dict[tuple[str, str], Handler]:
+    """Returns the callers' endpoints: (method, path) to handler."""
+    prefixed = {
+        (method, prefix + _PLACEHOLDERS[prefix]): handler
+        for (method, prefix), handler in _PREFIX_ROUTES.items()
+    }
+    return {**_ROUTES, **prefixed}
+
+
 def new_app(
     cfg: conf.Settings,
     current_sheet: Callable[[], sheet.Sheet | None],
     runner: pipelines.Runner,
     registry: metrics.Metrics,
     clock: Callable[[], float],
+    missing: Callable[[], str],
     desk: idempotency.OrderDesk,
 ) -> App:
-    """Returns the application over the given parts."""
+    """Returns the application over the given parts.
+
+    Args:
+        cfg: The settings.
+        current_sheet: Returns the sheet in force, or None.
+        runner: Runs requests.
+        registry: Counts requests.
+        clock: Returns the monotonic time in seconds.
+        missing: Returns what the process lacks before it can serve, or "".
+        desk: Runs orders at most once.
+    """
     counter = orders.OrderCounter(desk, clock)
-    return App(cfg, current_sheet, runner, registry, clock, counter)
+    return App(cfg, current_sheet, runner, registry, clock, missing, counter)
--- a/savoryspar/pipelines/model.py
+++ b/savoryspar/pipelines/model.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from savoryspar import sheet
+from savoryspar import routing, sheet
 
 
 class Request:
@@ -21,14 +21,18 @@
         guard: Called before the first byte of each stage call; it raises when
             the call must not be sent.
         has_sent: Whether a byte of any stage call may have left.
+        fingerprint: What equal requests of the workspace share.
+        is_suspect: Whether it may crash the servers that run it.
     """
 
     __slots__ = (
         "body",
         "deadline_at",
+        "fingerprint",
         "guard",
         "has_sent",
         "idempotency_key",
+        "is_suspect",
         "outputs",
         "pipeline",
         "rank",
@@ -57,6 +61,10 @@
         self.outputs: dict[str, dict[str, Any]] = {}
         self.guard = guard
         self.has_sent = False
+        self.fingerprint = routing.fingerprint(
+            workspace.name, pipeline.name, body
+        )
+        self.is_suspect = False
 
     def before_send(self) -> None:
         """Records, right before it happens, that a byte leaves."""
--- a/savoryspar/sheet/__init__.py
+++ b/savoryspar/sheet/__init__.py
@@ -1,5 +1,11 @@
 """The planners' sheet: model, CSV, keys of the configuration service."""
 
+from savoryspar.sheet.delta import (
+    Changes,
+    apply_delta,
+    changes_between,
+    delta_digest,
+)
 from savoryspar.sheet.diff import Change, diff_rows
 from savoryspar.sheet.exceptions import RevisionConflictError, SheetError
 from savoryspar.sheet.holder import SheetHolder, new_sheet_holder
@@ -8,6 +14,7 @@
     MANIFEST_KEY,
     Manifest,
     apply_changes,
+    bucket_digests,
     bucket_key,
     bucket_of,
     content_digest,
@@ -22,6 +29,7 @@
     Pipeline,
     Pool,
     Rank,
+    Rows,
     Sheet,
     Stage,
     Work,
