--- a/savoryspar/http/orders.py
+++ b/savoryspar/http/orders.py
@@ -8,6 +8,9 @@
 
 TICKET_HEADER = "Order-Ticket"
 STATE_TIMEOUT_S = 2.0
+MAX_ORDER_BYTES = 524_288
+"""Half of the default [membership] max_frame_bytes: an order must fit into one
+frame to its owner, or the link would be closed for all others."""
 
 
 class TicketRequiredError(pipelines.RunError):
@@ -99,6 +102,14 @@
                 " streamed",
                 "send the request without 'stream'",
             )
+        length = int(environ.get("CONTENT_LENGTH") or 0)
+        if length > MAX_ORDER_BYTES:
+            raise problems.new_problem(
+                "body_too_large",
+                413,
+                f"the order has {length} bytes, {MAX_ORDER_BYTES} are allowed",
+                "send less",
+            )
         text = environ.get("HTTP_ORDER_TICKET", "").strip()
         if not text:
             ticket = self._issue(environ, req.workspace, req.pipeline)
--- a/savoryspar/idempotency/desk.py
+++ b/savoryspar/idempotency/desk.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 import hashlib
+import json
 from typing import Any
 
 import eventlet
@@ -44,6 +45,8 @@
 REPLY_MARGIN_S = 0.05
 """Part of the caller's time that is kept for the owner's reply."""
 SHUTDOWN_POLL_S = 0.02
+MAX_REPLY_BYTES = 524_288
+"""Half of the default [membership] max_frame_bytes."""
 
 
 class TicketExpiredError(exceptions.OrderError):
@@ -278,7 +281,8 @@
         except exceptions.TicketError as exc:
             # The keys of the two processes differ for a while in a rotation.
             return answer_lib.unknown(exc.message, order.ticket).to_message()
-        return self._dispatch(ticket, order, body["hops"]).to_message()
+        found = self._dispatch(ticket, order, body["hops"])
+        return _fitting(found).to_message()
 
     def _serve_state(self, sender: str, body: dict[str, Any]) -> dict[str, Any]:
         del sender
@@ -287,7 +291,25 @@
         except exceptions.TicketError as exc:
             return answer_lib.unknown(exc.message, body["ticket"]).to_message()
         found = self._state(ticket, body["timeout_s"], body["hops"])
-        return found.to_message()
+        return _fitting(found).to_message()
+
+
+def _fitting(found: Answer) -> Answer:
+    """Returns the answer, without an output too large for one frame."""
+    if found.output is None:
+        return found
+    size = len(json.dumps(found.output))
+    if size <= MAX_REPLY_BYTES:
+        return found
+    return Answer(
+        found.run_state,
+        kind="result_evicted",
+        status=410,
+        message=f"the order ran once; its result of {size} bytes cannot be"
+        f" passed between entry VMs, which take {MAX_REPLY_BYTES}",
+        remedy="read the result from the service that ran the order",
+        is_final=True,
+    )
 
 
 def _not_in_ledger(ticket: ticket_lib.Ticket) -> Answer:
--- a/savoryspar/idempotency/entry.py
+++ b/savoryspar/idempotency/entry.py
@@ -16,6 +16,10 @@
 """
 
 
+MAX_HANDOVER_RESULT_BYTES = 200_000
+"""A larger result is not handed over; its entry still says ``complete``."""
+
+
 class State(enum.Enum):
     """What has happened to an order."""
 
@@ -98,6 +102,7 @@
         A run in progress is handed over as unknown.
         """
         is_running = self.state is State.RUNNING
+        is_small = len(self.output or b"") <= MAX_HANDOVER_RESULT_BYTES
         return {
             "nonce": self.nonce,
             "workspace": self.workspace,
@@ -107,7 +112,7 @@
             "state": (State.UNKNOWN if is_running else self.state).value,
             "is_void": self.is_void or self.is_expired(moment),
             "digest": self.digest,
-            "output": self.output,
+            "output": self.output if is_small else None,
             "refused": list(self.refused),
         }
 
--- a/tests/idempotency/test_handover.py
+++ b/tests/idempotency/test_handover.py
@@ -120,6 +120,14 @@
         self.assertIsNotNone(self.first.desk.heirs.ledger_of(self.owner.name))
         self.assertIsNone(self.owner.desk.heirs.ledger_of(self.owner.name))
 
+    def test_offer_that_may_have_arrived_is_repeated_to_the_same_peer(self):
+        """Another peer must not get it while the first one may have it."""
+        self.leave()
+        message = self.take(handover.HANDOVER)
+        self.world.messages.remove(message)
+        self.world.fail(message.reply, has_sent=True)
+        self.assertEqual(message.target, self.take(handover.HANDOVER).target)
+
     def test_refusing_peer_stays_out_and_the_next_one_inherits(self):
         """A late copy must not make a peer that refused an heir as well."""
         self.first.desk.ledger.is_closed = True
