Answer a stream that breaks before its first event with a problem

The fuzz of the whole entry found answers that began with an HTTP chunk: when a stream broke for good before its first event, the error event was written without a response head. Such a request now gets a problem document, and its run state is unknown rather than partial, because no part was delivered.

--- a/savoryspar/http/app.py
+++ b/savoryspar/http/app.py
@@ -234,7 +234,6 @@
         sock = exchange.environ["eventlet.input"].get_socket()
         with hangup.cancel_on_hangup(sock):
             stream = self._runner.stream(req)
-            wsgi.WSGI_LOCAL.already_handled = True
             streaming.relay(
                 sock, stream, req.request_id, self._cfg.http.relay_mode
             )
--- a/savoryspar/http/streaming.py
+++ b/savoryspar/http/streaming.py
@@ -3,6 +3,8 @@
 import json
 import socket
 
+from eventlet import wsgi
+
 from savoryspar import pipelines
 from savoryspar.http import problems
 
@@ -33,21 +35,34 @@
             writes in this green thread.
 
     Raises:
+        RunError: The stream broke before its first event; nothing was sent.
         OSError: The caller's connection broke; the stream is closed.
     """
     try:
         data = stream.read()
+        # From here on, the answer is written past the server.
+        wsgi.WSGI_LOCAL.already_handled = True
         sock.sendall(HEAD % request_id.encode() + data)
-        if mode == "hub" and data:
+        _relay_rest(sock, stream, request_id, mode)
+    finally:
+        stream.close()
+
+
+def _relay_rest(
+    sock: socket.socket,
+    stream: pipelines.AnswerStream,
+    request_id: str,
+    mode: str,
+) -> None:
+    try:
+        if mode == "hub":
             stream.relay(sock)
-        while data and mode == "thread":
-            data = stream.read()
-            sock.sendall(data)
+        else:
+            while data := stream.read():
+                sock.sendall(data)
         sock.sendall(LAST_CHUNK)
     except pipelines.RunError as exc:
         sock.sendall(_error_chunk(exc, request_id) + LAST_CHUNK)
-    finally:
-        stream.close()
 
 
 def _error_chunk(exc: pipelines.RunError, request_id: str) -> bytes:
--- a/savoryspar/pipelines/streaming.py
+++ b/savoryspar/pipelines/streaming.py
@@ -129,7 +129,8 @@
             self._open()
         except exceptions.RunError as error:
             self._grant.release(self._runner.clock())
-            error.run_state = exceptions.RunState.PARTIAL
+            if self._relayed:
+                error.run_state = exceptions.RunState.PARTIAL
             raise
 
     def _end(self, outcome: routing.Outcome) -> None:
