--- a/savoryspar/backends/relay.py
+++ b/savoryspar/backends/relay.py
@@ -102,20 +102,14 @@
                 sink.sendall(data)
             return
 
-        def feed(data: bytes) -> bytes:
-            whole = self._events.feed(data)
-            if whole:
-                on_events(whole)
-            return whole
-
         # Events that came with the headers are in the reader's buffer, where
         # the pump does not look.
         if first := self.read():
             on_events(first)
             sink.sendall(first)
         while not self.is_complete:
-            moved = pump.Pump(source, sink, feed, lambda: self._events.is_ended)
-            moved.run()
+            moved = pump.Pump(source, sink)
+            moved.run(self._events, on_events)
             self._raise_for(moved)
             if moved.rest:
                 sink.sendall(moved.rest)
