Keep a starting fleet from declaring busy members dead

200 members started at once never settled: each dialled 4 unknown addresses a second, neighbours whose link still waited for its turn were suspected, and each false death cost its links and new TLS handshakes, which caused the next ones. Members now open two links at a time, explore one address, gather changed records into one frame a link, suspect silent neighbours only over a link, keep the link of a dead member that still speaks, and wait longer when they run late themselves.

--- a/savoryspar/cli/standin.py
+++ b/savoryspar/cli/standin.py
@@ -3,7 +3,7 @@
 from cleo.commands import command
 from cleo.helpers import argument, option
 
-from savoryspar import conf
+from savoryspar import conf, log
 from savoryspar.cli import exit_codes
 from savoryspar.standins import engine, members, platform, pool, wsgi
 
@@ -54,8 +54,10 @@
         return exit_codes.OK
 
     def _new_members(self) -> members.Members:
+        cfg = conf.load_settings(self.option("config") or "", {})
+        log.configure(cfg.log.level, cfg.log.format)
         return members.new_members(
-            conf.load_settings(self.option("config") or "", {}),
+            cfg,
             int(self.option("zones")),
             int(self.option("first")),
             int(self.option("count")),
--- a/savoryspar/membership/connector.py
+++ b/savoryspar/membership/connector.py
@@ -16,7 +16,10 @@
 LATE_DIAL_S = 1.0
 """Wait of the side that does not open a link, before it opens one."""
 
-IDLE_S = 15.0
+IDLE_S = 5.0
+MAX_DIALING = 2
+"""Links opened at a time; unlimited, 200 starting members never settled."""
+
 BACKLOG = 256
 LOG_INTERVAL_S = 5.0
 
@@ -101,6 +104,10 @@
         linked = {link.peer.address for link in self.links.values()}
         return linked | set(self._dialing) | {self.address}
 
+    def is_dialing(self) -> bool:
+        """Tells whether as many links as allowed are being opened."""
+        return len(self._dialing) >= MAX_DIALING
+
     def dial(self, address: str, now: float) -> None:
         """Opens a link in the background, at most once a second."""
         if address in self._dialing or self._is_stopped:
@@ -194,6 +201,7 @@
         except (exceptions.FrameError, *links.SOCKET_ERRORS) as exc:
             self.refuse(exc, address)
         if link:
+            self.refused_at.pop(address, None)
             self._add(link)
         self._dialing.pop(address).send(None)
         if link:
--- a/savoryspar/membership/links.py
+++ b/savoryspar/membership/links.py
@@ -1,7 +1,7 @@
 """One link to a peer: a WebSocket that carries CBOR frames."""
 
 import collections
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 import contextlib
 import socket
 import ssl
@@ -59,6 +59,7 @@
         is_two_way_at: When a frame was sent that the peer is known to have
             received, minus infinity before the first one.
         facts_sent: Newest counter of each member's facts on this link.
+        unsent: Changed records to send, by incarnation.
         mismatches: Heartbeats in a row that showed another view digest.
     """
 
@@ -77,6 +78,7 @@
         "is_two_way_at",
         "mismatches",
         "peer",
+        "unsent",
         "used_at",
     )
 
@@ -99,8 +101,16 @@
         self.is_two_way_at = float("-inf")
         self.mismatches = 0
         self.peer: model.Record | None = None
+        self.unsent: dict[str, model.Record] = {}
         self.used_at = time.monotonic()
 
+    def forget_unsent(self, records: Iterable[model.Record]) -> None:
+        """Drops what the peer has itself, because it sent these records."""
+        for record in records:
+            unsent = self.unsent.get(record.incarnation)
+            if unsent and unsent.precedence() <= record.precedence():
+                del self.unsent[record.incarnation]
+
     def send_now(self, kind: str, body: Any) -> None:
         """Writes a frame from the calling green thread."""
         self._sequence += 1
--- a/savoryspar/membership/model.py
+++ b/savoryspar/membership/model.py
@@ -32,6 +32,7 @@
     """
 
     __slots__ = (
+        "_digest",
         "address",
         "incarnation",
         "is_leaving",
@@ -61,6 +62,7 @@
         self.version = version
         self.state = state
         self.is_leaving = is_leaving
+        self._digest = 0
 
     def precedence(self) -> tuple:
         """Returns the key that orders records of one incarnation."""
@@ -99,9 +101,11 @@
 
     def digest(self) -> int:
         """Returns a number of 64 bits that stands for the record."""
-        text = repr((self.incarnation, self.precedence()))
-        raw = hashlib.blake2b(text.encode(), digest_size=8).digest()
-        return int.from_bytes(raw, "big")
+        if not self._digest:
+            text = repr((self.incarnation, self.precedence()))
+            raw = hashlib.blake2b(text.encode(), digest_size=8).digest()
+            self._digest = int.from_bytes(raw, "big")
+        return self._digest
 
     def to_body(self) -> list:
         """Returns the record as it is sent."""
--- a/savoryspar/membership/service.py
+++ b/savoryspar/membership/service.py
@@ -24,7 +24,6 @@
     upkeep,
 )
 
-TICK_S = 0.1
 OPEN_TIMEOUT_S = 3.0
 VIEW_AGE_S = 0.2
 
@@ -302,7 +301,7 @@
     def _tick_always(self) -> None:
         while not self._is_stopped:
             self._upkeep.tick(time.monotonic(), time.time())
-            eventlet.sleep(TICK_S)
+            eventlet.sleep(pause.DUE_S)
 
 
 def _oversize() -> exceptions.FrameError:
--- a/savoryspar/membership/table.py
+++ b/savoryspar/membership/table.py
@@ -7,6 +7,7 @@
 
 SUSPECT_AFTER_S = 1.6
 DEAD_AFTER_S = 0.7
+LAG_FACTOR = 4.0
 EVIDENCE_S = 2.5
 """Age at which direct evidence no longer counts."""
 
@@ -184,6 +185,7 @@
         self,
         incarnations: Iterable[str],
         refused_at: Mapping[str, float],
+        lag_s: float,
         now: float,
     ) -> list[str]:
         """Returns those of the neighbours that seem to be dead.
@@ -192,6 +194,8 @@
             incarnations: The neighbours.
             refused_at: When a peer address last refused a connection; no
                 process listens there any more.
+            lag_s: How late this process runs; a busy process waits longer,
+                because what it has not read yet may be evidence.
             now: Monotonic time in seconds.
         """
         return [
@@ -199,7 +203,7 @@
             for incarnation in incarnations
             for heard_at in [self.heard_at(incarnation)]
             for address in [self.records[incarnation].address]
-            if now - heard_at > SUSPECT_AFTER_S
+            if now - heard_at > SUSPECT_AFTER_S + LAG_FACTOR * lag_s
             or refused_at.get(address, float("-inf")) > heard_at
         ]
 
@@ -213,7 +217,7 @@
             and now - self.heard_at(incarnation) > limit_s
         ]
 
-    def expire(self, now: float) -> list[model.Record]:
+    def expire(self, lag_s: float, now: float) -> list[model.Record]:
         """Declares members dead whose suspicion was not refuted in time."""
         changed = []
         for incarnation, at in list(self._suspected_at.items()):
@@ -223,7 +227,7 @@
             elif (
                 record.state == model.State.SUSPECT
                 and record.zone == self.zone
-                and now - at > DEAD_AFTER_S
+                and now - at > DEAD_AFTER_S + LAG_FACTOR * lag_s
             ):
                 self._put(record.changed(state=model.State.DEAD), now)
                 changed.append(self.records[incarnation])
--- a/savoryspar/membership/upkeep.py
+++ b/savoryspar/membership/upkeep.py
@@ -1,7 +1,6 @@
 """What a member does periodically: checks neighbours, links and the clock."""
 
 from collections.abc import Iterable
-import itertools
 
 from savoryspar import log
 from savoryspar.membership import (
@@ -17,8 +16,15 @@
 )
 
 SLOW_TICK_S = 1.0
-EXPLORE_LIMIT = 4
-"""Unknown addresses dialled in one slow tick."""
+EXPLORE_S = 5.0
+"""Time between two tries of unknown addresses while there is a link."""
+
+SETTLE_S = 0.25
+"""Time for which a link must be wanted before it is opened.
+
+A TLS handshake costs some milliseconds on both sides, and while a fleet
+starts, the wanted links change with every member that is learnt of.
+"""
 
 
 class Upkeep:
@@ -32,6 +38,7 @@
         "_beats",
         "_connector",
         "_contexts",
+        "_explored_at",
         "_facts",
         "_gossip",
         "_logger",
@@ -68,6 +75,7 @@
         self._seeds = frozenset(seeds)
         self._missing_since: dict[str, float] = {}
         self._slow_at = float("-inf")
+        self._explored_at = float("-inf")
         self._wanted: tuple[tuple[int, int], frozenset[str]] = (
             (-1, -1),
             frozenset(),
@@ -102,22 +110,30 @@
             self._logger.warning("Resumed after a pause. View not confirmed.")
             self._records.forgive(now)
         wanted = self.wanted(now)
+        # Silence says nothing about a neighbour without a link: the link may
+        # wait for its turn. Such a one is suspected when it grows stale.
         neighbours = [
             incarnation
             for incarnation in wanted
             if self._records.records[incarnation].zone == self._records.zone
+            and (
+                incarnation in self._connector.links
+                or self._records.records[incarnation].address
+                in self._connector.refused_at
+            )
         ]
+        lag_s = self._watcher.lag_s
         silent = self._records.silent(
-            neighbours, self._connector.refused_at, now
+            neighbours, self._connector.refused_at, lag_s, now
         )
         changed = self._records.suspect(silent, now)
-        changed += self._records.expire(now)
+        changed += self._records.expire(lag_s, now)
         if now - self._slow_at >= SLOW_TICK_S:
             self._slow_at = now
             stale = self._records.stale(now)
             changed += self._records.suspect(stale, now)
             self._slow_tick(wanted, now)
-        self._drop_dead(changed)
+        self._drop_dead(changed, now)
         self._gossip.spread(changed, None)
         self._dial_wanted(self.wanted(now), now)
 
@@ -133,13 +149,18 @@
             if record.is_counted()
         }
         unknown = addresses - known - self._connector.open_addresses()
-        # Each member tries them in an order of its own, so that not all dial
-        # the same address first.
-        order = topology.rendezvous(unknown, f"{self._records.own}{now:.0f}")
-        for address in itertools.islice(order, EXPLORE_LIMIT):
+        is_due = (
+            not self._connector.links or now - self._explored_at >= EXPLORE_S
+        )
+        if unknown and is_due and not self._connector.is_dialing():
+            # One at a time: the peer that answers names all others. Each
+            # member tries them in an order of its own, which changes.
+            self._explored_at = now
+            key = f"{self._records.own}/{now:.0f}"
+            address = topology.rendezvous(unknown, key)[0]
             self._connector.dial(address, now)
 
-    def _drop_dead(self, changed: Iterable[model.Record]) -> None:
+    def _drop_dead(self, changed: Iterable[model.Record], now: float) -> None:
         for record in changed:
             if record.state != model.State.DEAD:
                 continue
@@ -148,8 +169,10 @@
                 f" incarnation={record.incarnation}"
             )
             self._facts.drop(record.incarnation)
+            heard_at = self._records.heard_at(record.incarnation)
             link = self._connector.links.get(record.incarnation)
-            if link:
+            # The link of one that still speaks carries its refutation.
+            if link and now - heard_at > table.SUSPECT_AFTER_S:
                 link.abort()
 
     def _dial_wanted(self, wanted: Iterable[str], now: float) -> None:
@@ -159,6 +182,8 @@
             for incarnation in missing
         }
         for incarnation, since in self._missing_since.items():
+            if now - since < SETTLE_S or self._connector.is_dialing():
+                continue
             is_late = now - since >= connector.LATE_DIAL_S
             if self._records.own < incarnation or is_late:
                 record = self._records.records[incarnation]
--- a/savoryspar/standins/members.py
+++ b/savoryspar/standins/members.py
@@ -6,17 +6,20 @@
 
 import eventlet
 
-from savoryspar import conf, membership
+from savoryspar import conf, membership, sheet
 from savoryspar.standins import wsgi
 
 
 class Members:
     """Memberships of one process, driven over HTTP by a test or scenario."""
 
-    __slots__ = ("_members", "_received")
+    __slots__ = ("_members", "_received", "_sheets")
 
     def __init__(self, members: list[membership.Membership]):
         self._members = members
+        self._sheets = [sheet.new_sheet_holder() for _ in members]
+        for member, sheets in zip(members, self._sheets, strict=True):
+            membership.new_sheet_spreader(member, sheets, time.monotonic)
         self._received: list[list[Any]] = [[] for _ in members]
         for member, received in zip(members, self._received, strict=True):
             member.handle("note", _recorder(received))
@@ -29,28 +32,54 @@
         body = exchange.read_json()
         now = time.monotonic()
         if exchange.path == "/stats":
-            return exchange.answer(self._stats(now))
+            is_brief = "brief" in exchange.query
+            return exchange.answer(self._stats(now, is_brief))
         if exchange.path == "/listed":
             for member in self._members:
                 member.set_listed(body["addresses"])
-        member = self._members[body.get("member", 0)]
+        number = body.get("member", 0)
+        member = self._members[number]
+        if exchange.path == "/sheet":
+            offered = sheet.parse_csv(body["text"], body["revision"])
+            self._sheets[number].offer(offered, "test", now)
         if exchange.path == "/request":
             return exchange.answer(_request(member, body))
         if exchange.path == "/broadcast":
             member.broadcast("note", body["body"])
         if exchange.path == "/fact":
-            member.publish_fact(body["name"], body["body"])
+            for each in self._members:
+                each.publish_fact(body["name"], body["body"])
         if exchange.path == "/stop":
             member.stop(now)
         return exchange.answer({})
 
-    def _stats(self, now: float) -> dict[str, Any]:
+    def _stats(self, now: float, is_brief: bool) -> dict[str, Any]:
+        if is_brief:
+            return {
+                "cpu_s": time.process_time(),
+                "members": [
+                    {
+                        "count": len(member.view(now).members),
+                        "revision": sheets.revision,
+                        "traffic": member.connector.traffic(),
+                    }
+                    for member, sheets in zip(
+                        self._members, self._sheets, strict=True
+                    )
+                ],
+            }
         return {
             "cpu_s": time.process_time(),
             "members": [
-                {**_member_stats(member, now), "received": received}
-                for member, received in zip(
-                    self._members, self._received, strict=True
+                {
+                    **_member_stats(member, now),
+                    "received": received,
+                    "revision": sheets.revision,
+                    "digest": sheets.current and sheets.current.digest,
+                    "conflict": str(sheets.conflict or ""),
+                }
+                for member, received, sheets in zip(
+                    self._members, self._received, self._sheets, strict=True
                 )
             ],
         }
