--- a/savoryspar/bench/fleet.py
+++ b/savoryspar/bench/fleet.py
@@ -245,16 +245,19 @@
 
     def publish_vms(self) -> None:
         """Publishes the VM list as the fleet has it."""
-        vms = [
-            {
-                **vm,
-                "address": self.processes[vm["name"]].address,
-                "peer_address": self.processes[vm["name"]].peer_address,
-            }
-            for vm in self.vms
-        ]
+        # An address that is named goes first: it may be a proxy's.
+        vms = [{**self._addresses(vm["name"]), **vm} for vm in self.vms]
         self.control(self.platform, {"vms": vms})
 
+    def _addresses(self, name: str) -> dict[str, str]:
+        process = self.processes.get(name)
+        if process is None:
+            return {}
+        return {
+            "address": process.address,
+            "peer_address": process.peer_address,
+        }
+
     def publish_sheet(
         self, text: str, revision: int, previous_text: str = ""
     ) -> None:
