Add the fault-injecting proxy stand-in

Tests of partitions need cuts between two processes that neither of them can see. The proxy delays, cuts one or both directions, resets, refuses and reorders connections by a seed; POST /control on a port of its own changes the faults, and Fleet.put_proxy puts one before any process.

--- a/savoryspar/bench/fleet.py
+++ b/savoryspar/bench/fleet.py
@@ -46,6 +46,11 @@
         """Base URL of the process."""
         return f"http://{self.address}"
 
+    @property
+    def control_url(self) -> str:
+        """Base URL of ``/control``."""
+        return self.url
+
     def pause(self) -> None:
         """Stops the process in place (SIGSTOP)."""
         self.popen.send_signal(signal.SIGSTOP)
@@ -68,6 +73,17 @@
         return self.popen.wait(timeout_s)
 
 
+class Proxy(Process):
+    """A fault-injecting proxy, which has a control port of its own."""
+
+    __slots__ = ("control_port",)
+
+    @property
+    def control_url(self) -> str:
+        """Base URL of ``/control``."""
+        return f"http://127.0.0.1:{self.control_port}"
+
+
 class Fleet:
     """Processes that end with the fleet; use it as a context manager.
 
@@ -185,6 +201,29 @@
         )
         return process
 
+    def start_proxy(self, name: str, target: str, seed: int = 1) -> Proxy:
+        """Starts a fault-injecting proxy to ``IP:port``."""
+        started = self.start(
+            name,
+            ["standin", "fault-proxy", f"--target={target}", f"--seed={seed}"],
+        )
+        proxy = Proxy(name, started.popen, started.port)
+        proxy.control_port = _read_port(started.popen, "control")
+        self.processes[name] = proxy
+        return proxy
+
+    def put_proxy(self, process: Process, seed: int = 1) -> Proxy:
+        """Puts a proxy before a process, in the VM list and as platform.
+
+        Processes that are started, and VM lists that are published, before
+        this call still name the process itself.
+        """
+        proxy = self.start_proxy(f"proxy-{process.name}", process.address, seed)
+        for vm in self.vms:
+            if vm["address"] == process.address:
+                vm["address"] = proxy.address
+        return proxy
+
     def publish_vms(self) -> None:
         """Publishes the VM list as the fleet has it."""
         self.control(self.platform, {"vms": self.vms})
@@ -205,7 +244,9 @@
     def control(self, process: Process, body: Mapping[str, Any]) -> Any:
         """Changes how a stand-in behaves."""
         resp = self.http.request(
-            "POST", f"{process.url}/control", body=json.dumps(body).encode()
+            "POST",
+            f"{process.control_url}/control",
+            body=json.dumps(body).encode(),
         )
         return json.loads(resp.data)
 
@@ -230,14 +271,14 @@
                 time.sleep(0.05)
 
 
-def _read_port(popen: subprocess.Popen) -> int:
+def _read_port(popen: subprocess.Popen, label: str = "listening") -> int:
     timer = threading.Timer(START_TIMEOUT_S, popen.kill)
     timer.start()
     try:
         line = popen.stdout.readline().decode()
     finally:
         timer.cancel()
-    if not line.startswith("listening "):
+    if not line.startswith(f"{label} "):
         raise RuntimeError(f"process {popen.args} did not start: {line!r}")
     return int(line.split()[1])
 
--- a/savoryspar/cli/standin.py
+++ b/savoryspar/cli/standin.py
@@ -6,6 +6,7 @@
 from savoryspar.cli import exit_codes
 from savoryspar.standins import (
     engine,
+    fault_proxy,
     plain_relay,
     platform,
     pool,
@@ -53,13 +54,28 @@
             ),
         }
         kind = self.argument("kind")
+        if kind == "fault-proxy":
+            return self._serve_fault_proxy()
         if kind not in factories:
-            self.line_error(f"unknown stand-in {kind!r}; use {[*factories]}")
+            self.line_error(
+                f"unknown stand-in {kind!r}; use {[*factories, 'fault-proxy']}"
+            )
             return exit_codes.USAGE
         server = factories[kind]()
         wsgi.serve("127.0.0.1", int(self.option("port")), server.handle)
         return exit_codes.OK
 
+    def _serve_fault_proxy(self) -> int:
+        proxy = fault_proxy.new_fault_proxy(
+            self.option("target"),
+            int(self.option("seed")),
+            int(self.option("port")),
+        )
+        self.line(f"listening {proxy.port}")
+        self.io.output.flush()
+        wsgi.serve("127.0.0.1", 0, proxy.handle, "control")
+        return exit_codes.OK
+
     def _new_pool_server(self) -> pool.PoolServer:
         return pool.new_pool_server(
             self.option("name"), float(self.option("work-ms"))
--- /dev/null
+++ b/savoryspar/standins/fault_proxy.py
@@ -0,0 +1,266 @@
+"""A TCP proxy that injects faults between two processes.
+
+Faults are set by ``POST /control`` on a port of its own, so that they can be
+set while the proxy refuses connections. A cut holds bytes back as a network
+that loses packets does: TCP sends them again, so they arrive after the cut.
+"""
+
+from collections.abc import Mapping
+import contextlib
+import random
+import socket
+import struct
+import time
+from typing import Any
+
+import eventlet
+from eventlet import event, queue
+import greenlet
+
+from savoryspar.standins import wsgi
+
+RECEIVE_BYTES = 65536
+QUEUE_PIECES = 256
+DIRECTIONS = ("up", "down")
+"""From the client to the target, and back."""
+CUTS = {"none": (), "up": ("up",), "down": ("down",), "both": DIRECTIONS}
+LINGER_RESET = struct.pack("ii", 1, 0)
+"""SO_LINGER value with which closing a socket resets the connection."""
+MAX_RESET_BYTES = 4096
+
+
+class Faults:
+    """The faults in effect.
+
+    Attributes:
+        delay_ms: Time that each piece of data is held.
+        jitter_ms: Largest random time added to it.
+        cut: Direction that is black-holed: none, up, down or both.
+        refuse: Whether new connections are refused.
+        reset_percent: Share of new connections that are reset after a random
+            number of bytes.
+        reorder_ms: Largest random time that a new connection waits before it
+            reaches the target, which changes the connections' order.
+    """
+
+    __slots__ = (
+        "cut",
+        "delay_ms",
+        "jitter_ms",
+        "refuse",
+        "reorder_ms",
+        "reset_percent",
+    )
+
+    def __init__(self) -> None:
+        self.delay_ms = 0.0
+        self.jitter_ms = 0.0
+        self.cut = "none"
+        self.refuse = False
+        self.reset_percent = 0.0
+        self.reorder_ms = 0.0
+
+    def change(self, document: Mapping[str, Any]) -> None:
+        """Sets the given faults; the others stay.
+
+        Raises:
+            ValueError: A fault does not exist, or its value is not usable.
+        """
+        unknown = set(document) - set(self.__slots__)
+        if unknown:
+            raise ValueError(
+                f"unknown faults {sorted(unknown)}; use {[*self.__slots__]}"
+            )
+        if document.get("cut", "none") not in CUTS:
+            raise ValueError(
+                f"cut {document['cut']!r} does not exist; use {[*CUTS]}"
+            )
+        for name, value in document.items():
+            setattr(self, name, value)
+
+    def to_document(self) -> dict[str, Any]:
+        """Returns the faults as a JSON object."""
+        return {name: getattr(self, name) for name in self.__slots__}
+
+
+class FaultProxy:
+    """Passes connections on to a target, with faults."""
+
+    __slots__ = (
+        "_acceptor",
+        "_address",
+        "_changed",
+        "_faults",
+        "_links",
+        "_listener",
+        "_rng",
+        "_target",
+        "connections",
+    )
+
+    def __init__(self, target: tuple[str, int], seed: int, port: int):
+        self._target = target
+        self._rng = random.Random(seed)
+        self._faults = Faults()
+        self._changed = event.Event()
+        self._links: set[Link] = set()
+        self.connections = 0
+        self._address = ("127.0.0.1", port)
+        self._listener: Any = None
+        self._acceptor: Any = None
+        self._open_listener()
+        self._address = self._listener.getsockname()
+
+    @property
+    def port(self) -> int:
+        """Port that is passed on to the target."""
+        return self._address[1]
+
+    def handle(self, exchange: wsgi.Exchange) -> Any:
+        """Answers one request to the control port."""
+        if exchange.path != "/control":
+            return exchange.answer({"error": "no such path"}, "404 Not Found")
+        document = exchange.read_json()
+        is_reset = document.pop("reset", False)
+        try:
+            self._faults.change(document)
+        except ValueError as exc:
+            return exchange.answer({"error": str(exc)}, "400 Bad Request")
+        self._apply(is_reset)
+        return exchange.answer(
+            {**self._faults.to_document(), "connections": self.connections}
+        )
+
+    def _apply(self, is_reset: bool) -> None:
+        if self._faults.refuse and self._listener:
+            self._acceptor.kill()
+            self._listener.close()
+            self._listener = None
+        elif not self._faults.refuse and not self._listener:
+            self._open_listener()
+        if is_reset:
+            for link in [*self._links]:
+                link.reset()
+        changed, self._changed = self._changed, event.Event()
+        changed.send(None)
+
+    def _open_listener(self) -> None:
+        self._listener = eventlet.listen(self._address, backlog=1024)
+        self._acceptor = eventlet.spawn(self._accept, self._listener)
+
+    def _accept(self, listener: Any) -> None:
+        while True:
+            sock, _ = listener.accept()
+            self.connections += 1
+            # Drawn here, in the order of arrival, so that a seed repeats.
+            wait_s = self._rng.random() * self._faults.reorder_ms / 1000.0
+            is_reset = self._rng.random() * 100.0 < self._faults.reset_percent
+            limit = self._rng.randrange(MAX_RESET_BYTES) if is_reset else -1
+            eventlet.spawn(self._connect, sock, wait_s, limit)
+
+    def _connect(self, sock: Any, wait_s: float, limit: int) -> None:
+        eventlet.sleep(wait_s)
+        self.wait_uncut("up")
+        try:
+            target = eventlet.connect(self._target)
+        except OSError:
+            sock.close()
+            return
+        link = Link(self, sock, target)
+        self._links.add(link)
+        link.run(limit)
+        self._links.discard(link)
+
+    def wait_uncut(self, way: str) -> None:
+        """Waits until the direction is not cut."""
+        while way in CUTS[self._faults.cut]:
+            self._changed.wait()
+
+    def delay_s(self) -> float:
+        """Returns how long the next piece of data is held, in seconds."""
+        jitter_ms = self._rng.random() * self._faults.jitter_ms
+        return (self._faults.delay_ms + jitter_ms) / 1000.0
+
+
+class Link:
+    """One connection through the proxy."""
+
+    __slots__ = ("_client", "_proxy", "_target", "_threads")
+
+    def __init__(self, proxy: FaultProxy, client: Any, target: Any):
+        self._proxy = proxy
+        self._client = client
+        self._target = target
+        self._threads: list[Any] = []
+
+    def run(self, limit: int) -> None:
+        """Passes bytes both ways until both ways have ended.
+
+        Args:
+            limit: Bytes from the client after which the connection is reset;
+                -1 for never.
+        """
+        for source, sink, way, most in (
+            (self._client, self._target, "up", limit),
+            (self._target, self._client, "down", -1),
+        ):
+            pieces: queue.LightQueue = queue.LightQueue(QUEUE_PIECES)
+            self._threads += [
+                eventlet.spawn(self._read, pieces, source, way, most),
+                eventlet.spawn(self._write, pieces, sink, way),
+            ]
+        for thread in self._threads:
+            with contextlib.suppress(greenlet.GreenletExit):
+                thread.wait()
+        self._client.close()
+        self._target.close()
+
+    def reset(self) -> None:
+        """Resets the connection on both sides."""
+        for sock in (self._client, self._target):
+            with contextlib.suppress(OSError):
+                sock.setsockopt(
+                    socket.SOL_SOCKET, socket.SO_LINGER, LINGER_RESET
+                )
+        # A socket must not be closed while a green thread waits for it;
+        # ``run`` closes both after the last one has ended.
+        for thread in self._threads:
+            if thread is not eventlet.getcurrent():
+                thread.kill()
+
+    def _read(
+        self, pieces: queue.LightQueue, source: Any, way: str, limit: int
+    ) -> None:
+        passed = 0
+        try:
+            while data := source.recv(RECEIVE_BYTES):
+                passed += len(data)
+                if 0 <= limit < passed:
+                    self.reset()
+                    return
+                pieces.put((time.monotonic() + self._proxy.delay_s(), data))
+        except OSError:
+            # A connection that broke on one side breaks on the other too.
+            self._proxy.wait_uncut(way)
+            self.reset()
+            return
+        pieces.put((time.monotonic() + self._proxy.delay_s(), b""))
+
+    def _write(self, pieces: queue.LightQueue, sink: Any, way: str) -> None:
+        data = b"-"
+        while data:
+            due_at, data = pieces.get()
+            eventlet.sleep(max(0.0, due_at - time.monotonic()))
+            self._proxy.wait_uncut(way)
+            # The reader goes on, so that it notices the source's end.
+            with contextlib.suppress(OSError):
+                if data:
+                    sink.sendall(data)
+                else:
+                    sink.shutdown(socket.SHUT_WR)
+
+
+def new_fault_proxy(target: str, seed: int, port: int) -> FaultProxy:
+    """Returns a proxy to ``IP:port`` that listens already."""
+    host, _, target_port = target.rpartition(":")
+    return FaultProxy((host, int(target_port)), seed, port)
--- a/savoryspar/standins/wsgi.py
+++ b/savoryspar/standins/wsgi.py
@@ -55,10 +55,12 @@
 Handler = Callable[[Exchange], Iterable[bytes]]
 
 
-def serve(address: str, port: int, handler: Handler) -> None:
+def serve(
+    address: str, port: int, handler: Handler, label: str = "listening"
+) -> None:
     """Serves the handler until the process ends; prints the port first."""
     sock = eventlet.listen((address, port), backlog=1024)
-    print(f"listening {sock.getsockname()[1]}", flush=True)
+    print(f"{label} {sock.getsockname()[1]}", flush=True)
 
     def app(environ: dict[str, Any], start_response: Callable) -> Any:
         return handler(Exchange(environ, start_response))
--- /dev/null
+++ b/tests/standins/test_fault_proxy.py
@@ -0,0 +1,137 @@
+"""Tests of the fault-injecting proxy, with an echo server of the test."""
+
+import contextlib
+import json
+import socket
+import threading
+
+import testtools
+
+from savoryspar.bench import deployments
+from savoryspar.bench import fleet as fleet_lib
+
+SHORT_S = 0.3
+LONG_S = 10.0
+
+
+class EchoServer:
+    """Sends back what it receives and keeps the order of first bytes."""
+
+    def __init__(self):
+        self.seen = []
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.address = f"127.0.0.1:{self.listener.getsockname()[1]}"
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def _accept(self):
+        with contextlib.suppress(OSError):
+            while True:
+                sock, _ = self.listener.accept()
+                threading.Thread(
+                    target=self._echo, args=(sock,), daemon=True
+                ).start()
+
+    def _echo(self, sock):
+        with contextlib.suppress(OSError), sock:
+            while data := sock.recv(65536):
+                self.seen.append(data)
+                sock.sendall(data)
+
+
+class FaultProxyTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.fleet = fleet_lib.Fleet()
+        self.addCleanup(self.fleet.close)
+        self.echo = EchoServer()
+        self.addCleanup(self.echo.listener.close)
+        self.proxy = self.fleet.start_proxy("proxy", self.echo.address, 5)
+
+    def connect(self):
+        sock = socket.create_connection(("127.0.0.1", self.proxy.port), LONG_S)
+        self.addCleanup(sock.close)
+        return sock
+
+    def test_cut_holds_bytes_in_one_direction_until_it_heals(self):
+        """A cut that lost bytes would corrupt streams, as no network does."""
+        sock = self.connect()
+        sock.sendall(b"a")
+        self.assertEqual(b"a", sock.recv(9))
+        self.fleet.control(self.proxy, {"cut": "down"})
+        sock.sendall(b"b")
+        sock.settimeout(SHORT_S)
+        self.assertRaises(TimeoutError, sock.recv, 9)
+        self.assertEqual([b"a", b"b"], self.echo.seen)
+        self.fleet.control(self.proxy, {"cut": "up"})
+        sock.settimeout(LONG_S)
+        self.assertEqual(b"b", sock.recv(9))
+        sock.sendall(b"c")
+        sock.settimeout(SHORT_S)
+        self.assertRaises(TimeoutError, sock.recv, 9)
+        self.assertEqual([b"a", b"b"], self.echo.seen)
+        self.fleet.control(self.proxy, {"cut": "none"})
+        sock.settimeout(LONG_S)
+        self.assertEqual(b"c", sock.recv(9))
+
+    def test_reset_and_refusal(self):
+        """Tests of lost connections need real resets and refusals."""
+        sock = self.connect()
+        sock.sendall(b"a")
+        self.assertEqual(b"a", sock.recv(9))
+        self.fleet.control(self.proxy, {"refuse": True, "reset": True})
+        self.assertRaises(ConnectionResetError, sock.recv, 9)
+        self.assertRaises(ConnectionRefusedError, self.connect)
+        self.fleet.control(self.proxy, {"refuse": False})
+        sock = self.connect()
+        sock.sendall(b"b")
+        self.assertEqual(b"b", sock.recv(9))
+
+    def test_connections_are_reordered(self):
+        """A proxy that keeps the order would hide races."""
+        self.fleet.control(self.proxy, {"reorder_ms": 300})
+        socks = [self.connect() for _ in range(12)]
+        for number, sock in enumerate(socks):
+            sock.sendall(b"%d" % number)
+        for number, sock in enumerate(socks):
+            self.assertEqual(b"%d" % number, sock.recv(9))
+        self.assertNotEqual(sorted(self.echo.seen, key=int), self.echo.seen)
+
+    def test_end_of_the_target_reaches_the_client(self):
+        """A connection left open would hide a crash."""
+        sock = self.connect()
+        sock.sendall(b"a")
+        self.assertEqual(b"a", sock.recv(9))
+        sock.shutdown(socket.SHUT_WR)
+        self.assertEqual(b"", sock.recv(9))
+
+    def test_unknown_fault_is_refused(self):
+        """A misspelt fault would make a test pass without it."""
+        answer = self.fleet.control(self.proxy, {"delay": 5})
+        self.assertIn("unknown faults", answer["error"])
+
+
+class EntryBehindProxyTest(testtools.TestCase):
+    def test_stream_behind_a_broken_engine_link_is_resumed(self):
+        """A cut link to an engine must not cost the caller its answer."""
+        with fleet_lib.Fleet() as fleet:
+            entry = deployments.start(
+                deployments.GESTO, fleet, entries=1, backends_share=0.25
+            )[0]
+            proxy = fleet.put_proxy(fleet.processes["jurado-lm-0"], 3)
+            fleet.control(proxy, {"reset_percent": 60})
+            fleet.publish_vms()
+            body = {
+                "model": "archive-digest",
+                "stream": True,
+                "max_tokens": 20,
+                "messages": [{"role": "user", "content": "Guion " * 600}],
+            }
+            for _ in range(12):
+                resp = fleet.http.request(
+                    "POST",
+                    f"{entry.url}/v1/chat/completions",
+                    body=json.dumps(body).encode(),
+                    headers={"Authorization": "Bearer key-calle-libre"},
+                )
+                self.assertIn(b"[DONE]", resp.data)
+                self.assertEqual(20, resp.data.count(b'"content": "'))
