--- a/savoryspar/bench/catalog.py
+++ b/savoryspar/bench/catalog.py
@@ -3,8 +3,12 @@
 from collections.abc import Callable, Mapping
 
 from savoryspar.bench import results
+from savoryspar.bench.scenarios import scheduling_decisions
 
 Scenario = Callable[[int], list[results.Row]]
 """Runs a scenario with a seed and returns its rows."""
 
-SCENARIOS: Mapping[str, Scenario] = {}
+SCENARIOS: Mapping[str, Scenario] = {
+    "sched-decisions": scheduling_decisions.run_decisions,
+    "sched-zone": scheduling_decisions.run_zone,
+}
