--- a/savoryspar/bench/catalog.py
+++ b/savoryspar/bench/catalog.py
@@ -3,12 +3,14 @@
 from collections.abc import Callable, Mapping
 
 from savoryspar.bench import results
-from savoryspar.bench.scenarios import scheduling_decisions
+from savoryspar.bench.scenarios import relay, scheduling_decisions
 
 Scenario = Callable[[int], list[results.Row]]
 """Runs a scenario with a seed and returns its rows."""
 
 SCENARIOS: Mapping[str, Scenario] = {
+    "relay-cost": relay.relay_cost,
+    "relay-gap": relay.relay_gap,
     "sched-decisions": scheduling_decisions.run_decisions,
     "sched-zone": scheduling_decisions.run_zone,
 }
--- a/savoryspar/bench/fleet.py
+++ b/savoryspar/bench/fleet.py
@@ -1,9 +1,10 @@
 """A fleet of real processes on loopback, for the demo, tests and bench."""
 
-from collections.abc import Mapping, Sequence
+from collections.abc import Callable, Mapping, Sequence
 import json
 import os
 import pathlib
+import re
 import signal
 import subprocess
 import sys
@@ -15,9 +16,12 @@
 import urllib3
 
 from savoryspar import sheet
+from savoryspar.bench import keys
 
 START_TIMEOUT_S = 20.0
 STOP_TIMEOUT_S = 15.0
+TICKET_KEYS = "fleet:" + "5a" * 32
+"""Key with which all entry processes of a fleet sign tickets."""
 
 
 class Process:
@@ -25,22 +29,41 @@
 
     Attributes:
         name: Name in the fleet.
-        port: TCP port that it printed.
         popen: The process.
     """
 
-    __slots__ = ("name", "popen", "port")
+    __slots__ = ("_ports", "name", "popen")
 
-    def __init__(self, name: str, popen: subprocess.Popen, port: int):
+    def __init__(self, name: str, popen: subprocess.Popen):
         self.name = name
         self.popen = popen
-        self.port = port
+        self._ports: tuple[int, int] | None = None
+
+    @property
+    def port(self) -> int:
+        """TCP port that the process printed; waits for it the first time."""
+        return self._read()[0]
+
+    @property
+    def peer_port(self) -> int:
+        """TCP port for peers that the process printed, 0 if none."""
+        return self._read()[1]
+
+    def _read(self) -> tuple[int, int]:
+        if self._ports is None:
+            self._ports = _read_ports(self.popen)
+        return self._ports
 
     @property
     def address(self) -> str:
         """``IP:port`` of the process."""
         return f"127.0.0.1:{self.port}"
 
+    @property
+    def peer_address(self) -> str:
+        """``IP:port`` at which peers reach the process."""
+        return f"127.0.0.1:{self.peer_port}"
+
     @property
     def url(self) -> str:
         """Base URL of the process."""
@@ -83,6 +106,7 @@
         self.vms: list[dict[str, Any]] = []
         self.http = urllib3.PoolManager(maxsize=64, retries=False)
         self.platform: Process | None = None
+        self.ca = keys.new_test_ca(self.directory / "keys")
 
     def __enter__(self) -> "Fleet":
         return self
@@ -99,7 +123,11 @@
         self._temporary.cleanup()
 
     def start(self, name: str, arguments: Sequence[str]) -> Process:
-        """Starts ``savoryspar`` with the arguments and waits for its port."""
+        """Starts ``savoryspar`` with the arguments and does not wait for it.
+
+        Many processes thus start at the same time; the first use of a
+        process's port waits until it listens.
+        """
         with open(self.directory / f"{name}.log", "wb") as log_file:
             popen = subprocess.Popen(
                 [sys.executable, "-m", "savoryspar", *arguments],
@@ -107,7 +135,7 @@
                 stderr=log_file,
                 env={**os.environ, "PYTHONUNBUFFERED": "1"},
             )
-        process = Process(name, popen, _read_port(popen))
+        process = Process(name, popen)
         self.processes[name] = process
         return process
 
@@ -136,7 +164,6 @@
         self.vms.append(
             {
                 "name": name,
-                "address": process.address,
                 "region": region,
                 "zone": zone,
                 "role": "backend",
@@ -167,6 +194,8 @@
                 "vm_list_url": self.platform.url,
                 "vm_list_interval_s": 0.2,
             },
+            "membership": dict(self.ca.issue(name).settings()),
+            "idempotency": {"ticket_keys": TICKET_KEYS},
         }
         for section, values in settings.items():
             sections.setdefault(section, {}).update(values)
@@ -176,7 +205,6 @@
         self.vms.append(
             {
                 "name": name,
-                "address": process.address,
                 "region": region,
                 "zone": zone,
                 "role": "entry",
@@ -185,9 +213,47 @@
         )
         return process
 
+    def start_members(
+        self,
+        name: str,
+        zones: int = 1,
+        first: int = 0,
+        count: int = 1,
+        settings: Mapping[str, object] = {},
+    ) -> Process:
+        """Starts a process of members that serve no callers."""
+        sections = {
+            "entry": {
+                "name": name,
+                "region": "r0",
+                "zone": "z0",
+                "listen_port": 0,
+            },
+            "platform": {
+                "config_url": "http://127.0.0.1:9",
+                "vm_list_url": "http://127.0.0.1:9",
+            },
+            "membership": {**self.ca.issue(name).settings(), **settings},
+        }
+        path = self.directory / f"{name}.ini"
+        path.write_text(_ini(sections))
+        numbers = {"--zones": zones, "--first": first, "--count": count}
+        options = [str(text) for item in numbers.items() for text in item]
+        return self.start(
+            name, ["standin", "members", "--config", str(path), *options]
+        )
+
     def publish_vms(self) -> None:
         """Publishes the VM list as the fleet has it."""
-        self.control(self.platform, {"vms": self.vms})
+        vms = [
+            {
+                **vm,
+                "address": self.processes[vm["name"]].address,
+                "peer_address": self.processes[vm["name"]].peer_address,
+            }
+            for vm in self.vms
+        ]
+        self.control(self.platform, {"vms": vms})
 
     def publish_sheet(
         self, text: str, revision: int, previous_text: str = ""
@@ -204,15 +270,40 @@
 
     def control(self, process: Process, body: Mapping[str, Any]) -> Any:
         """Changes how a stand-in behaves."""
+        return self.post_json(process, "/control", body)
+
+    def post_json(
+        self, process: Process, path: str, body: Mapping[str, Any]
+    ) -> Any:
+        """Sends a JSON document to a process and returns its answer."""
         resp = self.http.request(
-            "POST", f"{process.url}/control", body=json.dumps(body).encode()
+            "POST", process.url + path, body=json.dumps(body).encode()
         )
         return json.loads(resp.data)
 
+    def operator_url(self, entry: Process) -> str:
+        """Returns the URL of the operators' port that an entry logged."""
+        pattern = re.compile(r"Serving operators\. port=(\d+)")
+        self.wait_until(lambda: bool(pattern.search(self.log_text(entry.name))))
+        found = pattern.search(self.log_text(entry.name))
+        return f"http://127.0.0.1:{found.group(1)}"
+
     def get_json(self, process: Process, path: str) -> Any:
         """Reads a JSON document from a process."""
         return json.loads(self.http.request("GET", process.url + path).data)
 
+    def wait_until(self, is_met: Callable[[], bool]) -> None:
+        """Waits until a condition is met.
+
+        Raises:
+            TimeoutError: It was not met in time.
+        """
+        deadline_at = time.monotonic() + START_TIMEOUT_S
+        while not is_met():
+            if time.monotonic() > deadline_at:
+                raise TimeoutError("the condition was not met in time")
+            time.sleep(0.02)
+
     def wait_ready(self, *names: str) -> None:
         """Waits until the entry processes are ready.
 
@@ -230,7 +321,7 @@
                 time.sleep(0.05)
 
 
-def _read_port(popen: subprocess.Popen) -> int:
+def _read_ports(popen: subprocess.Popen) -> tuple[int, int]:
     timer = threading.Timer(START_TIMEOUT_S, popen.kill)
     timer.start()
     try:
@@ -239,7 +330,8 @@
         timer.cancel()
     if not line.startswith("listening "):
         raise RuntimeError(f"process {popen.args} did not start: {line!r}")
-    return int(line.split()[1])
+    words = line.split()
+    return int(words[1]), int(words[3]) if len(words) > 3 else 0
 
 
 def _ini(sections: Mapping[str, Mapping[str, object]]) -> str:
--- a/savoryspar/cli/wiring.py
+++ b/savoryspar/cli/wiring.py
@@ -1,15 +1,14 @@
 """Builds the parts of an entry process and connects them."""
 
-from collections.abc import Callable, Iterable, Mapping
 import time
 
-import eventlet
-
 from savoryspar import (
     backends,
     conf,
     http,
+    idempotency,
     log,
+    membership,
     metrics,
     pipelines,
     platform,
@@ -17,163 +16,123 @@
     scheduling,
     sheet,
 )
-
-RETRY_S = 0.5
-POLL_S = 0.05
-"""Time after which slots that appear without a release are granted."""
-SCHEDULING_FACT = "scheduling"
+from savoryspar.cli import duties, links, node, suspects
 
 
-class Node:
-    """The parts of one entry process.
+def new_node(cfg: conf.Settings) -> node.Node:
+    """Builds an entry process from its settings.
 
-    Attributes:
-        server: The callers' server.
-        sheets: The sheet in force.
-        scheduler: The scheduler.
+    Raises:
+        MembershipError: The certificates cannot be loaded.
+        OSError: A port is in use.
     """
-
-    __slots__ = (
-        "_app",
-        "_cfg",
-        "_config_client",
-        "_logger",
-        "_router",
-        "_vm_list",
-        "scheduler",
-        "server",
-        "sheets",
+    sheets = sheet.new_sheet_holder()
+    decisions = log.new_decision_log(cfg.log.decision_sample_percent)
+    members = membership.new_membership(cfg, time.monotonic(), time.time())
+    membership.new_sheet_spreader(members, sheets, time.monotonic)
+    router = routing.new_router(decisions, routing.new_options(cfg))
+    suspects.share_suspects(router.suspects, members)
+    client = backends.new_client()
+    scheduler = _new_scheduler(cfg, router, decisions, sheets, members)
+    runner = pipelines.new_runner(
+        sheets.get, scheduler, router, client, time.monotonic
     )
-
-    def __init__(
-        self,
-        cfg: conf.Settings,
-        app: http.App,
-        server: http.Server,
-        sheets: sheet.SheetHolder,
-        router: routing.Router,
-        scheduler: scheduling.Scheduler,
-        config_client: platform.ConfigClient,
-        vm_list: platform.VmListClient,
-    ):
-        self._cfg = cfg
-        self._app = app
-        self.server = server
-        self.sheets = sheets
-        self._router = router
-        self.scheduler = scheduler
-        self._config_client = config_client
-        self._vm_list = vm_list
-        self._logger = log.new_logger("entry")
-
-    def start(self) -> None:
-        """Starts the server and the background duties."""
-        self.server.start()
-        eventlet.spawn(self._follow_sheet)
-        eventlet.spawn(self._follow_vm_list)
-        eventlet.spawn(self._poll_scheduler)
-
-    def stop(self) -> None:
-        """Leaves: not ready first, then finishes every request."""
-        self._app.is_draining = True
-        self._logger.notice("Draining.")
-        eventlet.sleep(self._cfg.entry.drain_notice_s)
-        self.server.stop()
-        self._logger.notice("Stopped. Every request was answered.")
-
-    def _follow_sheet(self) -> None:
-        while True:
-            try:
-                self._config_client.watch(
-                    self.sheets.revision, self._cfg.platform.watch_timeout_s
-                )
-                sheet.refresh(
-                    self._config_client, self.sheets, time.monotonic()
-                )
-            except platform.PlatformError as exc:
-                self._logger.warning(f"Configuration not read. {exc}")
-                eventlet.sleep(RETRY_S)
-
-    def _poll_scheduler(self) -> None:
-        while True:
-            eventlet.sleep(POLL_S)
-            self.scheduler.poll(time.monotonic())
-
-    def _follow_vm_list(self) -> None:
-        while True:
-            try:
-                servers = [
-                    backends.Server(
-                        vm.name, vm.address, vm.region, vm.zone, vm.pool
-                    )
-                    for vm in self._vm_list.read()
-                    if vm.role == "backend" and not vm.is_leaving
-                ]
-                self._router.replace_servers(servers, time.monotonic())
-            except platform.PlatformError as exc:
-                self._logger.warning(f"VM list not read. {exc}")
-            eventlet.sleep(self._cfg.platform.vm_list_interval_s)
-
-
-def connect_scheduler(
-    scheduler: scheduling.Scheduler,
-    own: str,
-    live_peers: Callable[[float], Iterable[str]],
-    publish_fact: Callable[[str, dict], None],
-    peer_facts: Callable[[str, float], Mapping[str, dict]],
-    interval_s: float,
-) -> None:
-    """Divides slots and compares service with the zone's peers from now on.
-
-    Args:
-        scheduler: The scheduler of this process.
-        own: Incarnation of this process.
-        live_peers: Returns the incarnations of the zone's live peers.
-        publish_fact: Puts a fact into the own heartbeats: (name, body).
-        peer_facts: Returns the facts of the zone's peers: (name, now).
-        interval_s: Time between two reports.
-    """
-    scheduler.peers.connect(own, live_peers)
-
-    def exchange() -> None:
-        while True:
-            now = time.monotonic()
-            publish_fact(SCHEDULING_FACT, scheduler.service_report(now))
-            facts = peer_facts(SCHEDULING_FACT, now)
-            for incarnation, report in facts.items():
-                scheduler.take_peer_report(incarnation, report, now)
-            eventlet.sleep(interval_s)
-
-    eventlet.spawn(exchange)
+    desk = _new_order_desk(
+        cfg,
+        members,
+        pipelines.new_order_runner(sheets.get, runner, time.monotonic),
+    )
+    suspect_fetch = suspects.SuspectFetch(router.suspects, members)
+    app = http.new_app(
+        cfg,
+        sheets.get,
+        runner,
+        metrics.new_metrics(),
+        time.monotonic,
+        lambda: _missing(sheets, router, suspect_fetch),
+        desk,
+    )
+    parts = node.Parts(
+        app=app,
+        decisions=decisions,
+        desk=desk,
+        members=members,
+        reports=routing.new_report_reader(router, client),
+        router=router,
+        scheduler=scheduler,
+        server=http.new_server(app, cfg),
+        sheet_watch=_new_sheet_watch(cfg, members, sheets),
+        sheets=sheets,
+        suspect_fetch=suspect_fetch,
+        vm_list=platform.new_vm_list_client(cfg.platform.vm_list_url),
+    )
+    return node.Node(cfg, parts)
 
 
-def new_node(cfg: conf.Settings) -> Node:
-    """Builds an entry process from its settings."""
-    sheets = sheet.new_sheet_holder()
-    router = routing.new_router(
-        log.new_decision_log(cfg.log.decision_sample_percent)
-    )
+def _new_scheduler(
+    cfg: conf.Settings,
+    router: routing.Router,
+    decisions: log.DecisionLog,
+    sheets: sheet.SheetHolder,
+    members: membership.Membership,
+) -> scheduling.Scheduler:
     scheduler = scheduling.new_scheduler(
-        router.capacity,
-        cfg.scheduling,
-        decisions=log.new_decision_log(cfg.log.decision_sample_percent),
+        router.capacity, cfg.scheduling, decisions=decisions
     )
+    own = members.view(time.monotonic()).own.incarnation
+    scheduler.peers.connect(own, lambda now: duties.zone_peers(members, now))
     sheets.listen(
         lambda current: scheduler.configure(current, time.monotonic())
     )
-    runner = pipelines.new_runner(
-        sheets.get, scheduler, router, backends.new_client(), time.monotonic
+    return scheduler
+
+
+def _new_sheet_watch(
+    cfg: conf.Settings,
+    members: membership.Membership,
+    sheets: sheet.SheetHolder,
+) -> membership.SheetWatch:
+    client = platform.new_config_client(
+        cfg.platform.config_url,
+        cfg.platform.config_calls_per_s,
+        cfg.platform.config_burst_calls,
     )
-    app = http.new_app(
-        cfg, sheets.get, runner, metrics.new_metrics(), time.monotonic
+    return membership.new_sheet_watch(
+        members, sheets, client, cfg.platform.watch_timeout_s, time.monotonic
     )
-    return Node(
-        cfg,
-        app,
-        http.new_server(app, cfg),
-        sheets,
-        router,
-        scheduler,
-        platform.new_config_client(cfg.platform.config_url),
-        platform.new_vm_list_client(cfg.platform.vm_list_url),
+
+
+def _new_order_desk(
+    cfg: conf.Settings,
+    members: membership.Membership,
+    order_runner: pipelines.OrderRunner,
+) -> idempotency.OrderDesk:
+    settings = cfg.idempotency
+    return idempotency.new_order_desk(
+        members.view(time.monotonic()).own.incarnation,
+        idempotency.new_ticket_signer(
+            settings.ticket_keys, settings.ticket_ttl_s
+        ),
+        idempotency.new_ledger(
+            settings.ledger_max_entries,
+            settings.ledger_workspace_percent,
+            settings.ledger_max_result_bytes,
+        ),
+        links.MemberLinks(members),
+        order_runner.execute,
     )
+
+
+def _missing(
+    sheets: sheet.SheetHolder,
+    router: routing.Router,
+    suspect_fetch: suspects.SuspectFetch,
+) -> str:
+    """Returns what the process lacks before it can serve, or an empty text."""
+    if sheets.current is None:
+        return "no configuration"
+    if not router.has_servers():
+        return "no backend servers"
+    if not suspect_fetch.is_done:
+        return "no peer told of crash suspects"
+    return ""
--- /dev/null
+++ b/savoryspar/membership/service.py
@@ -0,0 +1,357 @@
+"""The membership of one process: links, live view, requests and facts."""
+
+from collections.abc import Callable, Iterable
+import secrets
+import time
+from typing import Any
+
+import eventlet
+
+from savoryspar import conf
+from savoryspar.membership import (
+    calls,
+    connector,
+    evidence,
+    exceptions,
+    facts,
+    gossip,
+    heartbeats,
+    links,
+    model,
+    pause,
+    table,
+    tls,
+    upkeep,
+)
+
+OPEN_TIMEOUT_S = 3.0
+VIEW_AGE_S = 0.2
+
+
+class Membership:
+    """Knows the live members and carries messages between them.
+
+    Attributes:
+        records: Records of all members.
+        connector: Links to peers.
+        beats: Heartbeats; the spreading of the configuration hooks in here.
+        watcher: Notices pauses of this process.
+    """
+
+    __slots__ = (
+        "_calls",
+        "_dispatch",
+        "_facts",
+        "_gossip",
+        "_is_stopped",
+        "_upkeep",
+        "_view",
+        "beats",
+        "connector",
+        "on_sheet_delta",
+        "records",
+        "watcher",
+    )
+
+    def __init__(
+        self,
+        own: model.Record,
+        links_of_own: connector.Connector,
+        contexts: tls.Contexts | None,
+        cfg: conf.Section,
+        now: float,
+        wall_now: float,
+    ):
+        self.records = table.MemberTable(own, now)
+        self.connector = links_of_own
+        self.watcher = pause.PauseWatcher(cfg.pause_limit_s, now, wall_now)
+        self._facts = facts.FactStore(
+            own.incarnation, cfg.fact_budget_bytes_per_s
+        )
+        self.beats = heartbeats.Heartbeats(
+            self.records, self._facts, cfg.heartbeat_s
+        )
+        self.on_sheet_delta: Callable[[str, Any], None] = (
+            lambda incarnation, body: None
+        )
+        self._calls = calls.Calls(own.incarnation)
+        self._gossip = gossip.Gossip(self.records, links_of_own)
+        self._upkeep = upkeep.Upkeep(
+            self.records,
+            links_of_own,
+            self.beats,
+            self._facts,
+            self._gossip,
+            self.watcher,
+            contexts,
+            cfg.topology,
+            cfg.seeds,
+        )
+        self._view: tuple[int, float, tuple[model.Member, ...]] = (-1, 0.0, ())
+        self._is_stopped = False
+        self._dispatch = {
+            "heartbeat": self._take_heartbeat,
+            "members": self._take_members,
+            "request": self._take_request,
+            "reply": self._take_reply,
+            "broadcast": self._take_broadcast,
+            "sheet_delta": self._take_sheet_delta,
+            "leave": self._take_leave,
+        }
+
+    def start(self) -> None:
+        """Listens for peers and looks for them."""
+        self.connector.start(lambda: self.records.own_record, self._run_link)
+        eventlet.spawn(self._tick_always)
+
+    def leave(self, now: float) -> None:
+        """Announces that this process drains; it still serves its peers."""
+        self._gossip.spread([self.records.announce_leaving(now)], None)
+
+    def stop(self, now: float) -> None:
+        """Announces that this process is gone and closes its links."""
+        self._is_stopped = True
+        record = self.records.announce_left(now)
+        self._gossip.flood("leave", record.to_body(), None)
+        self.connector.stop()
+
+    def view(self, now: float, wall_now: float | None = None) -> model.View:
+        """Returns the live members and whether the view is confirmed.
+
+        Args:
+            now: Monotonic time in seconds.
+            wall_now: Wall clock time; with it, a pause in which the monotonic
+                clock stood still is noticed before the watcher runs.
+        """
+        own = model.Member(
+            self.records.own_record, now, self.beats.sheet_state()[0]
+        )
+        is_confirmed = self.watcher.is_current(
+            now, wall_now
+        ) and evidence.is_confirmed(self.records, self.watcher.paused_at, now)
+        return model.View(own, self._members(now), is_confirmed)
+
+    def _members(self, now: float) -> tuple[model.Member, ...]:
+        generation, at, members = self._view
+        if generation == self.records.generation and now - at < VIEW_AGE_S:
+            return members
+        limit_s = self.records.zone_limit_s()
+        reachable = {
+            zone
+            for zone in self.records.members_by_zone()
+            if zone == self.records.zone
+            or now - self.records.zone_heard_at(zone) <= limit_s
+        }
+        members = tuple(
+            self._member(record)
+            for record in self.records.counted()
+            if record.zone in reachable
+        )
+        self._view = (self.records.generation, now, members)
+        return members
+
+    def _member(self, record: model.Record) -> model.Member:
+        heard_at = self.records.heard_at(record.incarnation)
+        if record.zone != self.records.zone:
+            heard_at = max(heard_at, self.records.zone_heard_at(record.zone))
+        return model.Member(
+            record, heard_at, self._facts.revision(record.incarnation)
+        )
+
+    def request(
+        self, incarnation: str, kind: str, body: Any, timeout_s: float
+    ) -> dict:
+        """Sends a request to one peer and returns its reply.
+
+        Raises:
+            PeerUnreachableError: No reply came in time, or the peer failed.
+        """
+        record = self.records.records.get(incarnation)
+        if record is None or not record.is_counted():
+            raise exceptions.PeerUnreachableError(
+                f"peer {incarnation} is gone",
+                "choose a member of the current view",
+                has_sent=False,
+            )
+        deadline_at = time.monotonic() + timeout_s
+        link = self.connector.get(record, min(timeout_s, OPEN_TIMEOUT_S))
+        if link is None:
+            raise exceptions.PeerUnreachableError(
+                f"peer {incarnation} at {record.address} has no open link",
+                "check the network between the two VMs",
+                has_sent=False,
+            )
+        left_s = max(0.0, deadline_at - time.monotonic())
+        return self._calls.request(link, kind, body, left_s)
+
+    def handle(self, kind: str, handler: calls.Handler) -> None:
+        """Serves requests and broadcasts of a kind.
+
+        Args:
+            kind: Name of the kind.
+            handler: Called in a green thread with the sender's incarnation
+                and the body; what it returns is the reply to a request.
+        """
+        self._calls.handle(kind, handler)
+
+    def broadcast(self, kind: str, body: Any) -> None:
+        """Floods a small fact to all members; each sees it at most once."""
+        new = self._calls.new_broadcast(kind, body)
+        self._gossip.flood("broadcast", new, None)
+
+    def publish_fact(self, name: str, body: Any) -> None:
+        """Adds a small fact to the own heartbeats in the zone."""
+        self._facts.publish(name, body)
+
+    def peer_facts(self, name: str, now: float) -> dict[str, Any]:
+        """Returns the fresh facts of the zone's live peers by incarnation."""
+        fresh = self._facts.fresh(name, now, self.beats.fact_age_limit_s())
+        records = self.records.records
+        return {
+            incarnation: body
+            for incarnation, body in fresh.items()
+            if incarnation in records and records[incarnation].is_counted()
+        }
+
+    def flood_sheet_delta(self, body: Any, source: str = "") -> None:
+        """Sends a delta of the configuration on all links but its source's."""
+        link = self.connector.links.get(source)
+        self._gossip.flood("sheet_delta", body, link)
+
+    def set_listed(self, addresses: Iterable[str]) -> None:
+        """Takes the peer addresses of the VM list."""
+        self._upkeep.listed = frozenset(filter(None, addresses))
+
+    def is_alone(self) -> bool:
+        """Tells whether the VM list names this process and no other."""
+        return self._upkeep.listed == {self.connector.address}
+
+    def _run_link(self, link: links.Link) -> None:
+        now = time.monotonic()
+        self._gossip.merge([link.peer], None, now)
+        self.records.note_heard(link.peer.incarnation, now)
+        link.start_writer(
+            lambda: self.beats.link_interval_s(link),
+            lambda link: self.beats.render(link, time.monotonic()),
+        )
+        self._gossip.send_digests(link)
+        source = f"{link.peer.name} {link.peer.address}"
+        try:
+            while True:
+                try:
+                    self._take_frame(link, link.receive())
+                except exceptions.FrameError as exc:
+                    self.connector.refuse(exc, source)
+        except links.SOCKET_ERRORS as exc:
+            if links.is_oversize(exc):
+                self.connector.refuse(_oversize(), source)
+        finally:
+            self._calls.drop_link(link)
+            self._link_lost(link)
+
+    def _take_frame(self, link: links.Link, frame: Any) -> None:
+        handler = self._dispatch.get(frame.kind)
+        self.records.note_heard(link.peer.incarnation, time.monotonic())
+        if frame.kind != "heartbeat":
+            link.used_at = time.monotonic()
+        try:
+            if handler is None:
+                raise ValueError("it is only valid at the start of a link")
+            handler(link, frame.body)
+        except (TypeError, ValueError, KeyError) as exc:
+            raise exceptions.FrameError(
+                "body",
+                f"the body of a {frame.kind} is wrong: {exc!r:.200}",
+                "check the peer's version",
+            ) from exc
+
+    def _link_lost(self, link: links.Link) -> None:
+        """Dials a neighbour again at once, to learn whether it died."""
+        if not self._is_stopped and link.peer.incarnation in (
+            self._upkeep.wanted(time.monotonic())
+        ):
+            self.connector.dial(link.peer.address, time.monotonic())
+
+    def _take_heartbeat(self, link: links.Link, body: Any) -> None:
+        if self.beats.take(link, body, time.monotonic()):
+            self._gossip.send_digests(link)
+
+    def _take_members(self, link: links.Link, body: Any) -> None:
+        step, content = body
+        if step == 0:
+            self._gossip.answer_digests(link, content)
+            return
+        records = [model.decode_record(item) for item in content]
+        self._gossip.merge(records, link, time.monotonic())
+
+    def _take_request(self, link: links.Link, body: Any) -> None:
+        self._calls.serve(link, body)
+
+    def _take_reply(self, link: links.Link, body: Any) -> None:
+        del link
+        self._calls.take_reply(body)
+
+    def _take_broadcast(self, link: links.Link, body: Any) -> None:
+        if self._calls.take_broadcast(body):
+            self._gossip.flood("broadcast", body, link)
+
+    def _take_sheet_delta(self, link: links.Link, body: Any) -> None:
+        self.on_sheet_delta(link.peer.incarnation, body)
+
+    def _take_leave(self, link: links.Link, body: Any) -> None:
+        record = model.decode_record(body)
+        self._gossip.merge([record], link, time.monotonic())
+
+    def _tick_always(self) -> None:
+        while not self._is_stopped:
+            self._upkeep.tick(time.monotonic(), time.time())
+            eventlet.sleep(pause.DUE_S)
+
+
+def _oversize() -> exceptions.FrameError:
+    return exceptions.FrameError(
+        "oversize",
+        "a frame is above the largest size",
+        "give all peers the same [membership] max_frame_bytes",
+    )
+
+
+def new_membership(
+    cfg: conf.Settings,
+    now: float,
+    wall_now: float,
+    name: str = "",
+    zone: str = "",
+) -> Membership:
+    """Returns a membership that listens but does not serve yet.
+
+    Args:
+        cfg: The settings.
+        now: Monotonic time in seconds.
+        wall_now: Wall clock time in seconds.
+        name: Name in place of the one in the settings.
+        zone: Availability zone in place of the one in the settings.
+
+    Raises:
+        MembershipError: The certificates cannot be loaded.
+        OSError: The peer port is in use.
+    """
+    section = cfg.membership
+    contexts = None
+    if section.tls:
+        contexts = tls.new_contexts(
+            section.certificate_file, section.key_file, section.ca_file
+        )
+    own_links = connector.Connector(
+        (section.listen_address, section.listen_port),
+        contexts,
+        section.max_frame_bytes,
+    )
+    own = model.Record(
+        secrets.token_hex(6),
+        name or cfg.entry.name,
+        cfg.entry.region,
+        zone or cfg.entry.zone,
+        own_links.address,
+    )
+    return Membership(own, own_links, contexts, section, now, wall_now)
