--- a/savoryspar/bench/fleet.py
+++ b/savoryspar/bench/fleet.py
@@ -69,6 +69,11 @@
         """Base URL of the process."""
         return f"http://{self.address}"
 
+    @property
+    def control_url(self) -> str:
+        """Base URL of ``/control``."""
+        return self.url
+
     def pause(self) -> None:
         """Stops the process in place (SIGSTOP)."""
         self.popen.send_signal(signal.SIGSTOP)
@@ -91,6 +96,24 @@
         return self.popen.wait(timeout_s)
 
 
+class Proxy(Process):
+    """A fault-injecting proxy, which has a control port of its own."""
+
+    __slots__ = ("_control_port",)
+
+    def __init__(self, name: str, popen: subprocess.Popen):
+        super().__init__(name, popen)
+        self._control_port: int | None = None
+
+    @property
+    def control_url(self) -> str:
+        """Base URL of ``/control``."""
+        if self._control_port is None:
+            self._read()  # The process prints its own port first.
+            self._control_port = _read_ports(self.popen, "control")[0]
+        return f"http://127.0.0.1:{self._control_port}"
+
+
 class Fleet:
     """Processes that end with the fleet; use it as a context manager.
 
@@ -243,18 +266,43 @@
             name, ["standin", "members", "--config", str(path), *options]
         )
 
+    def start_proxy(self, name: str, target: str, seed: int = 1) -> Proxy:
+        """Starts a fault-injecting proxy to ``IP:port``."""
+        started = self.start(
+            name,
+            ["standin", "fault-proxy", f"--target={target}", f"--seed={seed}"],
+        )
+        proxy = Proxy(name, started.popen)
+        self.processes[name] = proxy
+        return proxy
+
+    def put_proxy(self, process: Process, seed: int = 1) -> Proxy:
+        """Puts a proxy before a process, in the VM list and as platform.
+
+        Processes that are started, and VM lists that are published, before
+        this call still name the process itself.
+        """
+        proxy = self.start_proxy(f"proxy-{process.name}", process.address, seed)
+        for vm in self.vms:
+            if vm["name"] == process.name:
+                vm["address"] = proxy.address
+        return proxy
+
     def publish_vms(self) -> None:
         """Publishes the VM list as the fleet has it."""
-        vms = [
-            {
-                **vm,
-                "address": self.processes[vm["name"]].address,
-                "peer_address": self.processes[vm["name"]].peer_address,
-            }
-            for vm in self.vms
-        ]
+        # An address that is named goes first: it may be a proxy's.
+        vms = [{**self._addresses(vm["name"]), **vm} for vm in self.vms]
         self.control(self.platform, {"vms": vms})
 
+    def _addresses(self, name: str) -> dict[str, str]:
+        process = self.processes.get(name)
+        if process is None:
+            return {}
+        return {
+            "address": process.address,
+            "peer_address": process.peer_address,
+        }
+
     def publish_sheet(
         self, text: str, revision: int, previous_text: str = ""
     ) -> None:
@@ -277,7 +325,9 @@
     ) -> Any:
         """Sends a JSON document to a process and returns its answer."""
         resp = self.http.request(
-            "POST", process.url + path, body=json.dumps(body).encode()
+            "POST",
+            process.control_url + path,
+            body=json.dumps(body).encode(),
         )
         return json.loads(resp.data)
 
@@ -321,14 +371,16 @@
                 time.sleep(0.05)
 
 
-def _read_ports(popen: subprocess.Popen) -> tuple[int, int]:
+def _read_ports(
+    popen: subprocess.Popen, label: str = "listening"
+) -> tuple[int, int]:
     timer = threading.Timer(START_TIMEOUT_S, popen.kill)
     timer.start()
     try:
         line = popen.stdout.readline().decode()
     finally:
         timer.cancel()
-    if not line.startswith("listening "):
+    if not line.startswith(f"{label} "):
         raise RuntimeError(f"process {popen.args} did not start: {line!r}")
     words = line.split()
     return int(words[1]), int(words[3]) if len(words) > 3 else 0
