--- a/savoryspar/bench/catalog.py
+++ b/savoryspar/bench/catalog.py
@@ -3,8 +3,17 @@
 from collections.abc import Callable, Mapping
 
 from savoryspar.bench import results
+from savoryspar.bench.scenarios import decisions, routing
 
 Scenario = Callable[[int], list[results.Row]]
 """Runs a scenario with a seed and returns its rows."""
 
-SCENARIOS: Mapping[str, Scenario] = {}
+SCENARIOS: Mapping[str, Scenario] = {
+    "prefix": routing.prefix,
+    "regions": routing.regions,
+    "retries": routing.retries,
+    "crashing": routing.crashing,
+    "leaving": routing.leaving,
+    "decision-time": decisions.decision_time,
+    "subsets": decisions.subset_balance,
+}
--- /dev/null
+++ b/savoryspar/bench/scenarios/routing.py
@@ -0,0 +1,288 @@
+"""Scenarios of routing, retries and crash suspects, with real processes."""
+
+import functools
+import itertools
+import random
+import time
+
+from savoryspar.bench import engine_fleets, results
+from savoryspar.standins import prefix_cache
+
+DOCUMENT_BLOCKS = 16
+REGIONS = ("andina-bog", "caribe-ctg", "pacifico-cali")
+ZONE = ("andina-bog",)
+MARK = "PLIEGO-ROTO"
+RESENDS = 50
+EVENT_BYTES = 200
+"""Bytes of one streamed token."""
+NOTICE_S = 0.05
+"""Time that an answer takes back to the entry process on a busy machine."""
+
+
+def prefix(seed: int) -> list[results.Row]:
+    """Prefix-cache hits of scored routing against round robin's."""
+    shares, costs = {}, {}
+    for policy in ("round_robin", "scored"):
+        shares[policy], costs[policy] = _prefix_run(seed, policy)
+    ratio = shares["scored"] / max(shares["round_robin"], 1e-9)
+    cost = costs["round_robin"]
+    return [
+        results.new_row(
+            "prefix",
+            "prefix-cache hits / round robin's",
+            "ratio",
+            ">= 2",
+            ratio,
+            seed,
+            1.0,
+        ),
+        results.new_row(
+            "prefix",
+            "prompt tokens computed per generation",
+            "tokens",
+            f"<= {cost:.0f}",
+            costs["scored"],
+            seed,
+            cost,
+        ),
+    ]
+
+
+def _prefix_run(seed: int, policy: str) -> tuple[float, float]:
+    """Returns the share of cached prompt tokens and computed tokens a run.
+
+    The documents fill five sixths of all caches together.
+    """
+    rng = random.Random(seed)
+    size = DOCUMENT_BLOCKS * prefix_cache.BLOCK_CHARS
+    documents = ["".join(rng.choices("abcdef ", k=size)) for _ in range(30)]
+    with engine_fleets.EngineFleet() as fleet:
+        fleet.start_all(
+            ZONE * 2,
+            6,
+            [
+                "--step-ms=2",
+                f"--cache-blocks={6 * DOCUMENT_BLOCKS}",
+                "--prefill-us=50",
+            ],
+            {"policy": policy},
+        )
+        jobs = [
+            functools.partial(
+                fleet.ask,
+                rng.choice(fleet.entries),
+                rng.choice(documents) + f" question {number}",
+                8,
+            )
+            for number in range(500)
+        ]
+        engine_fleets.send_all(jobs, 60.0, 32)
+        runs = [
+            run
+            for book in fleet.books().values()
+            for run in book
+            if run["prompt_tokens"] > prefix_cache.BLOCK_CHARS
+        ]
+    prompt = sum(run["prompt_tokens"] for run in runs)
+    cached = sum(run["cached_tokens"] for run in runs)
+    return cached / prompt, (prompt - cached) / len(runs)
+
+
+def regions(seed: int) -> list[results.Row]:
+    """Bytes across regions while every region is healthy."""
+    shares = {
+        policy: _regions_run(seed, policy)
+        for policy in ("round_robin", "scored")
+    }
+    return [
+        results.new_row(
+            "regions",
+            "bytes across regions, all healthy",
+            "%",
+            "<= 1",
+            shares["scored"],
+            seed,
+            shares["round_robin"],
+        )
+    ]
+
+
+def _regions_run(seed: int, policy: str) -> float:
+    """Returns the percentage of bytes that crossed regions."""
+    rng = random.Random(seed)
+    with engine_fleets.EngineFleet() as fleet:
+        fleet.start_all(REGIONS, 9, ["--step-ms=4"], {"policy": policy})
+        jobs = [
+            functools.partial(
+                fleet.ask,
+                rng.choice(fleet.entries),
+                f"notes {number} " * rng.randint(1, 200),
+                rng.randint(4, 40),
+            )
+            for number in range(500)
+        ]
+        answers = engine_fleets.send_all(jobs, 60.0, 48)
+        origins = {
+            answer.document["request_id"]: fleet.regions[answer.entry]
+            for answer in answers
+        }
+        total = across = 0
+        for engine, book in fleet.books().items():
+            for run in book:
+                size = run["bytes"] + EVENT_BYTES * run["tokens_out"]
+                origin = origins.get(run["request_id"])
+                total += size if origin else 0
+                if origin not in (None, fleet.regions[engine]):
+                    across += size
+    return 100.0 * across / total
+
+
+def retries(seed: int) -> list[results.Row]:
+    """Extra calls while one pool answers half of its calls with errors."""
+    unlimited = {"retry_percent": 100, "retry_reserve": 1000}
+    baseline, _ = _retries_run(seed, unlimited)
+    ours, answered = _retries_run(seed, {})
+    return [
+        results.new_row(
+            "retries",
+            "extra calls, one pool at 50% errors",
+            "%",
+            "<= 10",
+            ours,
+            seed,
+            baseline,
+        ),
+        results.new_row(
+            "retries",
+            "requests answered, one pool at 50% errors",
+            "%",
+            ">= 50",
+            answered,
+            seed,
+        ),
+    ]
+
+
+def _retries_run(seed: int, settings: dict) -> tuple[float, float]:
+    """Returns extra calls and answered requests in percent of requests."""
+    with engine_fleets.EngineFleet() as fleet:
+        fleet.start_all(ZONE * 2, 4, ["--step-ms=2"], settings)
+        before = sum(map(len, fleet.books().values()))
+        for number, engine in enumerate(fleet.engines):
+            control = {"fail_share": 0.5, "seed": seed * 100 + number}
+            fleet.control(engine, control)
+        jobs = [
+            functools.partial(fleet.ask, entry, f"notes {number}", 4)
+            for number, entry in zip(range(800), itertools.cycle(fleet.entries))
+        ]
+        answers = engine_fleets.send_all(jobs, 100.0, 32)
+        calls = sum(map(len, fleet.books().values())) - before
+    good = sum(answer.status == 200 for answer in answers)
+    return (
+        100.0 * (calls - len(jobs)) / len(jobs),
+        100.0 * good / len(jobs),
+    )
+
+
+def crashing(seed: int) -> list[results.Row]:
+    """Engines that one request crashes when its caller resends it."""
+    return [
+        results.new_row(
+            "crashing",
+            f"engines crashed, resent 50 times to {label}",
+            "engines",
+            "<= 2",
+            _crashing_run(seed, entries, "yes"),
+            seed,
+            _crashing_run(seed, entries, "no"),
+        )
+        for label, entries in (("one entry VM", 1), ("all entry VMs", 3))
+    ]
+
+
+def _crashing_run(seed: int, entries: int, suspects: str) -> float:
+    """Returns the number of engines that crashed."""
+    with engine_fleets.EngineFleet() as fleet:
+        settings = {"crash_suspects": suspects}
+        fleet.start_all(ZONE * entries, 8, ["--step-ms=4"], settings)
+        for engine in fleet.engines:
+            fleet.control(engine, {"crash_mark": MARK})
+        rng = random.Random(seed)
+        for number in range(RESENDS):
+            if not fleet.live_engines():
+                break
+            fleet.ask(rng.choice(fleet.entries), f"notes {number}", 10)
+            fleet.ask(rng.choice(fleet.entries), MARK, 10)
+        return float(len(fleet.engines) - len(fleet.live_engines()))
+
+
+def leaving(seed: int) -> list[results.Row]:
+    """New work to servers that are leaving."""
+    after_said, after_listed, baseline = _leaving_run(seed)
+    return [
+        results.new_row(
+            "leaving",
+            "new work after it reported leaving",
+            "calls",
+            "== 0",
+            after_said,
+            seed,
+            baseline,
+        ),
+        results.new_row(
+            "leaving",
+            "new work later than 3 s after listing",
+            "calls",
+            "== 0",
+            after_listed,
+            seed,
+        ),
+    ]
+
+
+def _leaving_run(seed: int) -> tuple[float, float, float]:
+    """Returns new calls after the word, after the listing, and as a baseline.
+
+    The baseline is what the server would have got with its share of calls.
+    """
+    rng = random.Random(seed)
+    with engine_fleets.EngineFleet() as fleet:
+        fleet.start_all(ZONE * 2, 4, ["--step-ms=4"])
+        said, listed, *_ = fleet.engines
+        jobs = [
+            functools.partial(
+                fleet.ask, rng.choice(fleet.entries), f"notes {number}", 20
+            )
+            for number in range(400)
+        ]
+        engine_fleets.send_all(jobs[:100], 40.0, 24)
+        fleet.control(said, {"is_leaving": True})
+        for vm in fleet.vms:
+            if vm["name"] == listed.name:
+                vm["state"] = "leaving"
+        fleet.publish_vms()
+        listed_at = time.time()
+        answers = engine_fleets.send_all(jobs[100:], 40.0, 24)
+        books = fleet.books()
+        origins = {a.document["request_id"]: a.entry for a in answers}
+        late = [
+            run for run in books[listed.name] if run["at"] > listed_at + 3.0
+        ]
+    return (
+        float(_after_word(books[said.name], origins)),
+        float(len(late)),
+        len(answers) / len(fleet.engines),
+    )
+
+
+def _after_word(runs: list[dict], origins: dict[str, str]) -> int:
+    """Counts the calls of each entry process after it was told."""
+    told: dict[str, float] = {}
+    for run in runs:
+        entry = origins.get(run["request_id"])
+        if entry and run["told_at"]:
+            told[entry] = min(told.get(entry, run["told_at"]), run["told_at"])
+    return sum(
+        run["at"] > told.get(origins.get(run["request_id"]), 1e12) + NOTICE_S
+        for run in runs
+    )
--- a/savoryspar/conf/sections/routing.py
+++ b/savoryspar/conf/sections/routing.py
@@ -85,6 +85,12 @@
         "3",
         "Retries that a pool has before its first calls.",
     ),
+    (
+        "crash_suspects",
+        converters.boolean,
+        "yes",
+        "Whether requests that crash servers are looked for and refused.",
+    ),
     (
         "report_interval_s",
         converters.seconds,
--- a/savoryspar/routing/options.py
+++ b/savoryspar/routing/options.py
@@ -19,12 +19,13 @@
         max_ejected: Largest share of a pool that is ejected.
         retry_ratio: Retries for each call.
         retry_reserve: Retries before the first calls.
-        report_interval_s: Time between two reads of load and cache events.
+        has_suspects: Whether crash suspects are kept.
     """
 
     __slots__ = (
         "affinity",
         "hard_limit",
+        "has_suspects",
         "initial_limit",
         "max_ejected",
         "name",
@@ -34,7 +35,6 @@
         "region_bytes_per_s",
         "region_cost",
         "region_spill",
-        "report_interval_s",
         "retry_ratio",
         "retry_reserve",
         "subset_size",
@@ -60,7 +60,7 @@
         max_ejected: float = 0.34,
         retry_ratio: float = 0.08,
         retry_reserve: int = 3,
-        report_interval_s: float = 2.0,
+        has_suspects: bool = True,
     ):
         self.name = name
         self.region = region
@@ -78,7 +78,7 @@
         self.max_ejected = max_ejected
         self.retry_ratio = retry_ratio
         self.retry_reserve = retry_reserve
-        self.report_interval_s = report_interval_s
+        self.has_suspects = has_suspects
 
 
 def new_options(cfg: conf.Settings) -> Options:
@@ -101,5 +101,5 @@
         max_ejected=section.max_ejected_percent / 100.0,
         retry_ratio=section.retry_percent / 100.0,
         retry_reserve=section.retry_reserve,
-        report_interval_s=section.report_interval_s,
+        has_suspects=section.crash_suspects,
     )
--- a/savoryspar/routing/router.py
+++ b/savoryspar/routing/router.py
@@ -53,7 +53,7 @@
         self._departures = departures.Departures()
         self._bytes_across = budgets.ByteBudget(opts.region_bytes_per_s)
         self._logger = log.new_logger("routing")
-        self.suspects = suspects.new_suspects()
+        self.suspects = suspects.new_suspects(is_enabled=opts.has_suspects)
 
     def replace_servers(
         self,
--- a/savoryspar/routing/suspects.py
+++ b/savoryspar/routing/suspects.py
@@ -56,12 +56,16 @@
 
     Attributes:
         publish: Called with the record of each change, to tell peers.
+        is_enabled: Whether crashes are recorded.
     """
 
-    __slots__ = ("_count", "_workspaces", "publish")
+    __slots__ = ("_count", "_workspaces", "is_enabled", "publish")
 
-    def __init__(self, publish: Callable[[dict[str, Any]], None]):
+    def __init__(
+        self, publish: Callable[[dict[str, Any]], None], is_enabled: bool
+    ):
         self.publish = publish
+        self.is_enabled = is_enabled
         self._workspaces: dict[str, collections.OrderedDict[str, Entry]] = {}
         self._count = 0
 
@@ -78,6 +82,8 @@
         self, mark: str, server: str, now: float, was_alone: bool = False
     ) -> None:
         """Records a crash; the second one, met alone, condemns."""
+        if not self.is_enabled:
+            return
         is_second = self.check(mark, now) is not Verdict.CLEAR
         self._merge(mark, frozenset({server}), was_alone and is_second, now)
         entry = self._workspaces[_workspace(mark)][mark]
@@ -182,6 +188,7 @@
 
 def new_suspects(
     publish: Callable[[dict[str, Any]], None] = lambda record: None,
+    is_enabled: bool = True,
 ) -> Suspects:
     """Returns suspects that tell ``publish`` of each crash."""
-    return Suspects(publish)
+    return Suspects(publish, is_enabled)
--- a/savoryspar/standins/engine.py
+++ b/savoryspar/standins/engine.py
@@ -116,6 +116,7 @@
             "tokens_out": 0,
             "bytes": int(exchange.environ.get("CONTENT_LENGTH") or 0),
             "at": time.time(),
+            "told_at": 0.0,
             "state": "running",
         }
 
@@ -129,6 +130,8 @@
         self._note_load()
         try:
             self._prefill(body, run)
+            if self.faults.is_leaving:
+                run["told_at"] = time.time()
             exchange.start(
                 "200 OK",
                 [("Content-Type", "text/event-stream"), *self._headers()],
