--- a/savoryspar/bench/catalog.py
+++ b/savoryspar/bench/catalog.py
@@ -3,7 +3,12 @@
 from collections.abc import Callable, Mapping
 
 from savoryspar.bench import results
-from savoryspar.bench.scenarios import relay, scheduling_decisions
+from savoryspar.bench.scenarios import (
+    decisions,
+    relay,
+    routing,
+    scheduling_decisions,
+)
 
 Scenario = Callable[[int], list[results.Row]]
 """Runs a scenario with a seed and returns its rows."""
@@ -13,4 +18,11 @@
     "relay-gap": relay.relay_gap,
     "sched-decisions": scheduling_decisions.run_decisions,
     "sched-zone": scheduling_decisions.run_zone,
+    "prefix": routing.prefix,
+    "regions": routing.regions,
+    "retries": routing.retries,
+    "crashing": routing.crashing,
+    "leaving": routing.leaving,
+    "decision-time": decisions.decision_time,
+    "subsets": decisions.subset_balance,
 }
