Link rings at distances k and k + 1, and test the pure parts of membership

Distances 1 and the square root of the size need 6 hops to cross a ring of 40, but the age limit of evidence assumed 4, so views of 200 members dropped whole zones at times. Distances k and k + 1 cross 41 members in 4 hops with the same four links. A property test found that ages below 0.1 ms were sent as 0 and so seemed newer on the next member; they are now rounded up.

--- a/savoryspar/bench/scenarios/membership.py
+++ b/savoryspar/bench/scenarios/membership.py
@@ -16,6 +16,10 @@
 PROCESSES = 16
 SETTLE_S = 40.0
 WINDOW_S = 8.0
+POLL_S = 0.5
+REAP_S = 7.0
+"""Time after which links that a start needed are closed."""
+
 HEADER_BYTES = 52
 """IPv4 and TCP headers with timestamps, of each segment."""
 
@@ -73,7 +77,7 @@
             fleet.post_json(process, "/fact", {"name": "load", "body": FACT})
         text = deployments.GESTO.sheet_text()
         _change(fleet, processes, text, 1)
-        time.sleep(3.0)
+        time.sleep(REAP_S)
         before = [fleet.get_json(p, "/stats?brief=1") for p in processes]
         started_at = time.monotonic()
         # The window holds the changes that a day of the design size has.
@@ -135,7 +139,7 @@
     while not is_done():
         if time.monotonic() - started_at > timeout_s:
             raise TimeoutError("the members did not settle in time")
-        time.sleep(0.02)
+        time.sleep(POLL_S)
     return time.monotonic() - started_at
 
 
--- a/savoryspar/membership/evidence.py
+++ b/savoryspar/membership/evidence.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Sequence
+import math
 import zlib
 
 from savoryspar.membership import table
@@ -32,7 +33,7 @@
         for zone in zones
     ]
     return names_key(members, zones), bytes(
-        int(min(MAX_AGE, max(0.0, (now - at) / UNIT_S + 0.999))) for at in times
+        min(MAX_AGE, max(0, math.ceil((now - at) / UNIT_S))) for at in times
     )
 
 
--- a/savoryspar/membership/links.py
+++ b/savoryspar/membership/links.py
@@ -66,6 +66,7 @@
     __slots__ = (
         "_conn",
         "_incoming",
+        "_info",
         "_outbox",
         "_own",
         "_sent",
@@ -93,6 +94,7 @@
             maxlen=ECHO_MEMORY
         )
         self._sequence = 0
+        self._info = b""
         self._writer: eventlet.greenthread.GreenThread | None = None
         self.echo = 0
         self.facts_sent: dict[str, int] = {}
@@ -199,16 +201,20 @@
     def abort(self) -> None:
         """Closes the link at once; a blocked writer is released."""
         self.is_closed = True
+        self.tcp_info()
         with contextlib.suppress(*SOCKET_ERRORS):
             self._conn.socket.shutdown(socket.SHUT_RDWR)
 
     def tcp_info(self) -> bytes:
-        """Returns the kernel's counters of the connection (``tcp_info``)."""
+        """Returns the kernel's counters of the connection (``tcp_info``).
+
+        Of a closed link, those that were read last.
+        """
         with contextlib.suppress(OSError):
-            return self._conn.socket.getsockopt(
+            self._info = self._conn.socket.getsockopt(
                 socket.IPPROTO_TCP, socket.TCP_INFO, 256
             )
-        return b""
+        return self._info
 
 
 def is_oversize(exc: Exception) -> bool:
--- a/savoryspar/membership/topology.py
+++ b/savoryspar/membership/topology.py
@@ -14,9 +14,6 @@
 
 ZONE_OFFSETS = (1, 3)
 RELAYS_PER_ZONE = 2
-RING_HOPS = 4
-"""Hops that cross a ring with chords of 38 members, with one to spare."""
-
 PROBES = 2
 
 
@@ -34,9 +31,20 @@
     return rendezvous(members, f"relay/{zone}")[:RELAYS_PER_ZONE]
 
 
-def ring_offsets(size: int) -> tuple[int, ...]:
-    """Returns the distances on the ring at which members are linked."""
-    return tuple({1, max(2, round(math.sqrt(size)))})
+def ring_hops(size: int) -> int:
+    """Returns the hops that cross a ring linked at ``ring_offsets``."""
+    return max(1, math.ceil((math.sqrt(2 * size - 1) - 1) / 2))
+
+
+def ring_offsets(size: int) -> tuple[int, int]:
+    """Returns the distances on the ring at which members are linked.
+
+    Distances k and k + 1 reach 2k(k + 1) + 1 members in k hops, the most
+    that four links a member allow; 1 and the square root of the size need
+    half as many hops again.
+    """
+    hops = ring_hops(size)
+    return hops, hops + 1
 
 
 @functools.singledispatch
@@ -137,7 +145,7 @@
     """Returns how often evidence is passed on inside a zone."""
     if size <= 2:
         return 0
-    return 1 if size <= MESH_LIMIT else RING_HOPS
+    return 1 if size <= MESH_LIMIT else ring_hops(size)
 
 
 def region_hops(zones: int) -> int:
--- /dev/null
+++ b/tests/membership/test_table.py
@@ -0,0 +1,182 @@
+"""Tests of the merge of records and of what counts as live."""
+
+import itertools
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+import testtools
+
+from savoryspar.membership import evidence, model, table
+
+NAMES = ("own", "a", "b", "c")
+
+
+def new_record(incarnation, state=0, version=0, is_leaving=False):
+    return model.Record(
+        incarnation, incarnation, "r", "z", f"{incarnation}:1", version,
+        model.State(state), is_leaving,
+    )  # fmt: skip
+
+
+def new_table(names=NAMES):
+    members = table.MemberTable(new_record(names[0]), 0.0)
+    members.merge(map(new_record, names[1:]), 0.0)
+    return members
+
+
+def contents(members):
+    return {
+        incarnation: record.precedence()
+        for incarnation, record in members.records.items()
+    }
+
+
+RECORDS = st.lists(
+    st.builds(
+        new_record,
+        st.sampled_from(NAMES[1:]),
+        st.integers(0, 3),
+        st.integers(0, 3),
+        st.booleans(),
+    ),
+    max_size=8,
+)
+
+
+class MergeTest(testtools.TestCase):
+    @settings(derandomize=True, deadline=None)
+    @given(RECORDS, st.randoms(use_true_random=False))
+    def test_order_and_repetition_do_not_matter(self, records, random):
+        """Members that merge in another order must agree in the end."""
+        one, other = new_table(), new_table()
+        one.merge(records, 1.0)
+        shuffled = records * 2
+        random.shuffle(shuffled)
+        for record in shuffled:
+            other.merge([record], 2.0)
+        self.assertEqual(contents(one), contents(other))
+        self.assertEqual(one.view_digest(), other.view_digest())
+
+    @settings(derandomize=True, deadline=None)
+    @given(RECORDS, RECORDS)
+    def test_views_that_were_apart_become_one(self, left, right):
+        """After a partition heals, neither side may lose what it knew."""
+        one, other = new_table(), new_table()
+        one.merge(left, 1.0)
+        other.merge(right, 1.0)
+        before = contents(one)
+        one.merge(list(other.records.values()), 2.0)
+        other.merge(list(one.records.values()), 2.0)
+        self.assertEqual(contents(one), contents(other))
+        for incarnation, precedence in before.items():
+            self.assertGreaterEqual(contents(one)[incarnation], precedence)
+
+    def test_own_suspicion_is_refuted(self):
+        """A suspicion of a live process must not end in its death."""
+        members = new_table()
+        changed = members.merge([new_record("own", 2, 4)], 1.0)
+        self.assertEqual([5], [record.version for record in changed])
+        self.assertEqual(model.State.ALIVE, members.own_record.state)
+
+    def test_left_is_final(self):
+        """A late record must not bring back a member that left."""
+        members = new_table()
+        members.merge([new_record("a", 3)], 1.0)
+        self.assertEqual([], members.merge([new_record("a", 0, 9)], 2.0))
+        self.assertNotIn("a", [r.incarnation for r in members.counted()])
+
+
+class DeathTest(testtools.TestCase):
+    def test_silent_neighbour_dies_before_three_seconds(self):
+        """A paused process must not be counted after 3 s."""
+        members = new_table()
+        now = 0.0
+        while members.records["a"].is_counted() and now < 9.0:
+            now += 0.1
+            for other in ("b", "c"):
+                members.note_heard(other, now)
+            silent = members.silent(["a", "b", "c"], {}, 0.0, now)
+            members.suspect(silent, now)
+            members.expire(0.0, now)
+        self.assertLess(now, 3.0)
+        self.assertTrue(members.records["b"].is_counted())
+
+    def test_busy_process_waits_longer(self):
+        """A process that runs late must not declare its peers dead."""
+        members = new_table()
+        self.assertEqual(["a"], members.silent(["a"], {}, 0.0, 2.0))
+        self.assertEqual([], members.silent(["a"], {}, 0.5, 2.0))
+
+    def test_refused_connection_is_suspected_at_once(self):
+        """A killed watcher must be replaced before its silence is noticed."""
+        members = new_table()
+        silent = members.silent(["a", "b"], {"a:1": 0.2}, 0.0, 0.3)
+        self.assertEqual(["a"], silent)
+
+    def test_resumed_process_forgives_its_peers(self):
+        """A process that was paused must not count its own silence."""
+        members = new_table()
+        members.forgive(50.0)
+        self.assertEqual([], members.silent(NAMES[1:], {}, 0.0, 50.1))
+
+    def test_members_of_other_zones_are_not_suspected(self):
+        """A cut between zones must not kill the members beyond it."""
+        members = new_table()
+        remote = model.Record("x", "x", "r", "other", "x:1")
+        members.merge([remote], 0.0)
+        self.assertEqual([], members.suspect(["x"], 99.0))
+
+
+class ConfirmedTest(testtools.TestCase):
+    def contact(self, members, names, at):
+        for name in names:
+            members.note_contact(name, at)
+
+    def test_majority_is_needed(self):
+        """The smaller side of a partition must not confirm its view."""
+        members = new_table(("own", "a", "b", "c", "d"))
+        self.contact(members, "a", 9.0)
+        self.assertFalse(evidence.is_confirmed(members, -1.0, 10.0))
+        self.contact(members, "b", 9.0)
+        self.assertTrue(evidence.is_confirmed(members, -1.0, 10.0))
+
+    def test_dead_members_still_count_for_the_majority(self):
+        """A cut-off member must not become a majority of one."""
+        members = new_table()
+        members.merge([new_record(name, 2) for name in "abc"], 5.0)
+        self.assertFalse(evidence.is_confirmed(members, -1.0, 10.0))
+
+    def test_contact_before_a_pause_is_void(self):
+        """A resumed process must not act on what it knew before."""
+        members = new_table()
+        self.contact(members, "abc", 9.0)
+        self.assertFalse(evidence.is_confirmed(members, 9.5, 10.0))
+
+    def test_one_direction_confirms_neither_side(self):
+        """Hearing a peer that does not hear us must not confirm a view."""
+        members = new_table(("own", "a", "b"))
+        for now in itertools.takewhile(lambda t: t < 8, itertools.count()):
+            members.note_heard("a", now)
+            members.note_heard("b", now)
+        self.assertFalse(evidence.is_confirmed(members, -1.0, 8.0))
+
+    def test_ages_in_another_order_are_skipped(self):
+        """Ages must never be credited to another member."""
+        members, other = new_table(), new_table(("a", "own", "b", "x"))
+        self.contact(other, ("own", "b", "x"), 9.9)
+        key, ages = evidence.render_ages(other, 10.0)
+        evidence.apply_ages(members, "z", key, ages, 10.0)
+        self.assertEqual({}, members.contact_at)
+
+    @settings(derandomize=True, deadline=None)
+    @given(st.lists(st.floats(0, 40), min_size=3, max_size=3))
+    def test_ages_never_grow_younger_on_the_way(self, ages):
+        """Evidence that is passed on must not seem newer than it is."""
+        members, other = new_table(), new_table(("a", "own", "b", "c"))
+        for name, age in zip(("own", "b", "c"), ages, strict=True):
+            other.note_contact(name, 100.0 - age)
+        key, raw = evidence.render_ages(other, 100.0)
+        evidence.apply_ages(members, "z", key, raw, 100.0)
+        for name in ("b", "c"):
+            got = members.contact_at.get(name, 0.0)
+            self.assertLessEqual(got, other.contact_at[name] + 1e-6)
