Place models on engines by one plan, with fencing numbers

Cause: nothing loaded models onto engines, and a sender that was replaced could have unloaded a copy in use.

Every process of a zone derives the same plan from the sheet and the engines' reports; a rendezvous over the live members names one sender for each engine. Numbers are drawn before the engines are read and exceed all that engines and peers have seen. Unloading needs a confirmed view right before the first byte.

--- a/savoryspar/cli/duties.py
+++ b/savoryspar/cli/duties.py
@@ -10,6 +10,7 @@
     conf,
     log,
     membership,
+    placement,
     platform,
     routing,
     scheduling,
@@ -35,6 +36,7 @@
     client: platform.VmListClient,
     router: routing.Router,
     members: membership.Membership,
+    dispatcher: placement.Dispatcher,
 ) -> None:
     """Takes the VM list at each interval, for ever."""
     logger = log.new_logger("platform")
@@ -43,6 +45,11 @@
             vms = client.read()
             members.set_listed(vm.peer_address for vm in vms)
             take_vm_list(vms, router, time.monotonic())
+            dispatcher.take_servers(
+                _server(vm)
+                for vm in vms
+                if vm.role == "backend" and not vm.is_leaving
+            )
         except platform.PlatformError as exc:
             logger.warning(f"VM list not read. {exc}")
         eventlet.sleep(cfg.platform.vm_list_interval_s)
@@ -120,3 +127,15 @@
         for member in view.members
         if member.zone == view.own.zone and not member.is_leaving
     ]
+
+
+def run_placement(interval_s: float, dispatcher: placement.Dispatcher) -> None:
+    """Plans and sends orders to engines at the interval, for ever."""
+    logger = log.new_logger("placement")
+    while interval_s > 0:
+        eventlet.sleep(interval_s)
+        try:
+            dispatcher.tick()
+        except Exception as exc:
+            # Placement must not end with the process still serving.
+            logger.error(f"Plan failed. {exc!r}")
--- a/savoryspar/cli/links.py
+++ b/savoryspar/cli/links.py
@@ -1,6 +1,6 @@
-"""Gives the order desk its peers through the membership."""
+"""Gives the order desk and placement their peers through the membership."""
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 import time
 from typing import Any
 
@@ -50,3 +50,28 @@
             )
         )
         return [member.incarnation for member in staying]
+
+
+FENCING_FACT = "fencing"
+
+
+class PlacementPeers:
+    """The view and the fencing numbers of the zone's peers."""
+
+    __slots__ = ("_members",)
+
+    def __init__(self, members: membership.Membership):
+        self._members = members
+
+    def view(self, now: float, wall_now: float) -> membership.View:
+        """Returns the view; a pause is noticed with both clocks."""
+        return self._members.view(now, wall_now)
+
+    def publish_number(self, number: int) -> None:
+        """Tells the zone's peers the highest fencing number seen."""
+        self._members.publish_fact(FENCING_FACT, number)
+
+    def peer_numbers(self, now: float) -> Iterable[int]:
+        """Returns the numbers that the zone's peers told."""
+        facts = self._members.peer_facts(FENCING_FACT, now)
+        return [fact for fact in facts.values() if isinstance(fact, int)]
--- a/savoryspar/cli/node.py
+++ b/savoryspar/cli/node.py
@@ -13,6 +13,7 @@
     idempotency,
     log,
     membership,
+    placement,
     platform,
     routing,
     scheduling,
@@ -31,6 +32,7 @@
         "app",
         "decisions",
         "desk",
+        "dispatcher",
         "members",
         "reports",
         "router",
@@ -47,6 +49,7 @@
         app: http.App,
         decisions: log.DecisionLog,
         desk: idempotency.OrderDesk,
+        dispatcher: placement.Dispatcher,
         members: membership.Membership,
         reports: routing.ReportReader,
         router: routing.Router,
@@ -60,6 +63,7 @@
         self.app = app
         self.decisions = decisions
         self.desk = desk
+        self.dispatcher = dispatcher
         self.members = members
         self.reports = reports
         self.router = router
@@ -108,6 +112,12 @@
             parts.vm_list,
             parts.router,
             parts.members,
+            parts.dispatcher,
+        )
+        eventlet.spawn(
+            duties.run_placement,
+            self._cfg.placement.interval_s,
+            parts.dispatcher,
         )
         eventlet.spawn(parts.suspect_fetch.run, time.monotonic())
         eventlet.spawn(duties.poll_scheduler, parts.scheduler)
--- a/savoryspar/cli/standin.py
+++ b/savoryspar/cli/standin.py
@@ -12,6 +12,7 @@
     platform,
     pool,
     token_source,
+    weights,
     wsgi,
 )
 
@@ -62,6 +63,9 @@
             "service": self._new_pool_server,
             "platform": lambda: platform.new_platform(int(self.option("rate"))),
             "members": self._new_members,
+            "weights": lambda: weights.new_weight_store(
+                int(self.option("rate"))
+            ),
             "plain-relay": lambda: plain_relay.new_plain_relay(
                 self.option("target")
             ),
--- /dev/null
+++ b/savoryspar/placement/model.py
@@ -0,0 +1,177 @@
+"""What engines report, and the orders that they are sent."""
+
+import enum
+import functools
+from typing import Any
+
+
+class CopyState(enum.Enum):
+    """State of a model on an engine."""
+
+    LOADING = "loading"
+    READY = "ready"
+    FAILED = "failed"
+
+
+class Copy:
+    """A model on an engine.
+
+    Attributes:
+        model: Name of the model.
+        state: Its state.
+        age_s: Seconds since it took this state, as of the report.
+        demand: Requests running and waiting for it.
+    """
+
+    __slots__ = ("age_s", "demand", "model", "state")
+
+    def __init__(
+        self, model: str, state: CopyState, age_s: float, demand: float
+    ):
+        self.model = model
+        self.state = state
+        self.age_s = age_s
+        self.demand = demand
+
+
+class EngineState:
+    """What an engine reported.
+
+    Attributes:
+        name: Name of the engine.
+        pool: Pool that it belongs to.
+        slots: Models that it can hold.
+        copies: Its copies by model name.
+        load_ages_s: Seconds since each of the last loads started.
+        fencing_number: Highest number that it has seen, 0 if it ignores them.
+        read_at: Monotonic time of the report in seconds.
+    """
+
+    __slots__ = (
+        "copies",
+        "fencing_number",
+        "load_ages_s",
+        "name",
+        "pool",
+        "read_at",
+        "slots",
+    )
+
+    def __init__(
+        self,
+        name: str,
+        pool: str,
+        slots: int,
+        copies: dict[str, Copy],
+        load_ages_s: tuple[float, ...],
+        fencing_number: int,
+        read_at: float,
+    ):
+        self.name = name
+        self.pool = pool
+        self.slots = slots
+        self.copies = copies
+        self.load_ages_s = load_ages_s
+        self.fencing_number = fencing_number
+        self.read_at = read_at
+
+
+def decode_state(
+    name: str, pool: str, document: dict[str, Any], now: float
+) -> EngineState:
+    """Returns the state; raises ``KeyError``, ``TypeError``, ``ValueError``."""
+    copies = {
+        item["name"]: Copy(
+            item["name"],
+            CopyState(item["state"]),
+            float(item["age_s"]),
+            float(item.get("demand", 0.0)),
+        )
+        for item in document["models"]
+    }
+    return EngineState(
+        name,
+        pool,
+        int(document["slots"]),
+        copies,
+        tuple(float(age) for age in document.get("load_ages_s", ())),
+        int(document.get("fencing_number", 0)),
+        now,
+    )
+
+
+class _Action:
+    """An order to one engine.
+
+    Attributes:
+        engine: Name of the engine.
+        model: Model that it is about, empty for a role.
+        reason: Why, for the decision line.
+    """
+
+    __slots__ = ("engine", "model", "reason")
+
+    def __init__(self, engine: str, model: str, reason: str):
+        self.engine = engine
+        self.model = model
+        self.reason = reason
+
+
+class Load(_Action):
+    """Loads a model."""
+
+    __slots__ = ()
+
+
+class Unload(_Action):
+    """Unloads a model."""
+
+    __slots__ = ()
+
+
+class ChangeRole(_Action):
+    """Changes the role of an engine.
+
+    Attributes:
+        role: The new role.
+    """
+
+    __slots__ = ("role",)
+
+    def __init__(self, engine: str, role: str, reason: str):
+        super().__init__(engine, "", reason)
+        self.role = role
+
+
+@functools.singledispatch
+def order_body(action: object) -> dict[str, Any]:
+    """Returns the JSON body of an order, without its fencing number."""
+    raise TypeError(f"{action!r} is not an order")
+
+
+@order_body.register
+def _(action: Load) -> dict[str, Any]:
+    return {"order": "load", "model": action.model}
+
+
+@order_body.register
+def _(action: Unload) -> dict[str, Any]:
+    return {"order": "unload", "model": action.model}
+
+
+@order_body.register
+def _(action: ChangeRole) -> dict[str, Any]:
+    return {"order": "role", "role": action.role}
+
+
+@functools.singledispatch
+def needs_confirmed_view(action: object) -> bool:
+    """Tells whether an order from a sender that was replaced does harm."""
+    del action
+    return True
+
+
+@needs_confirmed_view.register
+def _(action: Load) -> bool:
+    del action
+    return False
--- a/savoryspar/standins/engine.py
+++ b/savoryspar/standins/engine.py
@@ -10,7 +10,7 @@
 
 import eventlet
 
-from savoryspar.standins import faults, prefix_cache, slots, wsgi
+from savoryspar.standins import engine_orders, faults, prefix_cache, slots, wsgi
 
 CHARS_PER_TOKEN = 4
 CRASH_EXIT_CODE = 70
@@ -60,6 +60,8 @@
 
     def handle(self, exchange: wsgi.Exchange) -> Any:
         """Answers one request."""
+        if exchange.path in engine_orders.PATHS:
+            return engine_orders.of(self.name).handle(exchange)
         if exchange.path == "/control":
             return self._control(exchange)
         if exchange.path == "/book":
--- /dev/null
+++ b/tests/placement/test_dispatcher.py
@@ -0,0 +1,167 @@
+"""Tests of fencing numbers and of senders that were replaced."""
+
+import hypothesis
+from hypothesis import strategies as st
+import testtools
+
+from savoryspar import backends, idempotency, log, placement
+from tests.placement import builders
+
+SETTINGS = hypothesis.settings(
+    max_examples=300, deadline=None, derandomize=True, database=None
+)
+
+
+class FencingTest(testtools.TestCase):
+    @SETTINGS
+    @hypothesis.given(
+        st.lists(
+            st.tuples(
+                st.integers(0, 2),
+                st.sampled_from(["read", "draw", "send", "restart"]),
+                st.integers(-10_000, 10_000),
+            ),
+            max_size=60,
+        )
+    )
+    def test_numbers_grow_over_senders_restarts_and_clocks(self, steps):
+        """An order drawn before a newer one was taken must be refused."""
+        clocks = [placement.FencingClock() for _ in range(3)]
+        drawn = [[], [], []]
+        highest, wall_s, seen_since = 0, 1_000_000.0, [False] * 3
+        for sender, step, shift_s in steps:
+            wall_s += shift_s
+            if step == "restart":
+                clocks[sender], drawn[sender] = placement.FencingClock(), []
+                seen_since[sender] = False
+            elif step == "read":
+                clocks[sender].observe(highest)
+                seen_since[sender] = True
+            elif step == "draw":
+                before = clocks[sender].highest
+                number = clocks[sender].draw(wall_s)
+                self.assertGreater(number, before)
+                if seen_since[sender]:
+                    self.assertGreater(number, highest)
+                drawn[sender].append(number)
+            elif drawn[sender]:
+                number = drawn[sender].pop()
+                if number > highest:
+                    highest = number
+                    seen_since = [False] * 3
+
+    def test_clock_set_back(self):
+        """A sender whose clock is set back must not fall behind itself."""
+        clock = placement.FencingClock()
+        first = clock.draw(2000.0)
+        self.assertEqual(first + 1, clock.draw(1000.0))
+
+
+class Member:
+    def __init__(self, incarnation):
+        self.incarnation, self.zone, self.is_leaving = incarnation, "z", False
+
+
+class View:
+    def __init__(self, own, others):
+        self.own = Member(own)
+        self.members = tuple(map(Member, others))
+        self.is_confirmed = True
+
+
+class FakePeers:
+    def __init__(self, own, others=()):
+        self.current = View(own, others)
+        self.numbers = []
+
+    def view(self, now, wall_now):
+        return self.current
+
+    def publish_number(self, number):
+        self.numbers.append(number)
+
+    def peer_numbers(self, now):
+        return ()
+
+
+class FakeClient:
+    """Engines by name; a hook plays what happens before the first byte."""
+
+    def __init__(self, engines):
+        self.engines, self.sent = engines, []
+        self.before = lambda: None
+
+    def read(self, server, now):
+        return self.engines[server.name]
+
+    def send(self, server, action, number, before_send):
+        self.before()
+        before_send()
+        self.sent.append((type(action), action.engine, number))
+
+
+class DispatcherTest(testtools.TestCase):
+    def new(self, engines, own="a", others=()):
+        self.client = FakeClient({e.name: e for e in engines})
+        self.peers = FakePeers(own, others)
+        dispatcher = placement.new_dispatcher(
+            self.peers, lambda: builders.new_sheet(), self.client,
+            log.new_decision_log(0.0), placement.Options(),
+            lambda: idempotency.Moment(0.0, 1000.0),
+        )  # fmt: skip
+        dispatcher.take_servers(
+            backends.Server(e.name, "127.0.0.1:1", "r", "z", "lm")
+            for e in engines
+        )
+        return dispatcher
+
+    def test_each_engine_has_one_sender(self):
+        """Two senders for an engine could work against each other."""
+        engines = [builders.new_engine(f"e{n}") for n in range(12)]
+        sent = []
+        for own, other in (("a", "b"), ("b", "a")):
+            dispatcher = self.new(engines, own, [other])
+            dispatcher.tick()
+            sent += [engine for _, engine, _ in self.client.sent]
+        self.assertEqual(len(sent), len(set(sent)))
+        self.assertEqual(3, len(sent))
+
+    def test_number_exceeds_those_of_engines(self):
+        """A new sender's orders must be accepted by a fenced engine."""
+        engine = builders.new_engine("e", number=9_000_000)
+        self.new([engine]).tick()
+        self.assertEqual(9_000_001, self.client.sent[0][2])
+
+    def test_only_loading_is_sent_without_a_confirmed_view(self):
+        """A replaced sender must not unload a copy that is in use."""
+        gone = [("gone", "ready", 999.0, 0.0)]
+        engines = [builders.new_engine("e0", gone, slots=1)]
+        engines += [builders.new_engine("e1")]
+        dispatcher = self.new(engines)
+
+        def pause():
+            self.peers.current.is_confirmed = False
+
+        self.client.before = pause
+        dispatcher.tick()
+        kinds = {kind for kind, _, _ in self.client.sent}
+        self.assertEqual({placement.Load}, kinds)
+        self.client.before = lambda: None
+        self.peers.current.is_confirmed = True
+        dispatcher.tick()
+        self.assertIn(
+            placement.Unload, {kind for kind, _, _ in self.client.sent}
+        )
+
+    def test_sender_that_was_replaced_does_not_unload(self):
+        """A view that moved on during a pause must stop the order."""
+        gone = [("gone", "ready", 999.0, 0.0)]
+        dispatcher = self.new([builders.new_engine("e0", gone, slots=1)])
+
+        def replaced():
+            names = [f"n{number}" for number in range(40)]
+            self.peers.current = View("a", names)
+
+        self.client.before = replaced
+        dispatcher.tick()
+        self.assertEqual([], self.client.sent)
