--- a/savoryspar/membership/links.py
+++ b/savoryspar/membership/links.py
@@ -55,7 +55,7 @@
         peer: Record that the peer sent in its hello.
         is_outgoing: Whether this process opened it.
         used_at: When it last carried something else than a heartbeat.
-        echo: Sequence of the newest frame of the peer.
+        echo: Sequence of the newest frame of the peer that was served.
         is_two_way_at: When a frame was sent that the peer is known to have
             received, minus infinity before the first one.
         facts_sent: Newest counter of each member's facts on this link.
@@ -129,7 +129,6 @@
         raw = self._conn.recv(timeout=timeout_s, decode=False)
         frame = frames.decode(raw)
         self._incoming.accept(frame)
-        self.echo = frame.sequence
         return frame
 
     def post(self, kind: str, body: Any) -> Outgoing | None:
--- a/savoryspar/membership/service.py
+++ b/savoryspar/membership/service.py
@@ -14,6 +14,7 @@
     evidence,
     exceptions,
     facts,
+    frames,
     gossip,
     heartbeats,
     links,
@@ -101,7 +102,7 @@
 
     def start(self) -> None:
         """Listens for peers and looks for them."""
-        self.connector.start(lambda: self.records.own_record, self._run_link)
+        self.connector.start(lambda: self.records.own_record, self.run_link)
         eventlet.spawn(self._tick_always)
 
     def leave(self, now: float) -> None:
@@ -222,7 +223,8 @@
         """Takes the peer addresses of the VM list."""
         self._upkeep.listed = frozenset(filter(None, addresses))
 
-    def _run_link(self, link: links.Link) -> None:
+    def run_link(self, link: links.Link) -> None:
+        """Reads a new link until it closes."""
         now = time.monotonic()
         self._gossip.merge([link.peer], None, now)
         self.records.note_heard(link.peer.incarnation, now)
@@ -235,7 +237,7 @@
         try:
             while True:
                 try:
-                    self._take_frame(link, link.receive())
+                    self.take_frame(link, link.receive())
                 except exceptions.FrameError as exc:
                     self.connector.refuse(exc, source)
         except links.SOCKET_ERRORS as exc:
@@ -245,8 +247,14 @@
             self._calls.drop_link(link)
             self._link_lost(link)
 
-    def _take_frame(self, link: links.Link, frame: Any) -> None:
+    def take_frame(self, link: links.Link, frame: frames.Frame) -> None:
+        """Serves one frame.
+
+        Raises:
+            FrameError: Its body is wrong; nothing was changed.
+        """
         handler = self._dispatch.get(frame.kind)
+        link.echo = frame.sequence
         self.records.note_heard(link.peer.incarnation, time.monotonic())
         if frame.kind != "heartbeat":
             link.used_at = time.monotonic()
@@ -318,6 +326,7 @@
     wall_now: float,
     name: str = "",
     zone: str = "",
+    factory: Callable[..., "Membership"] | None = None,
 ) -> Membership:
     """Returns a membership that listens but does not serve yet.
 
@@ -327,6 +336,7 @@
         wall_now: Wall clock time in seconds.
         name: Name in place of the one in the settings.
         zone: Availability zone in place of the one in the settings.
+        factory: Class of the membership, for tests of faults.
 
     Raises:
         MembershipError: The certificates cannot be loaded.
@@ -350,4 +360,5 @@
         zone or cfg.entry.zone,
         own_links.address,
     )
-    return Membership(own, own_links, contexts, section, now, wall_now)
+    build = factory or Membership
+    return build(own, own_links, contexts, section, now, wall_now)
--- a/savoryspar/standins/members.py
+++ b/savoryspar/standins/members.py
@@ -10,6 +10,30 @@
 from savoryspar.standins import wsgi
 
 
+class DeafMembership(membership.Membership):
+    """A membership that can lose what some peers send, for one-way cuts.
+
+    Attributes:
+        deaf_to: Incarnations whose frames are lost.
+    """
+
+    __slots__ = ("deaf_to",)
+
+    def __init__(self, *arguments: Any):
+        super().__init__(*arguments)
+        self.deaf_to: frozenset[str] = frozenset()
+
+    def take_frame(self, link: Any, frame: Any) -> None:
+        """Loses the frame or takes it."""
+        if link.peer.incarnation not in self.deaf_to:
+            super().take_frame(link, frame)
+
+    def run_link(self, link: Any) -> None:
+        """Loses a new link or reads it."""
+        if link.peer.incarnation not in self.deaf_to:
+            super().run_link(link)
+
+
 class Members:
     """Memberships of one process, driven over HTTP by a test or scenario."""
 
@@ -29,29 +53,46 @@
 
     def handle(self, exchange: wsgi.Exchange) -> Any:
         """Answers one request."""
-        body = exchange.read_json()
-        now = time.monotonic()
         if exchange.path == "/stats":
             is_brief = "brief" in exchange.query
-            return exchange.answer(self._stats(now, is_brief))
-        if exchange.path == "/listed":
-            for member in self._members:
-                member.set_listed(body["addresses"])
-        number = body.get("member", 0)
-        member = self._members[number]
-        if exchange.path == "/sheet":
-            offered = sheet.parse_csv(body["text"], body["revision"])
-            self._sheets[number].offer(offered, "test", now)
-        if exchange.path == "/request":
-            return exchange.answer(_request(member, body))
-        if exchange.path == "/broadcast":
-            member.broadcast("note", body["body"])
-        if exchange.path == "/fact":
-            for each in self._members:
-                each.publish_fact(body["name"], body["body"])
-        if exchange.path == "/stop":
-            member.stop(now)
-        return exchange.answer({})
+            stats = self._stats(time.monotonic(), is_brief)
+            return exchange.answer(stats)
+        answer = _COMMANDS[exchange.path](self, exchange.read_json())
+        return exchange.answer(answer or {})
+
+    def list_addresses(self, body: Mapping[str, Any]) -> None:
+        """Sets the peer addresses of the VM list."""
+        for member in self._members:
+            member.set_listed(body["addresses"])
+
+    def offer_sheet(self, body: Mapping[str, Any]) -> None:
+        """Offers a sheet to one member, as its watch would."""
+        offered = sheet.parse_csv(body["text"], body["revision"])
+        holder = self._sheets[body.get("member", 0)]
+        holder.offer(offered, "test", time.monotonic())
+
+    def request(self, body: Mapping[str, Any]) -> dict[str, Any]:
+        """Sends a request from the first member to a peer."""
+        return _request(self._members[0], body)
+
+    def broadcast(self, body: Mapping[str, Any]) -> None:
+        """Broadcasts a note from the first member."""
+        self._members[0].broadcast("note", body["body"])
+
+    def publish_fact(self, body: Mapping[str, Any]) -> None:
+        """Publishes a fact of every member."""
+        for member in self._members:
+            member.publish_fact(body["name"], body["body"])
+
+    def deafen(self, body: Mapping[str, Any]) -> None:
+        """Loses what the named peers send to any member."""
+        for member in self._members:
+            member.deaf_to = frozenset(body["incarnations"])
+
+    def stop(self, body: Mapping[str, Any]) -> None:
+        """Lets the first member leave."""
+        del body
+        self._members[0].stop(time.monotonic())
 
     def _stats(self, now: float, is_brief: bool) -> dict[str, Any]:
         if is_brief:
@@ -85,6 +126,17 @@
         }
 
 
+_COMMANDS = {
+    "/listed": Members.list_addresses,
+    "/sheet": Members.offer_sheet,
+    "/request": Members.request,
+    "/broadcast": Members.broadcast,
+    "/fact": Members.publish_fact,
+    "/deaf": Members.deafen,
+    "/stop": Members.stop,
+}
+
+
 def _recorder(received: list[Any]) -> Any:
     return lambda sender, body: received.append([sender, body])
 
@@ -147,6 +199,7 @@
                 time.time(),
                 name=f"m{number}",
                 zone=f"z{number % zones}",
+                factory=DeafMembership,
             )
             for number in range(first, first + count)
         ]
