Add bench scenarios for spreading and control, and widen the call budget

A whole read takes 257 calls, so a budget of 5 calls/s made a watcher wait most of a minute after a gap: neither scenario saw its revision within 10 s. Only two members a zone read, so 50 calls/s each stay within half of the service's rate at 10 zones.

--- a/savoryspar/bench/scenarios/membership.py
+++ b/savoryspar/bench/scenarios/membership.py
@@ -1,205 +1,172 @@
-"""Spreading of the configuration and the cost of control."""
+"""Spreading of the configuration, and the cost of control."""
 
-from collections.abc import Iterator, Mapping, Sequence
-import random
+import itertools
+import re
 import time
-from typing import Any
 
-from savoryspar.bench import deployments
+from savoryspar.bench import control_cost, deployments, results
 from savoryspar.bench import fleet as fleet_lib
 
 SIZES = ((9, 3), (50, 5), (200, 5))
-"""Members and zones of each measurement."""
-
-TARGET_MEMBERS = 380
-TARGET_ZONES = 10
-PROCESSES = 16
-SETTLE_S = 40.0
-WINDOW_S = 8.0
-POLL_S = 0.5
-REAP_S = 7.0
-"""Time after which links that a start needed are closed."""
-
-HEADER_BYTES = 52
-"""IPv4 and TCP headers with timestamps, of each segment."""
-
-CHANGES_PER_DAY = 9_100
-FACT = {
-    "urgent": [[f"workspace-{number}", 1200.0] for number in range(4)],
-    "backlog": {"engines": 7.5},
-}
-"""What a member reports of its service: four heavy workspaces, one pool."""
-
-
-class Cost:
-    """What control costs a member on average, each second.
-
-    Attributes:
-        size, zones: Members and zones of the measurement.
-        bytes_sent, bytes_received: With TLS and the headers of TCP and IP.
-        most_sent: Bytes sent by the member that sends most.
-        cpu_percent: Of one core.
+"""Members and zones of each fleet; a zone of 40 is like one of the design."""
+
+DESIGN_SIZE = 380
+ENTRIES = 6
+ZONES = ("andina-bog", "caribe-ctg", "pacifico-cali")
+REFUSED_URL = "http://127.0.0.1:9"
+CHANGES = 3
+LIMIT_S = 10.0
+POLL_S = 0.01
+IN_FORCE = re.compile(r"Sheet in force\. revision=(\d+) ")
+ROW = "compania-grande,share,"
+
+
+def configuration_spread(seed: int) -> list[results.Row]:
+    """Measures how long a revision takes with the service down for half.
+
+    Half of the entry processes have a service that refuses connections. A
+    watcher is killed before the last change.
     """
+    with fleet_lib.Fleet() as fleet:
+        names = _start(fleet, half_refused=True)
+        times_s = []
+        for revision in range(2, 2 + CHANGES):
+            if revision == 1 + CHANGES:
+                names.remove(_kill_watcher(fleet, names))
+            _publish(fleet, revision, is_delta=True)
+            times_s.append(
+                control_cost.wait_until(
+                    lambda revision=revision: all(
+                        revision in _revisions(fleet, name) for name in names
+                    ),
+                    LIMIT_S,
+                    POLL_S,
+                )
+            )
+    return [
+        results.new_row(
+            "config-spread",
+            "configuration in effect, service down for half",
+            "s",
+            "<= 3",
+            max(times_s),
+            seed,
+        )
+    ]
 
-    __slots__ = (
-        "bytes_received",
-        "bytes_sent",
-        "cpu_percent",
-        "most_sent",
-        "size",
-        "zones",
-    )
 
-    def __init__(
-        self,
-        size: int,
-        zones: int,
-        sent: Sequence[float],
-        received: Sequence[float],
-        cpu_percent: float,
-    ):
-        self.size = size
-        self.zones = zones
-        self.bytes_sent = sum(sent) / len(sent)
-        self.bytes_received = sum(received) / len(received)
-        self.most_sent = max(sent)
-        self.cpu_percent = cpu_percent
-
-
-def measure_cost(
-    size: int, zones: int, settings: Mapping[str, object], seed: int
-) -> Cost:
-    """Measures a quiet fleet with facts and one change of configuration."""
+def stale_service(seed: int) -> list[results.Row]:
+    """Counts revisions that go back while the service is stale.
+
+    The service goes back from revision 4 to 2 while a watcher is killed and
+    a new process starts; then it goes on with 5.
+    """
     with fleet_lib.Fleet() as fleet:
-        processes = _start_members(fleet, size, zones, settings, seed)
-        _wait_until(lambda: _is_whole(fleet, processes, size))
-        for process in processes:
-            fleet.post_json(process, "/fact", {"name": "load", "body": FACT})
-        text = deployments.GESTO.sheet_text()
-        _change(fleet, processes, text, 1)
-        time.sleep(REAP_S)
-        before = [fleet.get_json(p, "/stats?brief=1") for p in processes]
-        started_at = time.monotonic()
-        # The window holds the changes that a day of the design size has.
-        _change(fleet, processes, text.replace("share,3", "share,4"), 2)
-        time.sleep(WINDOW_S)
-        after = [fleet.get_json(p, "/stats?brief=1") for p in processes]
-        passed_s = time.monotonic() - started_at
-    return _new_cost(size, zones, before, after, passed_s)
-
-
-def _start_members(
-    fleet: fleet_lib.Fleet,
-    size: int,
-    zones: int,
-    settings: Mapping[str, object],
-    seed: int,
-) -> list[fleet_lib.Process]:
-    count = min(PROCESSES, size)
-    bounds = [size * number // count for number in range(count + 1)]
-    processes = [
-        fleet.start_members(
-            f"members-{number}",
-            zones,
-            bounds[number],
-            bounds[number + 1] - bounds[number],
-            settings,
+        names = _start(fleet, half_refused=False)
+        for revision in (2, 4):
+            _publish(fleet, revision)
+            _wait_for(fleet, names, revision)
+        _publish(fleet, 2)
+        names.remove(_kill_watcher(fleet, names))
+        fleet.start_entry("late", ZONES[0], f"{ZONES[0]}-a")
+        fleet.publish_vms()
+        fleet.wait_ready("late")
+        time.sleep(2.0)
+        names.append("late")
+        reverted = int(2 in _revisions(fleet, "late"))
+        _publish(fleet, 5)
+        _wait_for(fleet, names, 5)
+        reverted += sum(
+            later < earlier
+            for name in names
+            for earlier, later in itertools.pairwise(_revisions(fleet, name))
+        )
+    return [
+        results.new_row(
+            "stale-service",
+            "revisions that reverted",
+            "count",
+            "== 0",
+            reverted,
+            seed,
         )
-        for number in range(count)
     ]
-    addresses = [
-        member["address"]
-        for process in processes
-        for member in fleet.get_json(process, "/stats")["members"]
+
+
+def control_traffic(seed: int) -> list[results.Row]:
+    """Measures bytes and CPU a member and extrapolates them from slopes."""
+    costs = control_cost.measure(SIZES, {}, seed)
+
+    def at_design_size(field: str) -> float:
+        points = [(cost.size, getattr(cost, field)) for cost in costs]
+        return control_cost.extrapolate(points, DESIGN_SIZE)
+
+    return [
+        results.new_row(
+            "control-traffic",
+            "control traffic per node at 380 nodes",
+            "KB/s",
+            "<= 2",
+            at_design_size("bytes_sent") / 1024,
+            seed,
+        ),
+        results.new_row(
+            "control-traffic",
+            "control CPU per node at 380 nodes",
+            "% core",
+            "<= 1.6",
+            at_design_size("cpu_percent"),
+            seed,
+        ),
     ]
-    random.Random(seed).shuffle(addresses)
-    for process in processes:
-        fleet.post_json(process, "/listed", {"addresses": addresses})
-        time.sleep(0.5)
-    return processes
-
-
-def _is_whole(
-    fleet: fleet_lib.Fleet, processes: Sequence[fleet_lib.Process], size: int
-) -> bool:
-    return all(
-        member["count"] == size - 1
-        for process in processes
-        for member in fleet.get_json(process, "/stats?brief=1")["members"]
-    )
 
 
-def _wait_until(is_done: Any, timeout_s: float = SETTLE_S) -> float:
-    """Waits until the condition holds and returns the time in seconds.
+def _start(fleet: fleet_lib.Fleet, half_refused: bool) -> list[str]:
+    fleet.start_platform()
+    _publish(fleet, 1)
+    names = [f"entry-{number}" for number in range(ENTRIES)]
+    for number, name in enumerate(names):
+        region = ZONES[number % len(ZONES)]
+        refused = {"platform": {"config_url": REFUSED_URL}}
+        settings = refused if half_refused and number % 2 else {}
+        fleet.start_entry(name, region, f"{region}-a", settings)
+    fleet.publish_vms()
+    fleet.wait_ready(*names)
+    time.sleep(1.5)
+    return names
 
-    Raises:
-        TimeoutError: It does not hold in time.
-    """
-    started_at = time.monotonic()
-    while not is_done():
-        if time.monotonic() - started_at > timeout_s:
-            raise TimeoutError("the members did not settle in time")
-        time.sleep(POLL_S)
-    return time.monotonic() - started_at
-
-
-def _change(
-    fleet: fleet_lib.Fleet,
-    processes: Sequence[fleet_lib.Process],
-    text: str,
-    revision: int,
+
+def _publish(
+    fleet: fleet_lib.Fleet, revision: int, is_delta: bool = False
 ) -> None:
-    body = {"text": text, "revision": revision}
-    fleet.post_json(processes[0], "/sheet", body)
-
-
-def _new_cost(
-    size: int,
-    zones: int,
-    before: Sequence[Mapping[str, Any]],
-    after: Sequence[Mapping[str, Any]],
-    passed_s: float,
-) -> Cost:
-    pairs = [
-        (old["traffic"], new["traffic"])
-        for first, second in zip(before, after, strict=True)
-        for old, new in zip(first["members"], second["members"], strict=True)
-    ]
-    cpu_s = sum(
-        second["cpu_s"] - first["cpu_s"]
-        for first, second in zip(before, after, strict=True)
-    )
-    return Cost(
-        size,
-        zones,
-        [_bytes(old, new, "sent") / passed_s for old, new in pairs],
-        [_bytes(old, new, "received") / passed_s for old, new in pairs],
-        100.0 * cpu_s / size / passed_s,
+    fleet.publish_sheet(
+        _text(revision), revision, _text(revision - 1) if is_delta else ""
     )
 
 
-def _bytes(
-    old: Mapping[str, int], new: Mapping[str, int], direction: str
-) -> float:
-    payload = new[f"{direction}_bytes"] - old[f"{direction}_bytes"]
-    segments = new[f"{direction}_segments"] - old[f"{direction}_segments"]
-    return payload + segments * HEADER_BYTES
+def _text(revision: int) -> str:
+    text = deployments.GESTO.sheet_text()
+    return text.replace(f"{ROW}3", f"{ROW}{revision}")
 
 
-def extrapolate(points: Sequence[tuple[float, float]], size: float) -> float:
-    """Returns the value at a size on the line of least squares."""
-    mean_x = sum(x for x, _ in points) / len(points)
-    mean_y = sum(y for _, y in points) / len(points)
-    spread = sum((x - mean_x) ** 2 for x, _ in points)
-    slope = sum((x - mean_x) * (y - mean_y) for x, y in points) / spread
-    return mean_y + slope * (size - mean_x)
+def _kill_watcher(fleet: fleet_lib.Fleet, names: list[str]) -> str:
+    """Kills a process that watches the service and returns its name."""
+    for name in names:
+        lines = fleet.log_text(name).splitlines()
+        duties = [line for line in lines if "atching the configuration" in line]
+        if duties and "Watching" in duties[-1]:
+            fleet.processes[name].kill()
+            return name
+    raise RuntimeError("no entry process watches the configuration service")
 
 
-def compare(topologies: Sequence[str], seed: int) -> Iterator[tuple[str, Cost]]:
-    """Yields the cost of each topology at each size."""
-    for topology in topologies:
-        for size, zones in SIZES:
-            yield (
-                topology,
-                measure_cost(size, zones, {"topology": topology}, seed),
-            )
+def _revisions(fleet: fleet_lib.Fleet, name: str) -> list[int]:
+    return [int(found) for found in IN_FORCE.findall(fleet.log_text(name))]
+
+
+def _wait_for(fleet: fleet_lib.Fleet, names: list[str], revision: int) -> None:
+    control_cost.wait_until(
+        lambda: all(revision in _revisions(fleet, name) for name in names),
+        LIMIT_S,
+        POLL_S,
+    )
--- a/savoryspar/conf/sections/platform.py
+++ b/savoryspar/conf/sections/platform.py
@@ -35,14 +35,15 @@
         "platform",
         "config_calls_per_s",
         converters.size,
-        "5",
-        "Calls at the configuration service that a process may make a second.",
+        "50",
+        "Calls at the configuration service that a process may make a second;"
+        " two watchers in each of 10 zones use half of the service's rate.",
     ),
     setting.Setting(
         "platform",
         "config_burst_calls",
         converters.size,
-        "300",
+        "600",
         "Calls that it may make at once after a quiet time; a whole read"
         " takes 257.",
     ),
--- a/savoryspar/membership/sheet_watch.py
+++ b/savoryspar/membership/sheet_watch.py
@@ -93,12 +93,17 @@
                 continue
             self._note_duty(True)
             try:
-                self._read_once()
+                self.read_once()
             except platform.PlatformError as exc:
                 self._note_failure(exc, self._clock())
                 eventlet.sleep(RETRY_S)
 
-    def _read_once(self) -> None:
+    def read_once(self) -> None:
+        """Waits for a revision and offers it to the holder.
+
+        Raises:
+            PlatformError: The service is down or over its rate.
+        """
         after, timeout_s = self._sheets.revision, self._timeout_s
         if self._refusals:
             # A refused revision is read again at growing intervals, because
