--- a/savoryspar/bench/catalog.py
+++ b/savoryspar/bench/catalog.py
@@ -5,6 +5,7 @@
 from savoryspar.bench import results
 from savoryspar.bench.scenarios import (
     decisions,
+    membership,
     relay,
     routing,
     scheduling_decisions,
@@ -25,4 +26,7 @@
     "leaving": routing.leaving,
     "decision-time": decisions.decision_time,
     "subsets": decisions.subset_balance,
+    "config-spread": membership.configuration_spread,
+    "stale-service": membership.stale_service,
+    "control-traffic": membership.control_traffic,
 }
