--- a/savoryspar/bench/catalog.py
+++ b/savoryspar/bench/catalog.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable, Mapping
 
 from savoryspar.bench import results
-from savoryspar.bench.scenarios import relay, scheduling_decisions
+from savoryspar.bench.scenarios import relay, scheduling, scheduling_decisions
 
 Scenario = Callable[[int], list[results.Row]]
 """Runs a scenario with a seed and returns its rows."""
@@ -11,6 +11,10 @@
 SCENARIOS: Mapping[str, Scenario] = {
     "relay-cost": relay.relay_cost,
     "relay-gap": relay.relay_gap,
+    "sched-bulk-flood": scheduling.bulk_flood,
+    "sched-urgent-flood": scheduling.urgent_flood,
+    "sched-small": scheduling.small_and_large,
+    "sched-entries": scheduling.zone_fairness,
     "sched-decisions": scheduling_decisions.run_decisions,
     "sched-zone": scheduling_decisions.run_zone,
 }
