Keep admission and floors steady in a flood

Cause, from traces of sched-bulk-flood: (1) jobs were granted at their latest start, so 5% ended late; (2) the rate of a rank was computed from slots while the servers' limits moved, and each lull of urgent work let in more bulk work than its floor serves, whose first stage was wasted; (3) without estimates the first 0.4 s of a flood were all admitted and dropped only at the deadline; (4) an engine with a queue of its own let urgent work pass the jobs that a floor had put first, which cost bulk half its floor.

Now the expected wait may take 0.8 of the spare time, estimates are kept by rank, a pool with a queue uses its measured rate, the latest start is computed anew while a job waits, and a job served under a floor gets the engine's highest priority.

--- a/savoryspar/bench/scenarios/scheduling.py
+++ b/savoryspar/bench/scenarios/scheduling.py
@@ -8,6 +8,7 @@
 from savoryspar.bench.scenarios import scheduling_decisions, scheduling_fleet
 
 FLOOD_S = 13.0
+FLOOD_START_S = 2.0
 FLOOD_FACTOR = 10.0
 FLOORS = {"standard": 0.2, "bulk": 0.1}
 SMALL_S = 16.0
@@ -41,6 +42,8 @@
         scheduling_fleet.flow(owners[name], name, rate * capacity)
         for name, rate in rates.items()
     ]
+    # The flood meets a system that already runs.
+    sent[[*rates].index(rank)].start_s = FLOOD_START_S
     with fleet_lib.Fleet() as fleet:
         entries = scheduling_fleet.start(fleet, settings)
         engine = fleet.processes["engine-0"]
--- a/savoryspar/pipelines/bodies.py
+++ b/savoryspar/pipelines/bodies.py
@@ -8,6 +8,7 @@
 
 DEFAULT_MAX_TOKENS = 64
 CHARACTERS_PER_TOKEN = 4.0
+HIGHEST_PRIORITY = 0
 PRIORITIES = {rank: number for number, rank in enumerate(sheet.RANKS)}
 
 
--- a/savoryspar/scheduling/admission.py
+++ b/savoryspar/scheduling/admission.py
@@ -12,6 +12,9 @@
 from savoryspar.scheduling import estimates as estimates_lib
 from savoryspar.scheduling import exceptions, model
 
+WAIT_PART = 0.8
+"""Part of the spare time that the expected wait may take. With all of it, every
+job of a long queue was granted at its latest start, and 5% finished late."""
 MIN_RETRY_S = 0.1
 MAX_RETRY_S = 30.0
 """Longest advice; estimates further ahead are not reliable."""
@@ -41,7 +44,7 @@
     def later_s(self, job: model.Job) -> float:
         """Returns the p95 of the stages still to come, in seconds."""
         return sum(
-            self.estimates.p95_s(need.pool, need.model, need.cost)
+            self.estimates.p95_s(need.pool, need.model, job.rank, need.cost)
             for need in job.later
         )
 
@@ -49,7 +52,7 @@
         """Returns the time after which a grant would come too late."""
         if not self.is_enabled:
             return job.deadline_at
-        own_s = self.estimates.p95_s(job.pool, job.model, job.cost)
+        own_s = self.estimates.p95_s(job.pool, job.model, job.rank, job.cost)
         return job.deadline_at - self.later_s(job) - own_s
 
     def check(self, job: model.Job, now: float) -> None:
@@ -70,6 +73,7 @@
         )
         if math.isinf(wait_s):
             raise _error(f"a pool of {_pools(job)} has no slots", wait_s)
+        spare_s *= WAIT_PART
         if wait_s > spare_s:
             raise _error(
                 f"the wait for {_pools(job)} is {wait_s:.2f} s, of which"
@@ -100,7 +104,7 @@
         """
         needs = (model.StageNeed(job.pool, job.model, job.cost), *job.later)
         return max(
-            self.estimates.p50_s(need.pool, need.model, need.cost)
+            self.estimates.p50_s(need.pool, need.model, job.rank, need.cost)
             for need in needs
         )
 
--- a/savoryspar/scheduling/entries.py
+++ b/savoryspar/scheduling/entries.py
@@ -29,6 +29,7 @@
         account: Account that is charged, under the fair policy.
         charged: Units charged so far, the estimate at least.
         used: Units reported as used.
+        is_floor: Whether it was served before more urgent work that waited.
         granted_at: Monotonic time in seconds of the grant.
         error: Why the job was dropped, or None.
         notify: Called without arguments when the job is granted or dropped.
@@ -39,6 +40,7 @@
         "charged",
         "error",
         "granted_at",
+        "is_floor",
         "job",
         "notify",
         "sequence",
@@ -60,6 +62,7 @@
         self.charged = 0.0
         self.used = 0.0
         self.granted_at = 0.0
+        self.is_floor = False
         self.error: exceptions.AdmissionError | None = None
 
     @property
--- a/savoryspar/scheduling/estimates.py
+++ b/savoryspar/scheduling/estimates.py
@@ -1,4 +1,4 @@
-"""Streaming quantiles of stage latency, by pool, model and size."""
+"""Streaming quantiles of stage latency, by pool, model, rank and size."""
 
 import array
 import itertools
@@ -58,41 +58,43 @@
 class Estimates:
     """Latency of a stage once it has a slot.
 
-    Jobs of one model differ in size by orders of magnitude, so estimates are
-    kept for each power of two of the cost; a size without samples of its own
-    takes the estimate of the pool and model.
+    Jobs of one model differ in size by orders of magnitude, and engines run
+    urgent work first, so estimates are kept for each rank and power of two of
+    the cost. A rank and size without samples of its own takes the estimate of
+    the pool and model.
     """
 
     __slots__ = ("_quantiles",)
 
     def __init__(self) -> None:
-        self._quantiles: dict[tuple[str, str, int], Quantiles] = {}
+        self._quantiles: dict[tuple[str, str, str, int], Quantiles] = {}
 
     def observe(
-        self, pool: str, model: str, cost: float, latency_s: float
+        self, pool: str, model: str, rank: str, cost: float, latency_s: float
     ) -> None:
         """Adds the latency of a finished stage."""
-        for size in (-1, _size(cost)):
-            key = (pool, model, size)
+        for key in ((pool, model, "", 0), (pool, model, rank, _size(cost))):
             found = self._quantiles.get(key)
             if found is None:
                 found = self._quantiles[key] = Quantiles()
             found.add(latency_s)
 
-    def p50_s(self, pool: str, model: str, cost: float) -> float:
+    def p50_s(self, pool: str, model: str, rank: str, cost: float) -> float:
         """Returns the median in seconds, 0 when nothing is known."""
-        found = self._find(pool, model, cost)
+        found = self._find(pool, model, rank, cost)
         return found.p50_s if found else 0.0
 
-    def p95_s(self, pool: str, model: str, cost: float) -> float:
+    def p95_s(self, pool: str, model: str, rank: str, cost: float) -> float:
         """Returns the 95th percentile in seconds, 0 when it is unknown."""
-        found = self._find(pool, model, cost)
+        found = self._find(pool, model, rank, cost)
         return found.p95_s if found else 0.0
 
-    def _find(self, pool: str, model: str, cost: float) -> Quantiles | None:
+    def _find(
+        self, pool: str, model: str, rank: str, cost: float
+    ) -> Quantiles | None:
         return self._quantiles.get(
-            (pool, model, _size(cost))
-        ) or self._quantiles.get((pool, model, -1))
+            (pool, model, rank, _size(cost))
+        ) or self._quantiles.get((pool, model, "", 0))
 
 
 def _size(cost: float) -> int:
--- a/savoryspar/scheduling/policies.py
+++ b/savoryspar/scheduling/policies.py
@@ -109,6 +109,7 @@
         return None
     rank = policy.meter.select(backlogged)
     entry = policy.queues[rank].pop()
+    entry.is_floor = rank != backlogged[0]
     policy.meter.charge(rank, entry.job.cost, backlogged, now)
     return entry
 
--- a/savoryspar/scheduling/pool.py
+++ b/savoryspar/scheduling/pool.py
@@ -7,6 +7,10 @@
 
 RATE_WINDOW_S = 2.0
 """Window over which the service rate of a rank is measured."""
+FIRST_HOLD_S = 1.0
+"""Time that a job is taken to hold its slot before any was released."""
+BACKLOG_S = 2.0
+"""Time over which the backlog of more urgent ranks is spread."""
 HALVE_AFTER = 64
 """Releases after which older hold times count half."""
 
@@ -45,10 +49,12 @@
 
     __slots__ = (
         "_announced",
+        "_contended_at",
         "_held_s",
         "_held_units",
         "_rates",
         "_releases",
+        "_running_units",
         "name",
         "policy",
         "running",
@@ -62,12 +68,16 @@
         self.waiting = 0
         self._announced: dict[tuple[str, str], float] = {}
         self._rates = {rank: Decayed() for rank in sheet.RANKS}
+        self._contended_at = 0.0
+        self._running_units = 0.0
         self._held_s = 0.0
         self._held_units = 0.0
         self._releases = 0
 
-    def push(self, entry: entries.Entry) -> None:
+    def push(self, entry: entries.Entry, now: float) -> None:
         """Queues a job."""
+        if not self.waiting:
+            self._contended_at = now
         self.waiting += 1
         policies.push(self.policy, entry)
 
@@ -91,11 +101,13 @@
     def charge(self, entry: entries.Entry, units: float, now: float) -> None:
         """Corrects the charge of a running job."""
         policies.charge(self.policy, entry, units, now)
+        self._running_units += units
         self._rates[entry.job.rank].add(units, now)
 
     def finish(self, entry: entries.Entry, now: float) -> None:
         """Takes the slot back."""
         self.running -= 1
+        self._running_units -= entry.charged
         policies.finish(self.policy, entry)
         self._held_s += now - entry.granted_at
         self._held_units += entry.charged
@@ -118,15 +130,18 @@
 
         That is the rate of the pool less what more urgent ranks take and what
         the floors of backlogged lower ranks keep, and its own floor at least.
+        What waits of the more urgent ranks counts as spread over a while;
+        without it, each lull of theirs let in more than the floor can serve.
         """
-        if not self._held_s:
-            return 0.0
-        total = slots * self._held_units / self._held_s
+        total = self._total_rate(slots, now)
         if not isinstance(self.policy, policies.FairPolicy):
             return total
         floors = self.policy.meter.floors
         number = sheet.RANKS.index(rank)
-        urgent = sum(self._rates[r].rate(now) for r in sheet.RANKS[:number])
+        urgent = sum(
+            self._rates[r].rate(now) + self.policy.queues[r].units / BACKLOG_S
+            for r in sheet.RANKS[:number]
+        )
         kept = sum(
             floors[lower]
             for lower in self.policy.backlogged
@@ -143,10 +158,24 @@
         rate = self.drain_rate(job.rank, slots, now)
         if rate > 0.0:
             return ahead / rate
-        return math.inf if self._held_s and ahead else 0.0
+        return math.inf if ahead else 0.0
+
+    def _total_rate(self, slots: int, now: float) -> float:
+        """Returns the units per second of the whole pool.
+
+        A pool that has had a queue for a while serves what it can, so its
+        measured rate is used; slots times the rate of one slot would be wrong
+        while a server's concurrency limit moves.
+        """
+        if self.waiting and now - self._contended_at > RATE_WINDOW_S:
+            return sum(rate.rate(now) for rate in self._rates.values())
+        if self._held_s:
+            return slots * self._held_units / self._held_s
+        return max(self._running_units, 1.0) / FIRST_HOLD_S
 
     def _start(self, entry: entries.Entry, now: float) -> None:
         self.running += 1
+        self._running_units += entry.charged
         entry.status = entries.Status.GRANTED
         entry.granted_at = now
         self._rates[entry.job.rank].add(entry.charged, now)
--- a/savoryspar/scheduling/scheduler.py
+++ b/savoryspar/scheduling/scheduler.py
@@ -21,6 +21,9 @@
 from savoryspar.scheduling import pool as pool_lib
 from savoryspar.scheduling import reports as reports_lib
 
+MIN_WAIT_S = 0.02
+"""Shortest wait until the latest start is computed anew."""
+
 Capacity = Callable[[str, float], int]
 """Slots of a pool that the zone may use at a time: (pool, now)."""
 
@@ -39,6 +42,11 @@
         """The job that may run."""
         return self._entry.job
 
+    @property
+    def is_floor(self) -> bool:
+        """Whether a floor put the job before more urgent work that waits."""
+        return self._entry.is_floor
+
     def charge(self, units: float, now: float) -> None:
         """Reports work units that the job used since the last report.
 
@@ -163,7 +171,7 @@
             self.peers.served(job, job.cost)
             self._record(job, pool, "granted", "slot_free")
             return entry
-        pool.push(entry)
+        pool.push(entry, now)
         self._limit(pool, entry, now)
         self.dispatch(pool, now)
         return entry
@@ -188,7 +196,11 @@
         self._announce(job, -1.0)
         if is_complete:
             self.estimates.observe(
-                job.pool, job.model, job.cost, now - entry.granted_at
+                job.pool,
+                job.model,
+                job.rank,
+                job.cost,
+                now - entry.granted_at,
             )
         self.dispatch(pool, now)
 
@@ -243,21 +255,24 @@
     def _wait(
         self, entry: entries.Entry, granted: event.Event, now: float
     ) -> None:
-        until = self._admission.latest_start_at(entry.job)
-        timer = eventlet.Timeout(max(0.0, until - now))
+        """Waits for the end of a job's wait, at most until its latest start.
+
+        The latest start moves with the estimates, so it is computed anew
+        after half of the time left, and so on.
+        """
         try:
-            granted.wait()
-        except eventlet.Timeout as exc:
-            if exc is not timer:
-                self.abandon(entry, self._clock())
-                raise
-            self.expire(entry, self._clock())
+            while entry.is_waiting:
+                left_s = self._admission.latest_start_at(entry.job) - now
+                if left_s <= 0.0:
+                    self.expire(entry, now)
+                    return
+                with eventlet.Timeout(max(left_s / 2.0, MIN_WAIT_S), False):
+                    granted.wait()
+                now = self._clock()
         except BaseException:
             # The caller hung up. A grant that crossed it is given back.
             self.abandon(entry, self._clock())
             raise
-        finally:
-            timer.cancel()
 
     def _pool(self, name: str) -> pool_lib.Pool:
         pool = self._pools.get(name)
