--- a/savoryspar/bench/catalog.py
+++ b/savoryspar/bench/catalog.py
@@ -8,6 +8,7 @@
     membership,
     relay,
     routing,
+    scheduling,
     scheduling_decisions,
 )
 
@@ -17,6 +18,10 @@
 SCENARIOS: Mapping[str, Scenario] = {
     "relay-cost": relay.relay_cost,
     "relay-gap": relay.relay_gap,
+    "sched-bulk-flood": scheduling.bulk_flood,
+    "sched-urgent-flood": scheduling.urgent_flood,
+    "sched-small": scheduling.small_and_large,
+    "sched-entries": scheduling.zone_fairness,
     "sched-decisions": scheduling_decisions.run_decisions,
     "sched-zone": scheduling_decisions.run_zone,
     "prefix": routing.prefix,
