--- a/savoryspar/bench/catalog.py
+++ b/savoryspar/bench/catalog.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable, Mapping
 
 from savoryspar.bench import results
-from savoryspar.bench.scenarios import decisions, routing
+from savoryspar.bench.scenarios import decisions, relay, routing
 
 Scenario = Callable[[int], list[results.Row]]
 """Runs a scenario with a seed and returns its rows."""
@@ -16,4 +16,6 @@
     "leaving": routing.leaving,
     "decision-time": decisions.decision_time,
     "subsets": decisions.subset_balance,
+    "relay-cost": relay.relay_cost,
+    "relay-gap": relay.relay_gap,
 }
--- a/savoryspar/cli/wiring.py
+++ b/savoryspar/cli/wiring.py
@@ -1,15 +1,14 @@
 """Builds the parts of an entry process and connects them."""
 
-from collections.abc import Sequence
 import time
 
-import eventlet
-
 from savoryspar import (
     backends,
     conf,
     http,
+    idempotency,
     log,
+    membership,
     metrics,
     pipelines,
     platform,
@@ -17,145 +16,123 @@
     scheduling,
     sheet,
 )
-
-RETRY_S = 0.5
+from savoryspar.cli import duties, links, node, suspects
 
 
-class Node:
-    """The parts of one entry process.
+def new_node(cfg: conf.Settings) -> node.Node:
+    """Builds an entry process from its settings.
 
-    Attributes:
-        server: The callers' server.
-        sheets: The sheet in force.
+    Raises:
+        MembershipError: The certificates cannot be loaded.
+        OSError: A port is in use.
     """
-
-    __slots__ = (
-        "_app",
-        "_cfg",
-        "_config_client",
-        "_logger",
-        "_reports",
-        "_router",
-        "_vm_list",
-        "server",
-        "sheets",
-    )
-
-    def __init__(
-        self,
-        cfg: conf.Settings,
-        app: http.App,
-        server: http.Server,
-        sheets: sheet.SheetHolder,
-        router: routing.Router,
-        reports: routing.ReportReader,
-        config_client: platform.ConfigClient,
-        vm_list: platform.VmListClient,
-    ):
-        self._cfg = cfg
-        self._app = app
-        self.server = server
-        self.sheets = sheets
-        self._router = router
-        self._reports = reports
-        self._config_client = config_client
-        self._vm_list = vm_list
-        self._logger = log.new_logger("entry")
-
-    def start(self) -> None:
-        """Starts the server and the background duties."""
-        self.server.start()
-        eventlet.spawn(self._follow_sheet)
-        eventlet.spawn(self._follow_vm_list)
-        eventlet.spawn(self._read_reports)
-
-    def stop(self) -> None:
-        """Leaves: not ready first, then finishes every request."""
-        self._app.is_draining = True
-        self._logger.notice("Draining.")
-        eventlet.sleep(self._cfg.entry.drain_notice_s)
-        self.server.stop()
-        self._logger.notice("Stopped. Every request was answered.")
-
-    def _follow_sheet(self) -> None:
-        while True:
-            try:
-                self._config_client.watch(
-                    self.sheets.revision, self._cfg.platform.watch_timeout_s
-                )
-                sheet.refresh(
-                    self._config_client, self.sheets, time.monotonic()
-                )
-            except platform.PlatformError as exc:
-                self._logger.warning(f"Configuration not read. {exc}")
-                eventlet.sleep(RETRY_S)
-
-    def _follow_vm_list(self) -> None:
-        while True:
-            try:
-                self._take_vm_list(self._vm_list.read())
-            except platform.PlatformError as exc:
-                self._logger.warning(f"VM list not read. {exc}")
-            eventlet.sleep(self._cfg.platform.vm_list_interval_s)
-
-    def _take_vm_list(self, vms: Sequence[platform.Vm]) -> None:
-        live = [vm for vm in vms if not vm.is_leaving]
-        self._router.replace_servers(
-            [_server(vm) for vm in live if vm.role == "backend"],
-            time.monotonic(),
-            [_server(vm) for vm in vms if vm.is_leaving],
-            [_server(vm) for vm in live if vm.role == "entry"],
-        )
-
-    def _read_reports(self) -> None:
-        interval_s = self._cfg.routing.report_interval_s
-        while True:
-            current = self.sheets.get()
-            pools = current.pools.values() if current is not None else ()
-            engines = [
-                server
-                for pool in pools
-                if pool.kind == "engine"
-                for server in self._router.servers_of(pool.name)
-            ]
-            for server in engines:
-                # Spread over the interval, so that no burst delays requests.
-                eventlet.sleep(interval_s / len(engines))
-                try:
-                    self._reports.read(server, time.monotonic())
-                except backends.BackendError as exc:
-                    self._logger.debug(f"Reports not read. {exc}")
-            self._reports.retain(frozenset(s.address for s in engines))
-            if not engines:
-                eventlet.sleep(interval_s)
-
-
-def _server(vm: platform.Vm) -> backends.Server:
-    return backends.Server(vm.name, vm.address, vm.region, vm.zone, vm.pool)
-
-
-def new_node(cfg: conf.Settings) -> Node:
-    """Builds an entry process from its settings."""
     sheets = sheet.new_sheet_holder()
-    router = routing.new_router(
-        log.new_decision_log(cfg.log.decision_sample_percent),
-        routing.new_options(cfg),
-    )
+    decisions = log.new_decision_log(cfg.log.decision_sample_percent)
+    members = membership.new_membership(cfg, time.monotonic(), time.time())
+    membership.new_sheet_spreader(members, sheets, time.monotonic)
+    router = routing.new_router(decisions, routing.new_options(cfg))
+    suspects.share_suspects(router.suspects, members)
     client = backends.new_client()
-    scheduler = scheduling.new_scheduler(router.capacity)
+    scheduler = _new_scheduler(cfg, router, decisions, sheets, members)
     runner = pipelines.new_runner(
         sheets.get, scheduler, router, client, time.monotonic
     )
-    app = http.new_app(
-        cfg, sheets.get, runner, metrics.new_metrics(), time.monotonic
+    desk = _new_order_desk(
+        cfg,
+        members,
+        pipelines.new_order_runner(sheets.get, runner, time.monotonic),
     )
-    return Node(
+    suspect_fetch = suspects.SuspectFetch(router.suspects, members)
+    app = http.new_app(
         cfg,
-        app,
-        http.new_server(app, cfg),
-        sheets,
-        router,
-        routing.new_report_reader(router, client),
-        platform.new_config_client(cfg.platform.config_url),
-        platform.new_vm_list_client(cfg.platform.vm_list_url),
+        sheets.get,
+        runner,
+        metrics.new_metrics(),
+        time.monotonic,
+        lambda: _missing(sheets, router, suspect_fetch),
+        desk,
+    )
+    parts = node.Parts(
+        app=app,
+        decisions=decisions,
+        desk=desk,
+        members=members,
+        reports=routing.new_report_reader(router, client),
+        router=router,
+        scheduler=scheduler,
+        server=http.new_server(app, cfg),
+        sheet_watch=_new_sheet_watch(cfg, members, sheets),
+        sheets=sheets,
+        suspect_fetch=suspect_fetch,
+        vm_list=platform.new_vm_list_client(cfg.platform.vm_list_url),
+    )
+    return node.Node(cfg, parts)
+
+
+def _new_scheduler(
+    cfg: conf.Settings,
+    router: routing.Router,
+    decisions: log.DecisionLog,
+    sheets: sheet.SheetHolder,
+    members: membership.Membership,
+) -> scheduling.Scheduler:
+    scheduler = scheduling.new_scheduler(
+        router.capacity, cfg.scheduling, decisions=decisions
+    )
+    own = members.view(time.monotonic()).own.incarnation
+    scheduler.peers.connect(own, lambda now: duties.zone_peers(members, now))
+    sheets.listen(
+        lambda current: scheduler.configure(current, time.monotonic())
     )
+    return scheduler
+
+
+def _new_sheet_watch(
+    cfg: conf.Settings,
+    members: membership.Membership,
+    sheets: sheet.SheetHolder,
+) -> membership.SheetWatch:
+    client = platform.new_config_client(
+        cfg.platform.config_url,
+        cfg.platform.config_calls_per_s,
+        cfg.platform.config_burst_calls,
+    )
+    return membership.new_sheet_watch(
+        members, sheets, client, cfg.platform.watch_timeout_s, time.monotonic
+    )
+
+
+def _new_order_desk(
+    cfg: conf.Settings,
+    members: membership.Membership,
+    order_runner: pipelines.OrderRunner,
+) -> idempotency.OrderDesk:
+    settings = cfg.idempotency
+    return idempotency.new_order_desk(
+        members.view(time.monotonic()).own.incarnation,
+        idempotency.new_ticket_signer(
+            settings.ticket_keys, settings.ticket_ttl_s
+        ),
+        idempotency.new_ledger(
+            settings.ledger_max_entries,
+            settings.ledger_workspace_percent,
+            settings.ledger_max_result_bytes,
+        ),
+        links.MemberLinks(members),
+        order_runner.execute,
+    )
+
+
+def _missing(
+    sheets: sheet.SheetHolder,
+    router: routing.Router,
+    suspect_fetch: suspects.SuspectFetch,
+) -> str:
+    """Returns what the process lacks before it can serve, or an empty text."""
+    if sheets.current is None:
+        return "no configuration"
+    if not router.has_servers():
+        return "no backend servers"
+    if not suspect_fetch.is_done:
+        return "no peer told of crash suspects"
+    return ""
--- a/savoryspar/pipelines/model.py
+++ b/savoryspar/pipelines/model.py
@@ -1,5 +1,6 @@
 """A caller's request on its way through a pipeline."""
 
+from collections.abc import Callable
 from typing import Any
 
 from savoryspar import routing, sheet
@@ -17,6 +18,8 @@
         body: Decoded JSON body.
         idempotency_key: Key passed to services that accept one, or empty.
         outputs: Output of each finished stage by stage name.
+        guard: Called before the first byte of each stage call; it raises when
+            the call must not be sent.
         has_sent: Whether a byte of any stage call may have left.
         fingerprint: What equal requests of the workspace share.
         is_suspect: Whether it may crash the servers that run it.
@@ -26,6 +29,7 @@
         "body",
         "deadline_at",
         "fingerprint",
+        "guard",
         "has_sent",
         "idempotency_key",
         "is_suspect",
@@ -45,6 +49,7 @@
         deadline_at: float,
         body: dict[str, Any],
         idempotency_key: str = "",
+        guard: Callable[[], None] | None = None,
     ):
         self.request_id = request_id
         self.workspace = workspace
@@ -54,8 +59,15 @@
         self.body = body
         self.idempotency_key = idempotency_key
         self.outputs: dict[str, dict[str, Any]] = {}
+        self.guard = guard
         self.has_sent = False
         self.fingerprint = routing.fingerprint(
             workspace.name, pipeline.name, body
         )
         self.is_suspect = False
+
+    def before_send(self) -> None:
+        """Records, right before it happens, that a byte leaves."""
+        if self.guard is not None:
+            self.guard()
+        self.has_sent = True
--- a/savoryspar/pipelines/runner.py
+++ b/savoryspar/pipelines/runner.py
@@ -92,33 +92,37 @@
         tries = self.new_attempts(req, stage)
         while True:
             grant = self.admit(req, stage, pool.cost)
+            is_complete = False
             try:
                 choice = tries.choose()
                 try:
-                    return self._call_once(req, stage, choice)
+                    output = self._call_once(req, stage, choice)
+                    is_complete = True
+                    return output
                 except backends.BackendError as exc:
                     tries.follow(choice, exc)
             finally:
-                grant.release(self._clock())
+                grant.release(self._clock(), is_complete)
 
     def _call_once(
         self, req: model.Request, stage: sheet.Stage, choice: routing.Choice
     ) -> dict[str, Any]:
+        supports = self.sheet().pools[stage.pool].supports
+        key = req.idempotency_key if "idempotency-key" in supports else ""
         outcome = routing.Outcome.CANCELLED
         load = -1
         try:
-            call = self.new_call(req, "/v1/run", bodies.run_body(req, stage))
+            body = bodies.run_body(req, stage)
+            call = self.new_call(req, "/v1/run", body, key)
             result = self._client.call(choice.server, call)
             outcome, load = routing.Outcome.OK, result.load
             if result.is_leaving:
                 self._mark_leaving(choice)
         except backends.BackendError as exc:
             outcome = self.outcome_of(exc)
-            req.has_sent = req.has_sent or exc.has_sent
             raise
         finally:
             self._router.observe(choice, outcome, load, self._clock())
-        req.has_sent = True
         self.clear_suspect(req, choice)
         return result.output
 
@@ -134,6 +138,9 @@
             stage.pool,
             cost,
             req.deadline_at,
+            stage.model,
+            self._later_needs(req, stage),
+            bool(req.outputs),
         )
         try:
             return self._scheduler.acquire(job, self._clock())
@@ -147,6 +154,19 @@
                 exc.retry_after_s,
             ) from exc
 
+    def _later_needs(
+        self, req: model.Request, stage: sheet.Stage
+    ) -> tuple[scheduling.StageNeed, ...]:
+        stages = req.pipeline.stages
+        return tuple(
+            scheduling.StageNeed(
+                later.pool,
+                later.model,
+                bodies.stage_cost(req, self.sheet().pools[later.pool]),
+            )
+            for later in stages[stages.index(stage) + 1 :]
+        )
+
     def new_attempts(
         self, req: model.Request, stage: sheet.Stage
     ) -> attempts.Attempts:
@@ -165,7 +185,11 @@
             self._router.suspects.record_success(req.fingerprint, self._clock())
 
     def new_call(
-        self, req: model.Request, path: str, body: dict[str, Any]
+        self,
+        req: model.Request,
+        path: str,
+        body: dict[str, Any],
+        idempotency_key: str = "",
     ) -> backends.StageCall:
         """Returns an attempt with an ID of its own."""
         now = self._clock()
@@ -184,7 +208,8 @@
             body,
             req.deadline_at - now,
             bodies.PRIORITIES[req.rank],
-            req.idempotency_key,
+            idempotency_key,
+            req.before_send,
         )
 
     def start_stream(
@@ -200,7 +225,6 @@
             stream = self._client.open_stream(choice.server, call)
             outcome = None
         except backends.BackendError as exc:
-            req.has_sent = req.has_sent or exc.has_sent
             outcome = self.outcome_of(exc)
             raise
         finally:
@@ -208,7 +232,6 @@
             # leave it counted as in flight.
             if outcome is not None:
                 self.observe(choice, outcome, -1)
-        req.has_sent = True
         self._router.take_load(choice, stream.load, self._clock())
         if stream.is_leaving:
             self._mark_leaving(choice)
--- a/savoryspar/pipelines/streaming.py
+++ b/savoryspar/pipelines/streaming.py
@@ -1,6 +1,7 @@
 """An answer that is streamed, resumed on another engine when one fails."""
 
 import json
+import socket
 from typing import TYPE_CHECKING
 
 from savoryspar import backends, routing, sheet
@@ -10,6 +11,8 @@
     from savoryspar.pipelines import runner as runner_lib
 
 DONE = b"[DONE]"
+CHARGE_EVENTS = 16
+"""Events between two corrections of the account, which cost time each."""
 DONE_CHUNK = b"e\r\ndata: [DONE]\n\n\r\n"
 
 
@@ -21,6 +24,7 @@
     """
 
     __slots__ = (
+        "_charged",
         "_choice",
         "_grant",
         "_is_ended",
@@ -43,18 +47,20 @@
         self._req = req
         self._stage = stage
         self._tries = runner.new_attempts(req, stage)
-        self._relayed: list[bytes] = []
+        self._relayed = bytearray()
         self._choice: routing.Choice | None = None
         self._stream: backends.EngineStream | None = None
         self._is_ended = False
         self.tokens = 0
-        cost = float(req.body.get("max_tokens", bodies.DEFAULT_MAX_TOKENS))
+        self._charged = 0
+        cost = bodies.stage_cost(req, runner.sheet().pools[stage.pool])
         self._grant = runner.admit(req, stage, cost)
         try:
             self._open()
         except BaseException:
             self.close()
             raise
+        self._grant.charge(bodies.prompt_units(req), runner.clock())
 
     def read(self) -> bytes:
         """Returns the next events as raw HTTP chunks; empty after the last.
@@ -72,11 +78,25 @@
             if self._choice.first_at is None:
                 self._choice.first_at = self._runner.clock()
             if data:
-                self._relayed.append(data)
+                self._take(data)
                 return data
             self._end(routing.Outcome.OK)
         return b""
 
+    def relay(self, sink: socket.socket) -> None:
+        """Passes all further events to the caller's socket.
+
+        Raises:
+            RunError: The stream broke and could not be resumed.
+            OSError: The caller's connection broke.
+        """
+        while self._stream is not None:
+            try:
+                self._stream.relay(sink, self._take)
+                self._end(routing.Outcome.OK)
+            except backends.StreamBrokenError as exc:
+                sink.sendall(self._resume(exc) or b"")
+
     def read_text(self) -> str:
         """Reads the whole stream and returns its text."""
         while self.read():
@@ -91,6 +111,14 @@
         if not self._is_ended:
             self._end(routing.Outcome.CANCELLED)
 
+    def _take(self, data: bytes) -> None:
+        self._relayed += data
+        if (
+            self._stream
+            and self._stream.events - self._charged >= CHARGE_EVENTS
+        ):
+            self._charge()
+
     def _open(self) -> None:
         text, self.tokens = relayed_text(self._relayed)
         body = bodies.engine_body(self._req, self._stage, self.tokens, text)
@@ -102,6 +130,7 @@
                 self._tries.follow(choice, exc)
             else:
                 self._choice, self._stream = choice, stream
+                self._charged = 0
 
     def _resume(self, exc: backends.StreamBrokenError) -> bytes | None:
         """Goes on on another engine.
@@ -109,11 +138,12 @@
         Returns:
             The last event, if the answer lacked nothing else.
         """
+        self._charge()
         choice, self._stream = self._choice, None
         self._runner.observe(choice, self._runner.outcome_of(exc), -1)
         if is_finished(self._relayed):
             # Another engine would send the finishing event a second time.
-            self._finish()
+            self._finish(is_complete=True)
             return DONE_CHUNK
         try:
             if self._relayed:
@@ -122,7 +152,7 @@
                 self._tries.follow(choice, exc)
             self._open()
         except exceptions.RunError as error:
-            self._finish()
+            self._finish(is_complete=False)
             if self._relayed:
                 error.run_state = exceptions.RunState.PARTIAL
             raise
@@ -130,19 +160,25 @@
 
     def _end(self, outcome: routing.Outcome) -> None:
         if self._stream is not None:
+            self._charge()
             self._stream = None
             self._runner.observe(self._choice, outcome, -1)
             if outcome is routing.Outcome.OK:
                 self._runner.clear_suspect(self._req, self._choice)
-        self._finish()
+        self._finish(is_complete=outcome is routing.Outcome.OK)
 
-    def _finish(self) -> None:
+    def _finish(self, is_complete: bool) -> None:
         if not self._is_ended:
             self._is_ended = True
-            self._grant.release(self._runner.clock())
+            self._grant.release(self._runner.clock(), is_complete)
+
+    def _charge(self) -> None:
+        events = self._stream.events
+        self._grant.charge(float(events - self._charged), self._runner.clock())
+        self._charged = events
 
 
-def relayed_text(relayed: list[bytes]) -> tuple[str, int]:
+def relayed_text(relayed: bytes | bytearray) -> tuple[str, int]:
     """Returns the text and the number of tokens in relayed raw chunks."""
     pieces = [
         choice["delta"].get("content", "")
@@ -152,18 +188,17 @@
     return "".join(pieces), len(pieces)
 
 
-def is_finished(relayed: list[bytes]) -> bool:
-    """Tells whether the event that names the finish reason was relayed."""
+def is_finished(relayed: bytes | bytearray) -> bool:
+    """Tells whether an event that names the finish reason was relayed."""
     return any(
-        choice.get("finish_reason") is not None
-        for choice in _choices(relayed[-1:])
+        choice.get("finish_reason") is not None for choice in _choices(relayed)
     )
 
 
-def _choices(relayed: list[bytes]) -> list[dict]:
+def _choices(relayed: bytes | bytearray) -> list[dict]:
     return [
         choice
-        for event in event_payloads(b"".join(relayed))
+        for event in event_payloads(bytes(relayed))
         if event != DONE
         for choice in json.loads(event).get("choices", ())
     ]
--- a/savoryspar/routing/router.py
+++ b/savoryspar/routing/router.py
@@ -77,6 +77,10 @@
             for server in self._pool(name).replace(listed, entries):
                 policies.forget_server(self._policy, server, now)
 
+    def has_servers(self) -> bool:
+        """Tells whether any backend server is known."""
+        return any(pool.states for pool in self._pools.values())
+
     def mark_leaving(self, server: str, now: float, address: str = "") -> None:
         """Stops new work to a server that said that it is leaving.
 
