--- a/savoryspar/bench/catalog.py
+++ b/savoryspar/bench/catalog.py
@@ -3,7 +3,12 @@
 from collections.abc import Callable, Mapping
 
 from savoryspar.bench import results
-from savoryspar.bench.scenarios import decisions, relay, routing
+from savoryspar.bench.scenarios import (
+    decisions,
+    relay,
+    routing,
+    scheduling_decisions,
+)
 
 Scenario = Callable[[int], list[results.Row]]
 """Runs a scenario with a seed and returns its rows."""
@@ -18,4 +23,6 @@
     "subsets": decisions.subset_balance,
     "relay-cost": relay.relay_cost,
     "relay-gap": relay.relay_gap,
+    "sched-decisions": scheduling_decisions.run_decisions,
+    "sched-zone": scheduling_decisions.run_zone,
 }
