Look at the verdict again while a suspect waits

A waiting suspect kept the verdict that it came with, so equal requests ran alone one after another even when the first of them had already been cleared. The verdict is now read at each look for a free server.

The pipelines' tests pass; the effect on waiting times was not measured.

--- a/savoryspar/pipelines/attempts.py
+++ b/savoryspar/pipelines/attempts.py
@@ -59,10 +59,26 @@
         Raises:
             RunError: No server can take the attempt before the deadline.
         """
+        req = self._req
+        while True:
+            now = self._clock()
+            # Meanwhile, a peer may have met the second crash, or an equal
+            # request may have run alone without one.
+            check_fingerprint(self._router, req, now)
+            try:
+                choice = self._router.choose(self._new_call(), now)
+            except routing.NoServerError as exc:
+                wakes_at = now + exc.retry_after_s
+                if not exc.is_waiting or wakes_at >= req.deadline_at:
+                    raise no_server(req, exc) from exc
+                eventlet.sleep(exc.retry_after_s)
+                continue
+            self._started += 1
+            return choice
+
+    def _new_call(self) -> routing.Call:
         req, stage = self._req, self._stage
-        # A peer may have met the second crash since the request came in.
-        check_fingerprint(self._router, req, self._clock())
-        call = routing.Call(
+        return routing.Call(
             req.request_id,
             req.workspace.name,
             req.rank,
@@ -75,18 +91,6 @@
             self._is_idempotent,
             req.is_suspect,
         )
-        while True:
-            now = self._clock()
-            try:
-                choice = self._router.choose(call, now)
-            except routing.NoServerError as exc:
-                wakes_at = now + exc.retry_after_s
-                if not exc.is_waiting or wakes_at >= req.deadline_at:
-                    raise no_server(req, exc) from exc
-                eventlet.sleep(exc.retry_after_s)
-                continue
-            self._started += 1
-            return choice
 
     def follow(
         self, choice: routing.Choice, exc: backends.BackendError
