--- a/savoryspar/bench/catalog.py
+++ b/savoryspar/bench/catalog.py
@@ -19,6 +19,7 @@
     "retries": routing.retries,
     "crashing": routing.crashing,
     "leaving": routing.leaving,
+    "ejection": routing.ejection,
     "decision-time": decisions.decision_time,
     "subsets": decisions.subset_balance,
     "relay-cost": relay.relay_cost,
--- a/savoryspar/bench/scenarios/routing.py
+++ b/savoryspar/bench/scenarios/routing.py
@@ -218,7 +218,7 @@
 
 def leaving(seed: int) -> list[results.Row]:
     """New work to servers that are leaving."""
-    after_said, after_listed, baseline = _leaving_run(seed)
+    after_said, after_listed = _leaving_run(seed)
     return [
         results.new_row(
             "leaving",
@@ -227,7 +227,6 @@
             "== 0",
             after_said,
             seed,
-            baseline,
         ),
         results.new_row(
             "leaving",
@@ -240,10 +239,11 @@
     ]
 
 
-def _leaving_run(seed: int) -> tuple[float, float, float]:
-    """Returns new calls after the word, after the listing, and as a baseline.
+def _leaving_run(seed: int) -> tuple[float, float]:
+    """Returns new calls after the word and after the listing.
 
-    The baseline is what the server would have got with its share of calls.
+    Raises:
+        RuntimeError: An entry process was never told, so nothing was measured.
     """
     rng = random.Random(seed)
     with engine_fleets.EngineFleet() as fleet:
@@ -264,25 +264,56 @@
         listed_at = time.time()
         answers = engine_fleets.send_all(jobs[100:], 40.0, 24)
         books = fleet.books()
-        origins = {a.document["request_id"]: a.entry for a in answers}
-        late = [
-            run for run in books[listed.name] if run["at"] > listed_at + 3.0
-        ]
-    return (
-        float(_after_word(books[said.name], origins)),
-        float(len(late)),
-        len(answers) / len(fleet.engines),
+    late = [run for run in books[listed.name] if run["at"] > listed_at + 3.0]
+    origins = {a.document["request_id"]: a.entry for a in answers}
+    told = _first_words(books[said.name], origins)
+    if len(told) < len(fleet.entries):
+        raise RuntimeError(f"only {sorted(told)} heard that {said.name} leaves")
+    after = sum(
+        run["at"] > told[origins[run["request_id"]]] + NOTICE_S
+        for run in books[said.name]
+        if run["request_id"] in origins
     )
+    return float(after), float(len(late))
 
 
-def _after_word(runs: list[dict], origins: dict[str, str]) -> int:
-    """Counts the calls of each entry process after it was told."""
+def _first_words(runs: list[dict], origins: dict[str, str]) -> dict[str, float]:
+    """Returns when each entry process was first told that a server leaves."""
     told: dict[str, float] = {}
     for run in runs:
         entry = origins.get(run["request_id"])
         if entry and run["told_at"]:
             told[entry] = min(told.get(entry, run["told_at"]), run["told_at"])
-    return sum(
-        run["at"] > told.get(origins.get(run["request_id"]), 1e12) + NOTICE_S
-        for run in runs
-    )
+    return told
+
+
+def ejection(seed: int) -> list[results.Row]:
+    """Requests that fail while one engine of six fails all its calls."""
+    baseline = _ejection_run(seed, {"max_ejected_percent": 0})
+    return [
+        results.new_row(
+            "ejection",
+            "requests that fail, one engine of 6 fails",
+            "%",
+            "<= 5",
+            _ejection_run(seed, {}),
+            seed,
+            baseline,
+        )
+    ]
+
+
+def _ejection_run(seed: int, settings: dict) -> float:
+    """Returns the failed requests in percent."""
+    rng = random.Random(seed)
+    with engine_fleets.EngineFleet() as fleet:
+        fleet.start_all(ZONE * 2, 6, ["--step-ms=4"], settings)
+        fleet.control(fleet.engines[0], {"fail_share": 1.0})
+        jobs = [
+            functools.partial(
+                fleet.ask, rng.choice(fleet.entries), f"notes {number}", 10
+            )
+            for number in range(500)
+        ]
+        answers = engine_fleets.send_all(jobs, 60.0, 32)
+    return 100.0 * sum(a.status != 200 for a in answers) / len(answers)
