--- a/savoryspar/bench/catalog.py
+++ b/savoryspar/bench/catalog.py
@@ -14,6 +14,10 @@
 """Runs a scenario with a seed and returns its rows."""
 
 SCENARIOS: Mapping[str, Scenario] = {
+    "relay-cost": relay.relay_cost,
+    "relay-gap": relay.relay_gap,
+    "sched-decisions": scheduling_decisions.run_decisions,
+    "sched-zone": scheduling_decisions.run_zone,
     "prefix": routing.prefix,
     "regions": routing.regions,
     "retries": routing.retries,
@@ -22,8 +26,4 @@
     "ejection": routing.ejection,
     "decision-time": decisions.decision_time,
     "subsets": decisions.subset_balance,
-    "relay-cost": relay.relay_cost,
-    "relay-gap": relay.relay_gap,
-    "sched-decisions": scheduling_decisions.run_decisions,
-    "sched-zone": scheduling_decisions.run_zone,
 }
