Make the benefit of a prefix's home server a setting

Processes that know nothing of each other should send a new prefix to the same server. home_percent = 0 is the simpler rival, affinity by learning alone.

--- a/savoryspar/conf/sections/routing.py
+++ b/savoryspar/conf/sections/routing.py
@@ -25,6 +25,12 @@
         "80",
         "Benefit of a server whose prefix cache holds the whole prompt.",
     ),
+    (
+        "home_percent",
+        converters.percent,
+        "15",
+        "Benefit of the server that the hash of a new prefix points to.",
+    ),
     (
         "zone_cost_percent",
         converters.percent,
@@ -55,6 +61,12 @@
         "24",
         "Servers of a pool in the own zone that this process uses.",
     ),
+    (
+        "limit",
+        converters.choice("gradient", "fixed"),
+        "gradient",
+        "Concurrency limit of a server: gradient, or fixed at initial_limit.",
+    ),
     (
         "initial_limit",
         converters.size,
--- a/savoryspar/routing/options.py
+++ b/savoryspar/routing/options.py
@@ -11,10 +11,11 @@
         region, zone: Where it is.
         policy: ``scored``, ``least_in_flight`` or ``round_robin``.
         prefix_entries: Blocks in the prefix index.
-        affinity, zone_cost, region_cost: Weights of the score.
+        affinity, home, zone_cost, region_cost: Weights of the score.
         region_bytes_per_s: Cap on traffic to other regions.
         region_spill: Calls to other regions, as a share of own capacity.
         subset_size: Servers of a pool in the own zone to use.
+        limit: ``gradient`` or ``fixed``.
         initial_limit, hard_limit: Concurrent calls to one server.
         max_ejected: Largest share of a pool that is ejected.
         retry_ratio: Retries for each call.
@@ -26,7 +27,9 @@
         "affinity",
         "hard_limit",
         "has_suspects",
+        "home",
         "initial_limit",
+        "limit",
         "max_ejected",
         "name",
         "policy",
@@ -50,11 +53,13 @@
         policy: str = "scored",
         prefix_entries: int = 32768,
         affinity: float = 0.8,
+        home: float = 0.15,
         zone_cost: float = 0.2,
         region_cost: float = 1.5,
         region_bytes_per_s: float = 2e6,
         region_spill: float = 0.1,
         subset_size: int = 24,
+        limit: str = "gradient",
         initial_limit: int = 8,
         hard_limit: int = 64,
         max_ejected: float = 0.34,
@@ -68,11 +73,13 @@
         self.policy = policy
         self.prefix_entries = prefix_entries
         self.affinity = affinity
+        self.home = home
         self.zone_cost = zone_cost
         self.region_cost = region_cost
         self.region_bytes_per_s = region_bytes_per_s
         self.region_spill = region_spill
         self.subset_size = subset_size
+        self.limit = limit
         self.initial_limit = initial_limit
         self.hard_limit = hard_limit
         self.max_ejected = max_ejected
@@ -91,11 +98,13 @@
         policy=section.policy,
         prefix_entries=section.prefix_entries,
         affinity=section.affinity_percent / 100.0,
+        home=section.home_percent / 100.0,
         zone_cost=section.zone_cost_percent / 100.0,
         region_cost=section.region_cost_percent / 100.0,
         region_bytes_per_s=float(section.region_bytes_per_s),
         region_spill=section.region_spill_percent / 100.0,
         subset_size=section.subset_size,
+        limit=section.limit,
         initial_limit=section.initial_limit,
         hard_limit=section.hard_limit,
         max_ejected=section.max_ejected_percent / 100.0,
--- a/savoryspar/routing/policies.py
+++ b/savoryspar/routing/policies.py
@@ -11,8 +11,6 @@
 MASK = 2**64 - 1
 MIXER = 0x9E3779B97F4A7C15
 """Odd constant of multiplicative hashing (2^64 divided by the golden ratio)."""
-HOME_BENEFIT = 0.15
-"""Benefit of the server that the hash of a new prefix points to."""
 JITTER = 0.02
 """Random part of a score, so that processes with equal reports differ."""
 FULL_BENEFIT_BLOCKS = 4
@@ -128,7 +126,7 @@
                 (((blocks[depth] ^ s.salt) * MIXER) & MASK) >> 32,
             ),
         ).server.name
-        benefits[home] = benefits.get(home, 0.0) + HOME_BENEFIT
+        benefits[home] = benefits.get(home, 0.0) + policy.opts.home
     return benefits
 
 
