--- a/savoryspar/bench/catalog.py
+++ b/savoryspar/bench/catalog.py
@@ -24,6 +24,7 @@
     "crashing": routing.crashing,
     "leaving": routing.leaving,
     "ejection": routing.ejection,
+    "limits": routing.limits,
     "decision-time": decisions.decision_time,
     "subsets": decisions.subset_balance,
 }
--- a/savoryspar/bench/engine_fleets.py
+++ b/savoryspar/bench/engine_fleets.py
@@ -136,9 +136,9 @@
 
 
 def send_all(
-    jobs: Iterable[Callable[[], Answer]], rate_per_s: float, workers: int
-) -> list[Answer]:
-    """Starts the jobs at a fixed rate and returns their answers in order.
+    jobs: Iterable[Callable[[], Any]], rate_per_s: float, workers: int
+) -> list[Any]:
+    """Starts the jobs at a fixed rate and returns their results in order.
 
     A job starts late only when all workers are busy.
     """
--- a/savoryspar/bench/scenarios/routing.py
+++ b/savoryspar/bench/scenarios/routing.py
@@ -3,8 +3,10 @@
 import functools
 import itertools
 import random
+import statistics
 import time
 
+from savoryspar.backends import reports
 from savoryspar.bench import engine_fleets, results
 from savoryspar.standins import prefix_cache
 
@@ -15,6 +17,7 @@
 RESENDS = 50
 EVENT_BYTES = 200
 """Bytes of one streamed token."""
+ENGINE_BATCH = 4
 NOTICE_S = 0.05
 """Time that an answer takes back to the entry process on a busy machine."""
 
@@ -303,6 +306,69 @@
     ]
 
 
+def limits(seed: int) -> list[results.Row]:
+    """Calls that run and wait at engines whose batch is half the first limit.
+
+    The bound on the calls that run is 95% of the batch.
+    """
+    fixed_running, fixed_waiting = _limits_run(seed, {"limit": "fixed"})
+    running, waiting = _limits_run(seed, {"limit": "gradient"})
+    return [
+        results.new_row(
+            "limits",
+            "calls waiting at an engine in overload, mean",
+            "calls",
+            "<= 1",
+            waiting,
+            seed,
+            fixed_waiting,
+        ),
+        results.new_row(
+            "limits",
+            "calls running at an engine in overload, mean",
+            "calls",
+            f">= {0.95 * ENGINE_BATCH:g}",
+            running,
+            seed,
+            fixed_running,
+        ),
+    ]
+
+
+def _limits_run(seed: int, settings: dict) -> tuple[float, float]:
+    """Returns the means of running and waiting calls, first reports aside."""
+    seen: list[reports.LoadReport] = []
+    with engine_fleets.EngineFleet() as fleet:
+        batch = f"--max-batch={ENGINE_BATCH}"
+        options = ["--step-ms=10", batch, "--prefill-us=100"]
+        fleet.start_all(ZONE, 3, options, settings)
+        jobs = [
+            functools.partial(
+                fleet.ask, fleet.entries[0], f"notes {seed} {number}", 20
+            )
+            for number in range(1000)
+        ]
+        for number in range(0, len(jobs), 5):
+            jobs[number] = functools.partial(_read_loads, fleet, seen)
+        engine_fleets.send_all(jobs, 100.0, 100)
+    settled = seen[len(seen) // 4 :]
+    return (
+        statistics.mean(load.running for load in settled),
+        statistics.mean(load.waiting for load in settled),
+    )
+
+
+def _read_loads(
+    fleet: engine_fleets.EngineFleet, seen: list[reports.LoadReport]
+) -> None:
+    seen += [
+        reports.decode_load(
+            fleet.http.request("GET", f"{engine.url}/load").data.decode()
+        )
+        for engine in fleet.engines
+    ]
+
+
 def _ejection_run(seed: int, settings: dict) -> float:
     """Returns the failed requests in percent."""
     rng = random.Random(seed)
--- a/savoryspar/routing/pools.py
+++ b/savoryspar/routing/pools.py
@@ -57,7 +57,9 @@
         self, server: backends.Server, tier: servers.Tier
     ) -> servers.ServerState:
         limit = limits.new_limit(
-            self._opts.initial_limit, self._opts.hard_limit
+            self._opts.limit,
+            self._opts.initial_limit,
+            self._opts.hard_limit,
         )
         return servers.ServerState(server, tier, limit)
 
