--- a/savoryspar/bench/catalog.py
+++ b/savoryspar/bench/catalog.py
@@ -29,6 +29,8 @@
     "retries": routing.retries,
     "crashing": routing.crashing,
     "leaving": routing.leaving,
+    "ejection": routing.ejection,
+    "limits": routing.limits,
     "decision-time": decisions.decision_time,
     "subsets": decisions.subset_balance,
     "config-spread": membership.configuration_spread,
