Refuse messages from before a caller was told that an order did not run

Cause: a send whose forward was delayed was answered unknown; a later send was refused before any byte and answered not_run; then the delayed message reached the owner and ran. Remembering refused sends did not cover it, because the delayed send was not the refused one.

Each not_run that is told, by an answer or by the state of the order, starts a new generation of the ticket. A forwarded message carries the generation that it was sent for; a stale one runs nothing, and a sender that still waits asks once more.

--- a/savoryspar/idempotency/answer.py
+++ b/savoryspar/idempotency/answer.py
@@ -23,9 +23,11 @@
         message, remedy: Texts of the problem.
         retry_after_s: When asking again makes sense, or None.
         is_final: Whether the run state cannot change any more.
+        generation: Generation of the ticket, only if the message was stale.
     """
 
     __slots__ = (
+        "generation",
         "is_final",
         "kind",
         "message",
@@ -46,6 +48,7 @@
         remedy: str = "",
         retry_after_s: float | None = None,
         is_final: bool = False,
+        generation: int | None = None,
     ):
         self.run_state = run_state
         self.output = output
@@ -55,6 +58,7 @@
         self.remedy = remedy
         self.retry_after_s = retry_after_s
         self.is_final = is_final
+        self.generation = generation
 
     def to_message(self) -> dict[str, Any]:
         """Returns the answer as the body of a message between processes."""
--- a/savoryspar/idempotency/desk.py
+++ b/savoryspar/idempotency/desk.py
@@ -126,7 +126,11 @@
         refusal = ledger_lib.check_binding(ticket, order)
         if refusal is not None:
             return refusal
-        return self._dispatch(ticket, order, MAX_HOPS)
+        found = self._dispatch(ticket, order, MAX_HOPS, None)
+        if found.generation is not None:
+            # The send is newer than the generation that was assumed for it.
+            found = self._dispatch(ticket, order, MAX_HOPS, found.generation)
+        return found
 
     def state(self, text: str, workspace: str, timeout_s: float) -> Answer:
         """Returns what is known of an order.
@@ -158,12 +162,20 @@
         return ticket
 
     def _dispatch(
-        self, ticket: ticket_lib.Ticket, order: order_lib.Order, hops: int
+        self,
+        ticket: ticket_lib.Ticket,
+        order: order_lib.Order,
+        hops: int,
+        generation: int | None,
     ) -> Answer:
         ledger = self.heirs.ledger_of(ticket.incarnation)
         if ledger is not None:
-            return self._run_here(ledger, ticket, order)
-        body = {"order": order.to_message(), "hops": hops - 1}
+            return self._run_here(ledger, ticket, order, generation)
+        body = {
+            "order": order.to_message(),
+            "hops": hops - 1,
+            "generation": generation or 0,
+        }
         timeout_s = max(REPLY_MARGIN_S, order.timeout_s - REPLY_MARGIN_S)
         return self._ask_owner(ticket, RUN, body, timeout_s, hops)
 
@@ -183,7 +195,10 @@
             return _not_in_ledger(ticket)
         if found.state is entry_lib.State.ISSUED:
             found.is_void |= found.is_expired(self._clocks())
-        return ledger.known_answer(found, ticket.text)
+        told = ledger.known_answer(found, ticket.text)
+        if told.run_state is answer_lib.RunState.NOT_RUN:
+            found.generation += 1
+        return told
 
     def _ask_owner(
         self,
@@ -223,12 +238,13 @@
         ledger: ledger_lib.Ledger,
         ticket: ticket_lib.Ticket,
         order: order_lib.Order,
+        generation: int | None,
     ) -> Answer:
         found = ledger.find(ticket.nonce)
         if found is None:
             return _not_in_ledger(ticket)
         is_first = found.state is entry_lib.State.ISSUED
-        known = ledger.begin(found, order, self._clocks())
+        known = ledger.begin(found, order, self._clocks(), generation)
         if known is not None:
             return known
         done = found.done
@@ -281,7 +297,7 @@
         except exceptions.TicketError as exc:
             # The keys of the two processes differ for a while in a rotation.
             return answer_lib.unknown(exc.message, order.ticket).to_message()
-        found = self._dispatch(ticket, order, body["hops"])
+        found = self._dispatch(ticket, order, body["hops"], body["generation"])
         return _fitting(found).to_message()
 
     def _serve_state(self, sender: str, body: dict[str, Any]) -> dict[str, Any]:
--- a/savoryspar/idempotency/entry.py
+++ b/savoryspar/idempotency/entry.py
@@ -8,14 +8,6 @@
 
 from savoryspar.idempotency import answer, clocks
 
-MAX_REFUSED_SENDS = 32
-"""Sends answered ``not_run`` after which a ticket is void.
-
-A doubled message of such a send must not run later, so the sends are
-remembered, and the memory has a bound.
-"""
-
-
 MAX_HANDOVER_RESULT_BYTES = 200_000
 """A larger result is not handed over; its entry still says ``complete``."""
 
@@ -39,8 +31,8 @@
         is_void: Whether it must never run (again), whatever a clock says.
         digest: Digest of the body that it was first sent with, or empty.
         output: Encoded output of a complete order, None when evicted.
-        refused: Sends answered ``not_run``.
-        sends: Sends that wait for the run in progress.
+        generation: How often a caller was told that the order did not run. A
+            message from before is stale and never starts a run.
         done: Sent with the ``Answer`` when the run in progress ends.
     """
 
@@ -49,12 +41,11 @@
         "done",
         "expires_monotonic_s",
         "expires_wall_s",
+        "generation",
         "is_void",
         "nonce",
         "output",
         "pipeline",
-        "refused",
-        "sends",
         "state",
         "workspace",
     )
@@ -76,8 +67,7 @@
         self.is_void = False
         self.digest = ""
         self.output: bytes | None = None
-        self.refused: tuple[str, ...] = ()
-        self.sends: tuple[str, ...] = ()
+        self.generation = 0
         self.done: event.Event | None = None
 
     def is_expired(self, moment: clocks.Moment) -> bool:
@@ -87,11 +77,6 @@
             or moment.monotonic_s >= self.expires_monotonic_s
         )
 
-    def refuse(self, sends: tuple[str, ...]) -> None:
-        """Remembers that these sends are told that they did not run."""
-        self.refused += tuple(s for s in sends if s not in self.refused)
-        self.is_void |= len(self.refused) >= MAX_REFUSED_SENDS
-
     def known_answer(self, ticket: str) -> answer.Answer:
         """Returns what is known of the order now."""
         return _KNOWN[self.state](self, ticket)
@@ -113,7 +98,7 @@
             "is_void": self.is_void or self.is_expired(moment),
             "digest": self.digest,
             "output": self.output if is_small else None,
-            "refused": list(self.refused),
+            "generation": self.generation,
         }
 
 
@@ -130,7 +115,7 @@
     entry.is_void = message["is_void"]
     entry.digest = message["digest"]
     entry.output = message["output"]
-    entry.refused = tuple(message["refused"])
+    entry.generation = message["generation"]
     return entry
 
 
--- a/savoryspar/idempotency/ledger.py
+++ b/savoryspar/idempotency/ledger.py
@@ -161,12 +161,22 @@
         found: entry_lib.Entry,
         order: order_lib.Order,
         moment: clocks.Moment,
+        generation: int | None,
     ) -> answer.Answer | None:
         """Marks the order as running, or joins the run in progress.
 
         Nothing else runs between the check and the mark, so that two sends
         never start two runs.
 
+        Args:
+            found: The entry of the ticket.
+            order: The send.
+            moment: The current time.
+            generation: Generation that a forwarded message was sent for, None
+                for a send that comes from its caller now. A message that was
+                delayed or doubled may arrive after its caller, or another
+                send, was told that the order did not run.
+
         Returns:
             The answer if the order is not to be started or joined, else None;
             ``found.done`` is then sent with the answer.
@@ -175,7 +185,6 @@
         if found.digest not in ("", digest):
             return _mismatch("the body or pipeline differs from the first send")
         if found.state is State.RUNNING:
-            found.sends += (order.send_id,)
             return None
         if found.state is not State.ISSUED or self.is_frozen:
             return self.known_answer(found, order.ticket)
@@ -183,12 +192,13 @@
         found.is_void |= found.is_expired(moment)
         if found.is_void:
             return found.known_answer(order.ticket)
-        if self.is_closed or order.send_id in found.refused:
-            found.refuse((order.send_id,))
-            return _refused()
+        if generation not in (None, found.generation):
+            return _stale(found.generation)
+        if self.is_closed:
+            found.generation += 1
+            return _closed()
         found.digest = digest
         found.state = State.RUNNING
-        found.sends = (order.send_id,)
         found.done = event.Event()
         return None
 
@@ -204,7 +214,7 @@
         """Records how the run ended and answers every send that waits."""
         if result.run_state is answer.RunState.NOT_RUN:
             found.state = State.ISSUED
-            found.refuse(found.sends)
+            found.generation += 1
         elif result.run_state is answer.RunState.COMPLETE:
             found.state = State.COMPLETE
             found.output = json.dumps(result.output).encode()
@@ -212,7 +222,6 @@
         else:
             found.state = State.UNKNOWN
         done, found.done = found.done, None
-        found.sends = ()
         done.send(result)
 
     def _keep_result(self, found: entry_lib.Entry) -> None:
@@ -259,14 +268,26 @@
     )
 
 
-def _refused() -> answer.Answer:
+def _closed() -> answer.Answer:
     return answer.not_run(
         "draining",
         503,
-        "this send of the order was refused before it ran",
+        "the entry VM that may run the order is leaving",
+        "send it again with the same ticket",
+        retry_after_s=1.0,
+    )
+
+
+def _stale(generation: int) -> answer.Answer:
+    found = answer.not_run(
+        "ticket_unused",
+        503,
+        "another send of the order was refused in the meantime",
         "send it again with the same ticket",
         retry_after_s=1.0,
     )
+    found.generation = generation
+    return found
 
 
 def check_binding(
--- a/tests/idempotency/test_desks.py
+++ b/tests/idempotency/test_desks.py
@@ -193,6 +193,10 @@
             if answer.run_state is RunState.NOT_RUN and answer.is_final:
                 assert ticket.nonce not in nonces, answer.message
 
+    @stateful.invariant()
+    def no_answered_send_starts_after_not_run_was_told(self):
+        assert not self.world.late_runs
+
     @stateful.invariant()
     def results_reach_their_ticket(self):
         runs = {nonce: value for nonce, _, value in self.world.book}
--- a/tests/idempotency/test_handover.py
+++ b/tests/idempotency/test_handover.py
@@ -89,6 +89,28 @@
         self.world.deliver(self.take(desk_lib.RUN))
         self.assertEqual(1, len(self.world.runs))
 
+    def test_delayed_send_does_not_run_after_a_later_one_was_refused(self):
+        """A caller told ``not_run`` last must not find that it ran later."""
+        self.send(self.first)
+        delayed = self.take(desk_lib.RUN)
+        self.world.fail(delayed.reply, has_sent=True)
+        self.send(self.owner)
+        self.world.runs[-1].gate.send("refuse")
+        self.world.settle()
+        self.world.deliver(delayed)
+        self.assertEqual(1, len(self.world.runs))
+
+    def test_delayed_send_does_not_run_after_its_state_was_told(self):
+        """``not_run`` told by the state of the order must stay true."""
+        self.send(self.first)
+        delayed = self.take(desk_lib.RUN)
+        self.world.fail(delayed.reply, has_sent=True)
+        self.world.ask(self.owner, self.ticket)
+        answer = self.world.states[-1][1]
+        self.assertEqual(RunState.NOT_RUN, answer.run_state)
+        self.world.deliver(delayed)
+        self.assertEqual([], self.world.runs)
+
     def test_nothing_is_refused_while_an_heir_may_run_it(self):
         """``not_run`` told after the copy was taken could be wrong."""
         self.leave()
--- a/tests/idempotency/world.py
+++ b/tests/idempotency/world.py
@@ -82,6 +82,8 @@
         return idempotency.Moment(now, now + self.wall_offset)
 
     def execute(self, order, ticket, guard):
+        if order.send_id in self.world.closed:
+            self.world.late_runs.append(order.send_id)
         run = Run(self, order, ticket, guard)
         self.world.runs.append(run)
         if run.gate.wait() == "refuse":
@@ -112,6 +114,7 @@
         self.messages, self.replies, self.runs, self.book = [], [], [], []
         self.nodes = {}
         self.answers, self.states = [], []
+        self.closed, self.late_runs = set(), []
         self.sends = 0
         for _ in range(count):
             self.add_node()
@@ -137,14 +140,25 @@
             answer = node.desk.run(order)
             if node.is_alive:
                 self.answers.append((order, ticket, answer))
+                self.note_told(ticket, answer)
 
         eventlet.spawn(run)
         self.settle()
 
+    def note_told(self, ticket, answer):
+        """After ``not_run``, no send that was answered before may start."""
+        if answer.run_state is idempotency.RunState.NOT_RUN:
+            self.closed |= {
+                order.send_id
+                for order, other, _ in self.answers
+                if other.nonce == ticket.nonce
+            }
+
     def ask(self, node, ticket):
         def run():
             answer = node.desk.state(ticket.text, ticket.workspace, FOREVER_S)
             self.states.append((ticket, answer))
+            self.note_told(ticket, answer)
 
         eventlet.spawn(run)
         self.settle()
