--- a/savoryspar/bench/catalog.py
+++ b/savoryspar/bench/catalog.py
@@ -5,6 +5,7 @@
 from savoryspar.bench import results
 from savoryspar.bench.scenarios import (
     decisions,
+    orders,
     relay,
     routing,
     scheduling_decisions,
@@ -14,6 +15,8 @@
 """Runs a scenario with a seed and returns its rows."""
 
 SCENARIOS: Mapping[str, Scenario] = {
+    "orders": orders.orders,
+    "order-owners": orders.owners,
     "relay-cost": relay.relay_cost,
     "relay-gap": relay.relay_gap,
     "sched-decisions": scheduling_decisions.run_decisions,
