--- a/savoryspar/bench/catalog.py
+++ b/savoryspar/bench/catalog.py
@@ -6,6 +6,7 @@
 from savoryspar.bench.scenarios import (
     decisions,
     membership,
+    orders,
     relay,
     routing,
     scheduling,
@@ -16,6 +17,8 @@
 """Runs a scenario with a seed and returns its rows."""
 
 SCENARIOS: Mapping[str, Scenario] = {
+    "orders": orders.orders,
+    "order-owners": orders.owners,
     "relay-cost": relay.relay_cost,
     "relay-gap": relay.relay_gap,
     "sched-bulk-flood": scheduling.bulk_flood,
