Admit a burst on a process that knows no rates yet

Cause: the forecast of a request's wait counted the units that were announced for its later stages, and divided them by a rate of one slot before anything had been released: 12 streams at once on 24 free slots were refused with a wait of 61.75 s. Found by tests/system/test_drain.py. Free slots that announced requests leave over mean no wait, and without a measured rate jobs are counted.

Also counts a changed row without fields as removed in the delta's digest, as the rows do; found by the property test of the peers' deltas.

--- a/savoryspar/scheduling/pool.py
+++ b/savoryspar/scheduling/pool.py
@@ -49,6 +49,7 @@
 
     __slots__ = (
         "_announced",
+        "_announced_jobs",
         "_contended_at",
         "_held_s",
         "_held_units",
@@ -67,6 +68,7 @@
         self.running = 0
         self.waiting = 0
         self._announced: dict[tuple[str, str], float] = {}
+        self._announced_jobs = 0
         self._rates = {rank: Decayed() for rank in sheet.RANKS}
         self._contended_at = 0.0
         self._running_units = 0.0
@@ -118,6 +120,7 @@
 
     def announce(self, job: model.Job, units: float) -> None:
         """Notes units of a request that will reach this pool later."""
+        self._announced_jobs += 1 if units > 0.0 else -1
         key = (job.rank, job.workspace)
         total = self._announced.get(key, 0.0) + units
         if total > 1e-9:
@@ -151,10 +154,16 @@
 
     def wait_s(self, job: model.Job, slots: int, now: float) -> float:
         """Returns how long a new job of the kind would wait, in seconds."""
+        if self.running + self.waiting + self._announced_jobs < slots:
+            return 0.0
         extra = self._announced.get((job.rank, job.workspace), 0.0)
         if not self.waiting and not extra:
             return 0.0
         ahead = policies.units_ahead(self.policy, job, extra)
+        if not self._releases:
+            # Nothing is known of the pool's rate yet.
+            jobs = self.waiting + self._announced_jobs
+            return jobs / slots * FIRST_HOLD_S
         rate = self.drain_rate(job.rank, slots, now)
         if rate > 0.0:
             return ahead / rate
--- a/savoryspar/sheet/delta.py
+++ b/savoryspar/sheet/delta.py
@@ -26,7 +26,8 @@
 def delta_digest(current: model.Sheet, changes: Changes) -> str:
     """Returns the content digest after the changes, in hexadecimal."""
     total = int(current.digest, 16) + sum(
-        keys.row_digest(item, fields)
+        # A row without fields is no row, as in apply_changes.
+        keys.row_digest(item, fields or None)
         - keys.row_digest(item, current.rows.get(item))
         for item, fields in changes.items()
     )
--- a/tests/scheduling/test_scheduler.py
+++ b/tests/scheduling/test_scheduler.py
@@ -143,6 +143,18 @@
         simulation.run_until(simulation.now + exc.retry_after_s)
         simulation.offer(new_job(deadline_at=simulation.now + 5.0))
 
+    def test_burst_on_a_new_process_is_not_refused(self):
+        """A process that knows no rates yet must not refuse what fits."""
+        scheduler = new_scheduler(slots=24)
+        later = (scheduling.StageNeed("engines", "m", 64.0),)
+        entries_of_burst = [
+            scheduler.offer(new_job(deadline_at=8.0, later=later), 0.0)
+            for _ in range(24)
+        ]
+        self.assertEqual(
+            [entries.Status.GRANTED] * 24, [e.status for e in entries_of_burst]
+        )
+
     def test_refused_before_the_first_stage_for_a_later_one(self):
         """Stages must not be paid for when the last one is out of reach."""
         simulation = self.new_warm()
