--- a/savoryspar/scheduling/policies.py
+++ b/savoryspar/scheduling/policies.py
@@ -110,7 +110,7 @@
     rank = policy.meter.select(backlogged)
     entry = policy.queues[rank].pop()
     entry.is_floor = rank != backlogged[0]
-    policy.meter.charge(rank, entry.job.cost, backlogged, now)
+    policy.meter.charge(rank, entry.job.cost, backlogged, entry.is_floor, now)
     return entry
 
 
@@ -177,7 +177,9 @@
     policy.queues[entry.job.rank].charge(entry, units)
     backlogged = policy.backlogged
     if backlogged:
-        policy.meter.charge(entry.job.rank, units, backlogged, now)
+        policy.meter.charge(
+            entry.job.rank, units, backlogged, entry.is_floor, now
+        )
 
 
 @functools.singledispatch
--- a/tests/scheduling/test_scheduler.py
+++ b/tests/scheduling/test_scheduler.py
@@ -102,6 +102,17 @@
         """A rank above its floor must not be served before urgent work."""
         self.assertLessEqual(self.served("urgent", "bulk")["bulk"], 0.12)
 
+    def test_service_without_contention_is_not_held_against_a_rank(self):
+        """A flood of urgent work must not first starve a busy rank."""
+        scheduler = new_scheduler(1)
+        offered = [scheduler.offer(new_job(), 0.0) for _ in range(220)]
+        for number in range(100):
+            self.serve(scheduler, offered, number * 0.01)
+        for _ in range(30):
+            offered.append(scheduler.offer(new_job(rank="urgent"), 1.0))
+        ranks = [self.serve(scheduler, offered, 1.0).rank for _ in range(20)]
+        self.assertGreaterEqual(ranks.count("standard"), 4)
+
     def test_idle_rank_has_no_claim_on_the_past(self):
         """Bulk work after a quiet time must not stop urgent work."""
         scheduler = new_scheduler(1)
