--- a/savoryspar/cli/node.py
+++ b/savoryspar/cli/node.py
@@ -160,6 +160,7 @@
             "membership": view_status(
                 self._parts.members.view(time.monotonic())
             ),
+            "routing": self._parts.router.status(time.monotonic()),
         }
 
     def _serve_operators(self) -> None:
--- a/savoryspar/pipelines/attempts.py
+++ b/savoryspar/pipelines/attempts.py
@@ -4,12 +4,13 @@
 
 import eventlet
 
-from savoryspar import backends, routing, sheet
+from savoryspar import backends, log, routing, sheet
 from savoryspar.pipelines import bodies, exceptions, model
 
 MAX_ATTEMPTS = 3
 BYTES_PER_TOKEN = 200
 """Bytes of one streamed event."""
+_logger = log.new_logger("pipelines")
 
 
 class Attempts:
@@ -109,6 +110,7 @@
             raise failure(self._req, exc)
         if exc.has_sent:
             self._spend_retry(exc)
+        self._log("Retry", choice, exc)
 
     def follow_broken_stream(
         self, choice: routing.Choice, exc: backends.BackendError
@@ -126,6 +128,16 @@
             record_crash(self._router, self._req, choice, self._clock())
         if not self._is_idempotent or self._started >= MAX_ATTEMPTS:
             raise failure(self._req, exc)
+        self._log("Resume", choice, exc)
+
+    def _log(
+        self, event: str, choice: routing.Choice, exc: backends.BackendError
+    ) -> None:
+        _logger.info(
+            f"{event}. request={self._req.request_id}"
+            f" stage={self._stage.name} server={choice.server.name}"
+            f" attempt={self._started} reason={exc.message}"
+        )
 
     def _spend_retry(self, exc: backends.BackendError) -> None:
         now = self._clock()
--- a/savoryspar/routing/suspects.py
+++ b/savoryspar/routing/suspects.py
@@ -13,6 +13,8 @@
 import json
 from typing import Any
 
+from savoryspar import log
+
 MAX_ENTRIES = 4096
 MAX_ENTRIES_PER_WORKSPACE = 64
 SUSPECT_TTL_S = 300.0
@@ -59,7 +61,7 @@
         is_enabled: Whether crashes are recorded.
     """
 
-    __slots__ = ("_count", "_workspaces", "is_enabled", "publish")
+    __slots__ = ("_count", "_logger", "_workspaces", "is_enabled", "publish")
 
     def __init__(
         self, publish: Callable[[dict[str, Any]], None], is_enabled: bool
@@ -68,6 +70,7 @@
         self.is_enabled = is_enabled
         self._workspaces: dict[str, collections.OrderedDict[str, Entry]] = {}
         self._count = 0
+        self._logger = log.new_logger("routing")
 
     def check(self, mark: str, now: float) -> Verdict:
         """Returns what is known of a fingerprint."""
@@ -84,9 +87,16 @@
         """Records a crash; the second one, met alone, condemns."""
         if not self.is_enabled:
             return
-        is_second = self.check(mark, now) is not Verdict.CLEAR
+        known = self.check(mark, now)
+        is_second = known is not Verdict.CLEAR
         self._merge(mark, frozenset({server}), was_alone and is_second, now)
         entry = self._workspaces[_workspace(mark)][mark]
+        if known is not Verdict.CONDEMNED:
+            self._logger.warning(
+                f"Server crashed under a request. fingerprint={mark}"
+                f" server={server} alone={was_alone}"
+                f" verdict={self.check(mark, now).value}"
+            )
         self.publish(
             {
                 "fingerprint": mark,
