--- a/savoryspar/bench/catalog.py
+++ b/savoryspar/bench/catalog.py
@@ -5,8 +5,11 @@
 from savoryspar.bench import results
 from savoryspar.bench.scenarios import (
     decisions,
+    membership,
+    orders,
     relay,
     routing,
+    scheduling,
     scheduling_decisions,
 )
 
@@ -14,8 +17,14 @@
 """Runs a scenario with a seed and returns its rows."""
 
 SCENARIOS: Mapping[str, Scenario] = {
+    "orders": orders.orders,
+    "order-owners": orders.owners,
     "relay-cost": relay.relay_cost,
     "relay-gap": relay.relay_gap,
+    "sched-bulk-flood": scheduling.bulk_flood,
+    "sched-urgent-flood": scheduling.urgent_flood,
+    "sched-small": scheduling.small_and_large,
+    "sched-entries": scheduling.zone_fairness,
     "sched-decisions": scheduling_decisions.run_decisions,
     "sched-zone": scheduling_decisions.run_zone,
     "prefix": routing.prefix,
@@ -27,4 +36,7 @@
     "limits": routing.limits,
     "decision-time": decisions.decision_time,
     "subsets": decisions.subset_balance,
+    "config-spread": membership.configuration_spread,
+    "stale-service": membership.stale_service,
+    "control-traffic": membership.control_traffic,
 }
