--- a/savoryspar/routing/suspects.py
+++ b/savoryspar/routing/suspects.py
@@ -58,7 +58,7 @@
 
     Attributes:
         publish: Called with the record of each change, to tell peers.
-        is_enabled: Whether crashes are recorded.
+        is_enabled: Whether own and peers' crashes are recorded.
     """
 
     __slots__ = ("_count", "_logger", "_workspaces", "is_enabled", "publish")
@@ -122,7 +122,8 @@
             is_condemned = bool(record["is_condemned"])
         except (KeyError, TypeError) as exc:
             raise ValueError(f"not a record of a crash: {exc!r}") from exc
-        self._merge(mark, servers, is_condemned, now)
+        if self.is_enabled:
+            self._merge(mark, servers, is_condemned, now)
 
     def records(self, now: float) -> list[dict[str, Any]]:
         """Returns the records in effect, for a new peer."""
--- a/tests/routing/test_suspects.py
+++ b/tests/routing/test_suspects.py
@@ -68,6 +68,14 @@
                 ValueError, self.suspects.import_record, record, 0.0
             )
 
+    def test_disabled_takes_no_record_of_peers(self):
+        """The emergency setting must also end refusals that peers send."""
+        off = suspects_lib.new_suspects(is_enabled=False)
+        record = {"fingerprint": "w/1", "servers": [], "is_condemned": True}
+        off.import_record(record, 0.0)
+        off.record_crash("w/1", "a", 0.0)
+        self.assertEqual(CLEAR, off.check("w/1", 0.0))
+
     def test_entries_expire(self):
         """A repaired engine must serve the request again one day."""
         self.suspects.record_crash("w/1", "a", 0.0)
