--- a/savoryspar/bench/catalog.py
+++ b/savoryspar/bench/catalog.py
@@ -11,6 +11,7 @@
     routing,
     scheduling,
     scheduling_decisions,
+    state,
 )
 
 Scenario = Callable[[int], list[results.Row]]
@@ -39,4 +40,5 @@
     "config-spread": membership.configuration_spread,
     "stale-service": membership.stale_service,
     "control-traffic": membership.control_traffic,
+    "state": state.state_memory,
 }
