--- a/tests/membership/test_processes.py
+++ b/tests/membership/test_processes.py
@@ -12,13 +12,16 @@
 
 class MembersCase(testtools.TestCase):
     SIZE = 3
+    ZONES = 1
 
     def setUp(self):
         super().setUp()
         self.fleet = fleet_lib.Fleet()
         self.addCleanup(self.fleet.close)
         self.processes = [
-            self.fleet.start_members(f"m{number}", first=number)
+            self.fleet.start_members(
+                f"m{number}", zones=self.ZONES, first=number
+            )
             for number in range(self.SIZE)
         ]
         self.list_addresses(self.processes)
@@ -49,6 +52,11 @@
                 self.fail("the condition did not come true in time")
             time.sleep(0.05)
 
+    def deafen(self, processes, names):
+        for process in processes:
+            body = {"incarnations": names}
+            self.fleet.post_json(process, "/deaf", body)
+
     def request(self, process, to, kind, body, timeout_s=2.0):
         return self.fleet.post_json(
             process,
@@ -162,11 +170,6 @@
 class PartitionTest(MembersCase):
     SIZE = 5
 
-    def deafen(self, processes, names):
-        for process in processes:
-            body = {"incarnations": names}
-            self.fleet.post_json(process, "/deaf", body)
-
     def confirmed(self):
         return [self.stats(p)["is_confirmed"] for p in self.processes]
 
@@ -183,3 +186,33 @@
         self.deafen(self.processes, [])
         self.wait(lambda: all(self.is_whole(p) for p in self.processes))
         self.wait(lambda: self.revisions() == [3] * 5)
+
+
+class ZoneCutTest(MembersCase):
+    SIZE = 4
+    ZONES = 2
+
+    def test_cut_off_zone_serves_on_and_takes_the_highest_revision(self):
+        """A zone must not need another one, nor revert when it is back."""
+        sides = (
+            (self.processes[::2], self.names[::2]),
+            (
+                self.processes[1::2],
+                self.names[1::2],
+            ),
+        )
+        self.publish(self.processes[0], 1, "compania-grande,share,3")
+        self.wait(lambda: self.revisions() == [1] * 4)
+        self.deafen(sides[0][0], sides[1][1])
+        self.deafen(sides[1][0], sides[0][1])
+        for processes, names in sides:
+            for process, name in zip(processes, names, strict=True):
+                expected = {*names} - {name}
+                self.wait(lambda p=process, e=expected: self.seen(p) == e)
+                self.assertTrue(self.stats(process)["is_confirmed"])
+        self.publish(self.processes[0], 3, "compania-grande,share,4")
+        self.publish(self.processes[1], 2, "compania-grande,share,5")
+        self.wait(lambda: self.revisions() == [3, 2, 3, 2])
+        self.deafen(self.processes, [])
+        self.wait(lambda: self.revisions() == [3] * 4)
+        self.wait(lambda: all(self.is_whole(p) for p in self.processes))
