Build large sheets beside the event loop

Building a sheet of 36,000 workspaces stopped the event loop for more than a second, so peers declared a starting process dead and the process itself saw a pause. Computations on more than 1,000 rows now run in a native thread, and a peer has 5 s to answer a request for rows.

--- a/savoryspar/membership/spread.py
+++ b/savoryspar/membership/spread.py
@@ -16,7 +16,7 @@
 MAX_DELTA_BYTES = 32_768
 """A larger delta is announced only; peers ask for its rows."""
 
-REQUEST_TIMEOUT_S = 2.0
+REQUEST_TIMEOUT_S = 5.0
 DIGEST_START = 8
 """Bytes of the digest in heartbeats."""
 
@@ -92,14 +92,15 @@
         self._history[accepted.revision] = Delta(previous, changes)
         while len(self._history) > HISTORY:
             self._history.popitem(last=False)
-        encoded = rows.encode_changes(changes)
-        is_small = previous and len(cbor2.dumps(encoded)) <= MAX_DELTA_BYTES
+        encoded = rows.encode_changes(changes) if previous else None
+        if encoded and len(cbor2.dumps(encoded)) > MAX_DELTA_BYTES:
+            encoded = None
         self._members.flood_sheet_delta(
             [
                 accepted.revision,
                 previous,
                 accepted.digest,
-                encoded if is_small else None,
+                encoded,
             ],
             self._source,
         )
@@ -136,11 +137,22 @@
         """Builds a sheet from a peer's rows and offers it to the holder."""
         try:
             if base is None:
-                offered = sheet.new_sheet(
-                    sheet.apply_changes({}, changes), revision, digest
+                offered = sheet.run_beside(
+                    len(changes),
+                    sheet.new_sheet,
+                    sheet.apply_changes({}, changes),
+                    revision,
+                    digest,
                 )
             else:
-                offered = sheet.update_sheet(base, changes, revision, digest)
+                offered = sheet.run_beside(
+                    len(changes),
+                    sheet.update_sheet,
+                    base,
+                    changes,
+                    revision,
+                    digest,
+                )
         except ExceptionGroup as group:
             self._sheets.refuse(revision, group)
             self._retry_at = self._clock() + REFUSED_RETRY_S
@@ -238,7 +250,9 @@
 
     def _indexed(self, current: sheet.Sheet) -> rows.BucketIndex:
         if self._index is None or self._index.revision != current.revision:
-            self._index = rows.BucketIndex(current)
+            self._index = sheet.run_beside(
+                len(current.rows), rows.BucketIndex, current
+            )
         return self._index
 
     def _changes_since(self, revision: int) -> sheet.Changes | None:
--- a/savoryspar/sheet/reader.py
+++ b/savoryspar/sheet/reader.py
@@ -1,7 +1,7 @@
 """Reads a revision from the configuration service, by delta or whole."""
 
 from savoryspar import platform
-from savoryspar.sheet import exceptions, holder, keys, model, update
+from savoryspar.sheet import exceptions, holder, keys, model, offload, update
 
 
 def read_sheet(
@@ -41,7 +41,9 @@
     rows = {}
     for number in range(keys.BUCKET_COUNT):
         rows.update(keys.decode_rows(client.get(keys.bucket_key(number))))
-    return keys.new_sheet(rows, manifest.revision, manifest.digest)
+    return offload.run(
+        len(rows), keys.new_sheet, rows, manifest.revision, manifest.digest
+    )
 
 
 def refresh(
