--- a/savoryspar/bench/catalog.py
+++ b/savoryspar/bench/catalog.py
@@ -6,6 +6,7 @@
 from savoryspar.bench.scenarios import (
     decisions,
     orders,
+    placement,
     relay,
     routing,
     scheduling_decisions,
@@ -16,6 +17,7 @@
 
 SCENARIOS: Mapping[str, Scenario] = {
     "orders": orders.orders,
+    "placement-window": placement.window,
     "order-owners": orders.owners,
     "relay-cost": relay.relay_cost,
     "relay-gap": relay.relay_gap,
