--- a/savoryspar/cli/duties.py
+++ b/savoryspar/cli/duties.py
@@ -133,7 +133,7 @@
     """Plans and sends orders to engines at the interval, for ever."""
     logger = log.new_logger("placement")
     while interval_s > 0:
-        eventlet.sleep(interval_s)
+        eventlet.sleep(max(interval_s, dispatcher.min_interval_s))
         try:
             dispatcher.tick()
         except Exception as exc:
--- a/savoryspar/placement/dispatcher.py
+++ b/savoryspar/placement/dispatcher.py
@@ -16,6 +16,12 @@
 )
 from savoryspar.placement import options as options_lib
 
+READ_SPACING_S = 0.1
+"""Shortest mean time between two reads of engines.
+
+One read takes 0.6 ms of CPU, so reads take at most 0.6% of a core.
+"""
+
 
 class Clocks(Protocol):
     """Readings of both clocks, in seconds."""
@@ -50,6 +56,7 @@
 
     Attributes:
         fencing: The fencing numbers.
+        min_interval_s: Shortest time between two plans for the engines read.
     """
 
     __slots__ = (
@@ -62,6 +69,7 @@
         "_peers",
         "_servers",
         "fencing",
+        "min_interval_s",
     )
 
     def __init__(
@@ -82,6 +90,7 @@
         self._servers: tuple[backends.Server, ...] = ()
         self._logger = log.new_logger("placement")
         self.fencing = fencing.FencingClock()
+        self.min_interval_s = 0.0
 
     def take_servers(self, servers: Iterable[backends.Server]) -> None:
         """Takes the live backend servers of all zones."""
@@ -101,6 +110,7 @@
         # Drawn before the engines are read: the orders of a process that
         # pauses from here on are older than those of whoever replaces it.
         number = self.fencing.draw(clocks.wall_s)
+        self.min_interval_s = READ_SPACING_S * len(in_zone)
         states = self._read(in_zone.values(), clocks.monotonic_s)
         self._observe(states, clocks.monotonic_s)
         if self.fencing.highest > number:
--- a/tests/placement/test_dispatcher.py
+++ b/tests/placement/test_dispatcher.py
@@ -126,6 +126,12 @@
         self.assertEqual(len(sent), len(set(sent)))
         self.assertEqual(3, len(sent))
 
+    def test_reads_are_spaced(self):
+        """A zone of many engines must not cost more than its share of CPU."""
+        dispatcher = self.new([builders.new_engine(f"e{n}") for n in range(60)])
+        dispatcher.tick()
+        self.assertAlmostEqual(6.0, dispatcher.min_interval_s)
+
     def test_number_exceeds_those_of_engines(self):
         """A new sender's orders must be accepted by a fenced engine."""
         engine = builders.new_engine("e", number=9_000_000)
