--- a/savoryspar/bench/catalog.py
+++ b/savoryspar/bench/catalog.py
@@ -7,6 +7,7 @@
     decisions,
     membership,
     orders,
+    placement,
     relay,
     routing,
     scheduling,
@@ -19,6 +20,7 @@
 
 SCENARIOS: Mapping[str, Scenario] = {
     "orders": orders.orders,
+    "placement-window": placement.window,
     "order-owners": orders.owners,
     "relay-cost": relay.relay_cost,
     "relay-gap": relay.relay_gap,
