--- a/savoryspar/bench/catalog.py
+++ b/savoryspar/bench/catalog.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable, Mapping
 
 from savoryspar.bench import results
-from savoryspar.bench.scenarios import relay, state
+from savoryspar.bench.scenarios import relay, rolling, state
 
 Scenario = Callable[[int], list[results.Row]]
 """Runs a scenario with a seed and returns its rows."""
@@ -11,5 +11,6 @@
 SCENARIOS: Mapping[str, Scenario] = {
     "relay-cost": relay.relay_cost,
     "relay-gap": relay.relay_gap,
+    "rolling": rolling.rolling_replacement,
     "state": state.state_memory,
 }
--- a/savoryspar/bench/load.py
+++ b/savoryspar/bench/load.py
@@ -20,17 +20,21 @@
 
 TIMEOUT_MARGIN_S = 3.0
 """Time after the deadline until the load tool gives an answer up."""
+REUSE_S = 4.0
+"""Longest idle time of a connection that is used again, below the servers'."""
 MAX_IN_FLIGHT = 8000
 START_DELAY_S = 0.05
 
 OnAnswer = Callable[[flows_lib.Flow, int, load_client.Answer | None], None]
 Pick = Callable[[], str]
+IdleConnection = tuple[float, load_client.Connection]
 
 
 class Load:
     """One run of load in this process."""
 
     __slots__ = (
+        "_idle",
         "_in_flight",
         "_lock",
         "_on_answer",
@@ -40,8 +44,16 @@
     )
 
     def __init__(
-        self, pick: Pick, report: tally.Report, on_answer: OnAnswer | None
+        self,
+        pick: Pick,
+        report: tally.Report,
+        on_answer: OnAnswer | None,
+        reuses: bool,
     ):
+        # Idle connections by address, with the time of their last answer.
+        self._idle: dict[str, list[IdleConnection]] | None = (
+            {} if reuses else None
+        )
         self._pick = pick
         self._on_answer = on_answer
         self._lock = threading.Lock()
@@ -86,7 +98,7 @@
         started_at = time.monotonic()
         answer = None
         try:
-            answer = _ask(self._pick(), flow, number)
+            answer = self._ask(self._pick(), flow, number)
         except (OSError, ValueError, KeyError, load_client.AnswerError):
             pass
         ended_at = time.monotonic()
@@ -99,6 +111,37 @@
             if self._on_answer:
                 self._on_answer(flow, number, answer)
 
+    def _ask(
+        self, address: str, flow: flows_lib.Flow, number: int
+    ) -> load_client.Answer:
+        timeout_s = flow.work.deadline_ms / 1000.0 + TIMEOUT_MARGIN_S
+        conn = self._take_idle(address) or load_client.connect(
+            address, timeout_s, time.monotonic
+        )
+        try:
+            conn.send(flow.render(number))
+            answer = conn.receive()
+        except BaseException:
+            conn.close()
+            raise
+        if self._idle is None or not conn.is_reusable:
+            conn.close()
+        else:
+            idle = self._idle.setdefault(address, [])
+            idle.append((time.monotonic(), conn))
+        return answer
+
+    def _take_idle(self, address: str) -> load_client.Connection | None:
+        if self._idle is None:
+            return None
+        idle = self._idle.get(address, [])
+        while idle:
+            since, conn = idle.pop()
+            if time.monotonic() - since < REUSE_S:
+                return conn
+            conn.close()
+        return None
+
 
 def plan(
     flows: Sequence[flows_lib.Flow], duration_s: float, seed: int
@@ -123,6 +166,7 @@
     processes: int = 0,
     on_answer: OnAnswer | None = None,
     pick: Pick | None = None,
+    reuses: bool = False,
 ) -> tally.Report:
     """Runs load and returns its report.
 
@@ -136,27 +180,22 @@
             only without load processes.
         pick: Chooses the address of a request in place of ``addresses``;
             only without load processes.
+        reuses: Whether connections are used again, as a balancer does; only
+            without load processes.
     """
     if processes:
         return _run_processes(flows, addresses, duration_s, seed, processes)
     turns = itertools.cycle(addresses)
     load = Load(
-        pick or (lambda: next(turns)), tally.Report(duration_s), on_answer
+        pick or (lambda: next(turns)),
+        tally.Report(duration_s),
+        on_answer,
+        reuses,
     )
     load.run(flows, seed)
     return load.report
 
 
-def _ask(address: str, flow: flows_lib.Flow, number: int) -> load_client.Answer:
-    timeout_s = flow.work.deadline_ms / 1000.0 + TIMEOUT_MARGIN_S
-    conn = load_client.connect(address, timeout_s, time.monotonic)
-    try:
-        conn.send(flow.render(number))
-        return conn.receive()
-    finally:
-        conn.close()
-
-
 def _count(
     entry: tally.Tally,
     flow: flows_lib.Flow,
--- a/savoryspar/cli/entry.py
+++ b/savoryspar/cli/entry.py
@@ -6,10 +6,9 @@
 from cleo.commands import command
 from cleo.helpers import option
 import eventlet
-from eventlet import event
 
 from savoryspar import conf, log
-from savoryspar.cli import exit_codes, faults, wiring
+from savoryspar.cli import exit_codes, faults, signals, wiring
 
 
 class EntryCommand(command.Command):
@@ -21,7 +20,7 @@
     help = "Example: savoryspar entry --config entry.ini"
 
     def handle(self) -> int:
-        """Runs the command until SIGTERM."""
+        """Runs the command until SIGTERM; a second one shortens the notice."""
         try:
             cfg = conf.load_settings(self.option("config") or "", os.environ)
         except ExceptionGroup as group:
@@ -29,19 +28,19 @@
             return exit_codes.USAGE
         log.configure(cfg.log.level, cfg.log.format)
         node = wiring.new_node(cfg)
-        stopped = event.Event()
+        stops = signals.new_signal_queue(signal.SIGTERM, signal.SIGINT)
         node.start()
         self.line(f"listening {node.server.address[1]}")
         self.io.output.flush()
-
-        def on_signal(number: int, frame: object) -> None:
-            del number, frame
-            if not stopped.ready():
-                stopped.send(None)
-
-        signal.signal(signal.SIGTERM, on_signal)
-        signal.signal(signal.SIGINT, on_signal)
-        stopped.wait()
+        stops.wait()
+        eventlet.spawn(_hasten, stops, node)
         node.stop()
         eventlet.sleep(0)
         return exit_codes.OK
+
+
+def _hasten(stops: signals.SignalQueue, node: wiring.Node) -> None:
+    """Ends the notice at the second signal; requests still finish."""
+    while True:
+        stops.wait()
+        node.hasten()
--- /dev/null
+++ b/savoryspar/cli/signals.py
@@ -0,0 +1,34 @@
+"""Waits for signals within the hub's loop."""
+
+from collections.abc import Iterable
+import os
+import signal
+
+from eventlet import hubs
+
+
+class SignalQueue:
+    """The signals that the process receives, one after another."""
+
+    __slots__ = ("_pending", "_reader")
+
+    def __init__(self, numbers: Iterable[int]):
+        # A handler alone does not end the hub's poll: the signal would be
+        # noticed with the next event.
+        self._reader, writer = os.pipe2(os.O_NONBLOCK | os.O_CLOEXEC)
+        self._pending = 0
+        signal.set_wakeup_fd(writer, warn_on_full_buffer=False)
+        for number in numbers:
+            signal.signal(number, lambda number, frame: None)
+
+    def wait(self) -> None:
+        """Waits for the next signal."""
+        while not self._pending:
+            hubs.trampoline(self._reader, read=True)
+            self._pending = len(os.read(self._reader, 64))
+        self._pending -= 1
+
+
+def new_signal_queue(*numbers: int) -> SignalQueue:
+    """Returns a queue of the given signals."""
+    return SignalQueue(numbers)
--- a/savoryspar/cli/wiring.py
+++ b/savoryspar/cli/wiring.py
@@ -3,6 +3,7 @@
 import time
 
 import eventlet
+from eventlet import event
 
 from savoryspar import (
     backends,
@@ -32,6 +33,7 @@
         "_app",
         "_cfg",
         "_config_client",
+        "_hastened",
         "_logger",
         "_router",
         "_vm_list",
@@ -56,6 +58,7 @@
         self._router = router
         self._config_client = config_client
         self._vm_list = vm_list
+        self._hastened = event.Event()
         self._logger = log.new_logger("entry")
 
     def start(self) -> None:
@@ -68,10 +71,17 @@
         """Leaves: not ready first, then finishes every request."""
         self._app.is_draining = True
         self._logger.notice("Draining.")
-        eventlet.sleep(self._cfg.entry.drain_notice_s)
+        self.server.drain()
+        with eventlet.Timeout(self._cfg.entry.drain_notice_s, False):
+            self._hastened.wait()
         self.server.stop()
         self._logger.notice("Stopped. Every request was answered.")
 
+    def hasten(self) -> None:
+        """Ends the notice that the balancer gets before the listener closes."""
+        if not self._hastened.ready():
+            self._hastened.send(None)
+
     def _follow_sheet(self) -> None:
         while True:
             try:
--- a/savoryspar/http/server.py
+++ b/savoryspar/http/server.py
@@ -1,33 +1,63 @@
-"""The server of the application, with a graceful shutdown."""
+"""The server of the application, with a graceful shutdown.
+
+The accept loop of ``eventlet.wsgi.server`` ends by shutting down every
+connection on which no request line was read yet, even when a request waits in
+its buffer. This module therefore has an accept loop of its own.
+"""
 
 from collections.abc import Callable
 import socket
+import time
+from typing import Any
 
 import eventlet
-from eventlet import wsgi
+from eventlet import greenio, wsgi
 
-from savoryspar import conf
+from savoryspar import conf, log
 
 BACKLOG = 1024
+ACCEPT_RETRY_S = 0.05
+IDLE_CHECK_S = 0.05
+FIRST_REQUEST_S = 2.0
+"""Time that a new connection keeps for its first request after the stop."""
+
+
+class _Protocol(wsgi.HttpProtocol):
+    """Asks callers to close their connections while the server drains."""
+
+    def parse_request(self) -> bool:
+        """Parses the request line and the headers."""
+        is_parsed = super().parse_request()
+        if self.server.is_draining:
+            # The WSGI server then answers with ``Connection: close``.
+            self.close_connection = True
+        return is_parsed
 
 
-class _SilentLog:
-    """Discards the server's own lines; decisions are logged elsewhere."""
+class _WsgiServer(wsgi.Server):
+    """The shared state of all connections.
 
-    __slots__ = ()
+    Attributes:
+        is_draining: Whether callers are asked to close their connections.
+    """
 
-    def write(self, text: str) -> None:
-        """Discards the text."""
+    is_draining = False
 
 
 class Server:
     """Listens for callers until it is stopped."""
 
-    __slots__ = ("_app", "_cfg", "_pool", "_sock", "_thread", "address")
+    __slots__ = (
+        "_connections",
+        "_logger",
+        "_pool",
+        "_sock",
+        "_thread",
+        "_wsgi",
+        "address",
+    )
 
     def __init__(self, app: Callable, cfg: conf.Settings):
-        self._app = app
-        self._cfg = cfg
         self._pool = eventlet.GreenPool(cfg.http.max_connections)
         self._sock = eventlet.listen(
             (cfg.entry.listen_address, cfg.entry.listen_port),
@@ -37,26 +67,88 @@
         self._sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.address = self._sock.getsockname()
         self._thread: eventlet.greenthread.GreenThread | None = None
-
-    def start(self) -> None:
-        """Serves in a green thread."""
-        self._thread = eventlet.spawn(
-            wsgi.server,
+        self._logger = log.new_logger("http")
+        # When each connection was accepted, and its address, socket and state
+        # as the WSGI server keeps them.
+        self._connections: dict[int, tuple[float, list[Any]]] = {}
+        self._wsgi = _WsgiServer(
             self._sock,
-            self._app,
-            log=_SilentLog(),
-            log_output=False,
-            custom_pool=self._pool,
+            self.address,
+            app,
+            protocol=_Protocol,
             minimum_chunk_size=0,
+            keepalive=cfg.http.read_timeout_s,
+            log_output=False,
             socket_timeout=None,
-            keepalive=self._cfg.http.read_timeout_s,
             debug=False,
         )
 
+    def start(self) -> None:
+        """Serves in a green thread."""
+        self._thread = eventlet.spawn(self._accept)
+
+    def drain(self) -> None:
+        """Asks callers from now on to close their connections."""
+        self._wsgi.is_draining = True
+
     def stop(self) -> None:
         """Stops listening and waits until every request is answered."""
+        self.drain()
         self._thread.kill()
-        self._pool.waitall()
+        self._take_waiting()
+        self._sock.close()
+        while self._pool.running():
+            self._close_idle(time.monotonic())
+            eventlet.sleep(IDLE_CHECK_S)
+
+    def _accept(self) -> None:
+        while True:
+            try:
+                sock, address = self._sock.accept()
+            except OSError as exc:
+                # For example no free file descriptor; one may become free.
+                self._logger.warning(f"Connection not accepted. {exc}")
+                eventlet.sleep(ACCEPT_RETRY_S)
+                continue
+            self._spawn(sock, address)
+
+    def _take_waiting(self) -> None:
+        """Accepts what waits; closing the listener would reset it."""
+        while True:
+            try:
+                sock, address = self._sock.fd.accept()
+            except OSError:
+                return
+            self._spawn(greenio.GreenSocket(sock), address)
+
+    def _spawn(self, sock: Any, address: Any) -> None:
+        connection = [address, sock, wsgi.STATE_IDLE]
+        self._connections[id(connection)] = (time.monotonic(), connection)
+        self._pool.spawn_n(self._serve, connection)
+
+    def _serve(self, connection: list[Any]) -> None:
+        try:
+            self._wsgi.process_request(connection)
+        except OSError as exc:
+            self._logger.info(f"Connection broke. {exc}")
+        finally:
+            del self._connections[id(connection)]
+            greenio.shutdown_safe(connection[1])
+            connection[1].close()
+
+    def _close_idle(self, now: float) -> None:
+        for accepted_at, (_, sock, state) in [*self._connections.values()]:
+            is_new = now - accepted_at < FIRST_REQUEST_S
+            if state == wsgi.STATE_IDLE and not is_new and not _has_data(sock):
+                greenio.shutdown_safe(sock)
+
+
+def _has_data(sock: Any) -> bool:
+    """Tells whether a request waits in the socket's buffer."""
+    try:
+        return bool(sock.fd.recv(1, socket.MSG_PEEK))
+    except OSError:
+        return False
 
 
 def new_server(app: Callable, cfg: conf.Settings) -> Server:
--- /dev/null
+++ b/tests/http/test_drain.py
@@ -0,0 +1,116 @@
+"""Tests of the graceful shutdown."""
+
+import time
+import types
+
+import eventlet
+import testtools
+
+from savoryspar import http
+from savoryspar.bench import deployments, flows, load_client, tally
+from savoryspar.bench import fleet as fleet_lib
+
+REQUEST = b"GET / HTTP/1.1\r\nHost: x\r\n\r\n"
+WORK = tally.WorkClass("calle-libre", "archive-digest", "bulk", 8000)
+
+
+def new_config():
+    """Returns the settings that the server reads."""
+    return types.SimpleNamespace(
+        entry=types.SimpleNamespace(listen_address="127.0.0.1", listen_port=0),
+        http=types.SimpleNamespace(max_connections=50, read_timeout_s=10.0),
+    )
+
+
+class ServerTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.work_s = 0.0
+        self.server = http.new_server(self.answer, new_config())
+        self.server.start()
+        eventlet.sleep(0)
+
+    def answer(self, environ, start_response):
+        eventlet.sleep(self.work_s)
+        start_response("200 OK", [])
+        return [b"whole"]
+
+    def connect(self):
+        sock = eventlet.connect(self.server.address)
+        self.addCleanup(sock.close)
+        return sock
+
+    def read(self, sock):
+        return load_client.Connection(sock, time.monotonic).receive()
+
+    def test_waiting_connections_are_answered(self):
+        """Closing the listener would reset connections in its queue."""
+        socks = [self.connect() for _ in range(5)]
+        for sock in socks:
+            sock.sendall(REQUEST)
+        self.server.stop()
+        for sock in socks:
+            self.assertEqual(b"whole", self.read(sock).body)
+
+    def test_request_on_an_idle_connection_is_answered(self):
+        """A request in the buffer of an idle connection must not be cut."""
+        sock = self.connect()
+        sock.sendall(REQUEST)
+        self.assertEqual(b"whole", self.read(sock).body)
+        sock.sendall(REQUEST)
+        self.server.stop()
+        self.assertEqual(b"whole", self.read(sock).body)
+
+    def test_draining_asks_callers_to_close(self):
+        """A balancer that keeps its connection would be cut off later."""
+        sock = self.connect()
+        sock.sendall(REQUEST)
+        self.assertNotIn("connection", self.read(sock).headers)
+        self.server.drain()
+        sock.sendall(REQUEST)
+        self.assertEqual("close", self.read(sock).headers["connection"])
+
+    def test_running_request_is_finished(self):
+        """A stop in the middle of a request must not cut it off."""
+        self.work_s = 0.2
+        sock = self.connect()
+        sock.sendall(REQUEST)
+        eventlet.sleep(0.05)
+        self.server.stop()
+        self.assertEqual(b"whole", self.read(sock).body)
+
+
+class SignalTest(testtools.TestCase):
+    def test_second_signal_ends_the_notice_but_no_stream(self):
+        """An impatient operator must not cost a caller its answer."""
+        with fleet_lib.Fleet() as fleet:
+            deployments.start(
+                deployments.GESTO, fleet, entries=0, backends_share=0.1
+            )
+            region = deployments.GESTO.regions[0]
+            entry = fleet.start_entry(
+                "entry", region, f"{region}-a",
+                {"entry": {"drain_notice_s": 600}},
+            )  # fmt: skip
+            fleet.publish_vms()
+            fleet.wait_ready("entry")
+            conn = load_client.connect(entry.address, 20.0, time.monotonic)
+            self.addCleanup(conn.close)
+            flow = flows.chat_flow(WORK, 1.0, max_tokens=200)
+            conn.send(flow.render(1))
+            entry.terminate()
+            self.wait_not_ready(fleet, entry)
+            entry.terminate()
+            answer = conn.receive()
+            self.assertTrue(answer.is_whole)
+            self.assertEqual(200, len(answer.text().split()))
+            self.assertEqual(0, entry.wait())
+
+    def wait_not_ready(self, fleet, entry):
+        """Waits for the effect of a signal, which has no answer."""
+        for _ in range(200):
+            resp = fleet.http.request("GET", f"{entry.url}/readyz")
+            if resp.status == 503:
+                return
+            time.sleep(0.02)
+        self.fail("the entry process is still ready after SIGTERM")
