--- a/savoryspar/backends/__init__.py
+++ b/savoryspar/backends/__init__.py
@@ -9,3 +9,4 @@
 )
 from savoryspar.backends.model import Server, StageCall, StageResult
 from savoryspar.backends.relay import EngineStream
+from savoryspar.backends.reports import CacheReport, LoadReport
--- a/savoryspar/backends/relay.py
+++ b/savoryspar/backends/relay.py
@@ -102,6 +102,11 @@
                 sink.sendall(data)
             return
 
+        # Events that came with the headers are in the reader's buffer, where
+        # the pump does not look.
+        if first := self.read():
+            on_events(first)
+            sink.sendall(first)
         while not self.is_complete:
             moved = pump.Pump(source, sink)
             moved.run(self._events, on_events)
@@ -123,6 +128,8 @@
     def _receive(self) -> bytes:
         try:
             data = self._reader.fp.read1(READ_BYTES)
+        except TimeoutError as exc:
+            raise self._broken("no data within the time left", False) from exc
         except (OSError, ValueError, AttributeError) as exc:
             raise self._broken(f"reading failed: {exc}") from exc
         if not data:
--- /dev/null
+++ b/savoryspar/cli/duties.py
@@ -0,0 +1,141 @@
+"""Background duties of an entry process, one green thread each."""
+
+from collections.abc import Sequence
+import time
+
+import eventlet
+
+from savoryspar import (
+    backends,
+    conf,
+    log,
+    membership,
+    placement,
+    platform,
+    routing,
+    scheduling,
+    sheet,
+)
+
+POLL_S = 0.05
+"""Time after which slots that appear without a release are granted."""
+SCHEDULING_FACT = "scheduling"
+EXCHANGE_S = 0.5
+"""Time between two reports of service and backlog to the zone's peers."""
+
+
+def poll_scheduler(scheduler: scheduling.Scheduler) -> None:
+    """Grants slots that appeared without a release, for ever."""
+    while True:
+        eventlet.sleep(POLL_S)
+        scheduler.poll(time.monotonic())
+
+
+def follow_vm_list(
+    cfg: conf.Settings,
+    client: platform.VmListClient,
+    router: routing.Router,
+    members: membership.Membership,
+    dispatcher: placement.Dispatcher,
+) -> None:
+    """Takes the VM list at each interval, for ever."""
+    logger = log.new_logger("platform")
+    while True:
+        try:
+            vms = client.read()
+            members.set_listed(vm.peer_address for vm in vms)
+            take_vm_list(vms, router, time.monotonic())
+            dispatcher.take_servers(
+                _server(vm)
+                for vm in vms
+                if vm.role == "backend" and not vm.is_leaving
+            )
+        except platform.PlatformError as exc:
+            logger.warning(f"VM list not read. {exc}")
+        eventlet.sleep(cfg.platform.vm_list_interval_s)
+
+
+def take_vm_list(
+    vms: Sequence[platform.Vm], router: routing.Router, now: float
+) -> None:
+    """Gives the router the servers and entry VMs of the list."""
+    live = [vm for vm in vms if not vm.is_leaving]
+    router.replace_servers(
+        [_server(vm) for vm in live if vm.role == "backend"],
+        now,
+        [_server(vm) for vm in vms if vm.is_leaving],
+        [_server(vm) for vm in live if vm.role == "entry"],
+    )
+
+
+def _server(vm: platform.Vm) -> backends.Server:
+    return backends.Server(vm.name, vm.address, vm.region, vm.zone, vm.pool)
+
+
+def read_reports(
+    interval_s: float,
+    sheets: sheet.SheetHolder,
+    router: routing.Router,
+    reports: routing.ReportReader,
+) -> None:
+    """Reads each engine's load and cache events at the interval, for ever."""
+    logger = log.new_logger("routing")
+    while True:
+        engines = _engines(sheets.get(), router)
+        for server in engines:
+            # Spread over the interval, so that no burst delays requests.
+            eventlet.sleep(interval_s / len(engines))
+            try:
+                reports.read(server, time.monotonic())
+            except backends.BackendError as exc:
+                logger.debug(f"Reports not read. {exc}")
+        reports.retain(frozenset(server.address for server in engines))
+        if not engines:
+            eventlet.sleep(interval_s)
+
+
+def _engines(
+    current: sheet.Sheet | None, router: routing.Router
+) -> list[backends.Server]:
+    pools = current.pools.values() if current is not None else ()
+    return [
+        server
+        for pool in pools
+        if pool.kind == "engine"
+        for server in router.servers_of(pool.name)
+    ]
+
+
+def exchange_reports(
+    scheduler: scheduling.Scheduler, members: membership.Membership
+) -> None:
+    """Compares service and backlog with the zone's peers, for ever."""
+    while True:
+        now = time.monotonic()
+        members.publish_fact(SCHEDULING_FACT, scheduler.service_report(now))
+        facts = members.peer_facts(SCHEDULING_FACT, now)
+        for incarnation, report in facts.items():
+            scheduler.take_peer_report(incarnation, report, now)
+        eventlet.sleep(EXCHANGE_S)
+
+
+def zone_peers(members: membership.Membership, now: float) -> list[str]:
+    """Returns the incarnations of the live peers that take new work."""
+    view = members.view(now)
+    return [
+        member.incarnation
+        for member in view.members
+        if member.zone == view.own.zone and not member.is_leaving
+    ]
+
+
+def run_placement(interval_s: float, dispatcher: placement.Dispatcher) -> None:
+    """Plans and sends orders to engines at the interval, for ever."""
+    logger = log.new_logger("placement")
+    while interval_s > 0:
+        eventlet.sleep(interval_s)
+        try:
+            dispatcher.tick()
+        except Exception as exc:
+            # Placement must not end with the process still serving.
+            logger.error(f"Plan failed. {exc!r}")
--- a/savoryspar/cli/entry.py
+++ b/savoryspar/cli/entry.py
@@ -7,8 +7,8 @@
 from cleo.helpers import option
 import eventlet
 
-from savoryspar import conf, log
-from savoryspar.cli import exit_codes, faults, signals, wiring
+from savoryspar import checks, conf, errors, log
+from savoryspar.cli import exit_codes, faults, node, signals, wiring
 
 
 class EntryCommand(command.Command):
@@ -27,20 +27,35 @@
             faults.print_faults(self, group)
             return exit_codes.USAGE
         log.configure(cfg.log.level, cfg.log.format)
-        node = wiring.new_node(cfg)
+        if not self._passes_checks(cfg):
+            return exit_codes.USAGE
+        try:
+            entry_node = wiring.new_node(cfg)
+        except errors.SavorysparError as exc:
+            self.line_error(str(exc))
+            return exit_codes.USAGE
         stops = signals.new_signal_queue(signal.SIGTERM, signal.SIGINT)
-        node.start()
-        self.line(f"listening {node.server.address[1]}")
+        entry_node.start()
+        port = entry_node.server.address[1]
+        self.line(f"listening {port} peers {entry_node.peer_port}")
         self.io.output.flush()
-        stops.wait()
-        eventlet.spawn(_hasten, stops, node)
-        node.stop()
+        eventlet.spawn(_follow_signals, stops, entry_node)
+        entry_node.stop_requested.wait()
+        entry_node.stop()
         eventlet.sleep(0)
         return exit_codes.OK
 
+    def _passes_checks(self, cfg: conf.Settings) -> bool:
+        messages = checks.run_checks(cfg)
+        for message in messages:
+            self.line_error(f"{message.level.value} {message}")
+        return all(m.level is not checks.Level.ERROR for m in messages)
+
 
-def _hasten(stops: signals.SignalQueue, node: wiring.Node) -> None:
-    """Ends the notice at the second signal; requests still finish."""
+def _follow_signals(stops: signals.SignalQueue, entry_node: node.Node) -> None:
+    """Stops at the first signal; further ones only shorten the notice."""
+    stops.wait()
+    entry_node.request_stop()
     while True:
         stops.wait()
-        node.hasten()
+        entry_node.hasten()
--- a/savoryspar/cli/standin.py
+++ b/savoryspar/cli/standin.py
@@ -3,14 +3,17 @@
 from cleo.commands import command
 from cleo.helpers import argument, option
 
+from savoryspar import conf, log
 from savoryspar.cli import exit_codes
 from savoryspar.standins import (
     engine,
     fault_proxy,
+    members,
     plain_relay,
     platform,
     pool,
     token_source,
+    weights,
     wsgi,
 )
 
@@ -20,7 +23,9 @@
 
     name = "standin"
     description = "Run a stand-in: engine, pool, service or platform."
-    arguments = [argument("kind", "engine, pool, service or platform.")]
+    arguments = [
+        argument("kind", "engine, pool, service, platform or members.")
+    ]
     options = [
         option("name", None, "Name of the server.", flag=False, default="s1"),
         option("port", None, "TCP port.", flag=False, default="0"),
@@ -28,9 +33,19 @@
         option("max-batch", None, "Batch size.", flag=False, default="16"),
         option("work-ms", None, "Time per call.", flag=False, default="5"),
         option("rate", None, "Calls per second.", flag=False, default="2000"),
+        option(
+            "cache-blocks", None, "Prefix cache.", flag=False, default="1024"
+        ),
+        option(
+            "prefill-us", None, "Time per new token.", flag=False, default="0"
+        ),
         option("target", None, "IP:port to pass on to.", flag=False),
         option("groups", None, "Batches.", flag=False, default="8"),
         option("seed", None, "Seed.", flag=False, default="1"),
+        option("config", None, "Settings file of members.", flag=False),
+        option("zones", None, "Zones of members.", flag=False, default="1"),
+        option("first", None, "First member.", flag=False, default="0"),
+        option("count", None, "Members.", flag=False, default="1"),
     ]
     help = "Example: savoryspar standin engine --port 9001 --step-ms 10"
 
@@ -42,10 +57,16 @@
                 float(self.option("step-ms")),
                 int(self.option("max-batch")),
                 int(self.option("seed")),
+                int(self.option("cache-blocks")),
+                float(self.option("prefill-us")),
             ),
             "pool": self._new_pool_server,
             "service": self._new_pool_server,
             "platform": lambda: platform.new_platform(int(self.option("rate"))),
+            "members": self._new_members,
+            "weights": lambda: weights.new_weight_store(
+                int(self.option("rate"))
+            ),
             "plain-relay": lambda: plain_relay.new_plain_relay(
                 self.option("target")
             ),
@@ -65,6 +86,16 @@
         wsgi.serve("127.0.0.1", int(self.option("port")), server.handle)
         return exit_codes.OK
 
+    def _new_members(self) -> members.Members:
+        cfg = conf.load_settings(self.option("config") or "", {})
+        log.configure(cfg.log.level, cfg.log.format)
+        return members.new_members(
+            cfg,
+            int(self.option("zones")),
+            int(self.option("first")),
+            int(self.option("count")),
+        )
+
     def _serve_fault_proxy(self) -> int:
         proxy = fault_proxy.new_fault_proxy(
             self.option("target"),
--- a/savoryspar/conf/sections/platform.py
+++ b/savoryspar/conf/sections/platform.py
@@ -31,4 +31,20 @@
         "20",
         "Longest wait of one long poll at the configuration service.",
     ),
+    setting.Setting(
+        "platform",
+        "config_calls_per_s",
+        converters.size,
+        "50",
+        "Calls at the configuration service that a process may make a second;"
+        " two watchers in each of 10 zones use half of the service's rate.",
+    ),
+    setting.Setting(
+        "platform",
+        "config_burst_calls",
+        converters.size,
+        "600",
+        "Calls that it may make at once after a quiet time; a whole read"
+        " takes 257.",
+    ),
 )
--- a/savoryspar/http/server.py
+++ b/savoryspar/http/server.py
@@ -14,6 +14,7 @@
 from eventlet import greenio, wsgi
 
 from savoryspar import conf, log
+from savoryspar.http import protocol
 
 BACKLOG = 1024
 ACCEPT_RETRY_S = 0.05
@@ -22,18 +23,6 @@
 """Time that a new connection keeps for its first request after the stop."""
 
 
-class _Protocol(wsgi.HttpProtocol):
-    """Asks callers to close their connections while the server drains."""
-
-    def parse_request(self) -> bool:
-        """Parses the request line and the headers."""
-        is_parsed = super().parse_request()
-        if self.server.is_draining:
-            # The WSGI server then answers with ``Connection: close``.
-            self.close_connection = True
-        return is_parsed
-
-
 class _WsgiServer(wsgi.Server):
     """The shared state of all connections.
 
@@ -75,11 +64,11 @@
             self._sock,
             self.address,
             app,
-            protocol=_Protocol,
+            protocol=protocol.new_protocol(cfg.http.read_timeout_s),
             minimum_chunk_size=0,
             keepalive=cfg.http.read_timeout_s,
             log_output=False,
-            socket_timeout=None,
+            socket_timeout=cfg.http.read_timeout_s,
             debug=False,
         )
 
@@ -122,6 +111,7 @@
             self._spawn(greenio.GreenSocket(sock), address)
 
     def _spawn(self, sock: Any, address: Any) -> None:
+        sock.settimeout(self._wsgi.socket_timeout)
         connection = [address, sock, wsgi.STATE_IDLE]
         self._connections[id(connection)] = (time.monotonic(), connection)
         self._pool.spawn_n(self._serve, connection)
--- a/savoryspar/sheet/keys.py
+++ b/savoryspar/sheet/keys.py
@@ -9,7 +9,7 @@
 
 MANIFEST_KEY = "manifest"
 BUCKET_COUNT = 256
-_DIGEST_MODULUS = 2**256
+DIGEST_MODULUS = 2**256
 _SHARED_LENGTH = 16
 """Texts up to this length repeat in many rows, so they are kept once."""
 
@@ -22,9 +22,10 @@
         previous: Revision that the changes apply to.
         digest: Content digest after the changes, in hexadecimal.
         changes: Changed rows by (table, name); None removes the row.
+        buckets: Digest of each bucket that is not empty, by its number.
     """
 
-    __slots__ = ("changes", "digest", "previous", "revision")
+    __slots__ = ("buckets", "changes", "digest", "previous", "revision")
 
     def __init__(
         self,
@@ -32,11 +33,13 @@
         previous: int,
         digest: str,
         changes: Mapping[tuple[str, str], Mapping[str, str] | None],
+        buckets: Mapping[int, int],
     ):
         self.revision = revision
         self.previous = previous
         self.digest = digest
         self.changes = changes
+        self.buckets = buckets
 
 
 def row_digest(item: tuple[str, str], fields: Mapping[str, str] | None) -> int:
@@ -53,7 +56,17 @@
     A sum can be updated row by row, so a delta is checked without the rest.
     """
     total = sum(row_digest(item, fields) for item, fields in rows.items())
-    return f"{total % _DIGEST_MODULUS:064x}"
+    return f"{total % DIGEST_MODULUS:064x}"
+
+
+def bucket_digests(rows: model.Rows) -> dict[int, int]:
+    """Returns the digest of each bucket that is not empty, of 64 bits."""
+    digests: dict[int, int] = {}
+    for item, fields in rows.items():
+        number = bucket_of(item)
+        total = digests.get(number, 0) + row_digest(item, fields)
+        digests[number] = total % 2**64
+    return digests
 
 
 def bucket_of(item: tuple[str, str]) -> int:
@@ -82,6 +95,10 @@
         "previous": previous,
         "digest": content_digest(rows),
         "changes": [[*item, rows.get(item)] for item in sorted(changed)],
+        "buckets": {
+            f"{number:02x}": f"{digest:016x}"
+            for number, digest in sorted(bucket_digests(rows).items())
+        },
     }
     buckets: dict[int, list] = {}
     for item, fields in sorted(rows.items()):
@@ -109,8 +126,12 @@
             previous=int(data["previous"]),
             digest=str(data["digest"]),
             changes=dict(_items(data["changes"])),
+            buckets={
+                int(number, 16): int(digest, 16)
+                for number, digest in data["buckets"].items()
+            },
         )
-    except (ValueError, KeyError, TypeError) as exc:
+    except (ValueError, KeyError, TypeError, AttributeError) as exc:
         raise _not_decodable("manifest", exc) from exc
 
 
@@ -153,8 +174,13 @@
     changes: Mapping[tuple[str, str], Mapping[str, str] | None],
 ) -> dict[tuple[str, str], Mapping[str, str]]:
     """Returns the rows after the changes."""
-    merged = {**rows, **changes}
-    return {item: fields for item, fields in merged.items() if fields}
+    merged = dict(rows)
+    for item, fields in changes.items():
+        if fields:
+            merged[item] = fields
+        else:
+            merged.pop(item, None)
+    return merged
 
 
 def new_sheet(rows: model.Rows, revision: int, digest: str) -> model.Sheet:
