--- a/savoryspar/http/protocol.py
+++ b/savoryspar/http/protocol.py
@@ -20,13 +20,16 @@
     """
 
     class TimedProtocol(wsgi.HttpProtocol):
-        """Ends a connection whose headers do not arrive in time."""
+        """Ends a connection whose headers do not arrive in time.
+
+        While the server drains, callers are asked to close theirs.
+        """
 
         def parse_request(self) -> bool:
             """Parses the request head; returns False after answering."""
             timer = eventlet.Timeout(head_timeout_s)
             try:
-                return super().parse_request()
+                is_parsed = super().parse_request()
             except eventlet.Timeout as exc:
                 if exc is not timer:
                     raise
@@ -35,5 +38,9 @@
                 return False
             finally:
                 timer.cancel()
+            if self.server.is_draining:
+                # The server then answers with ``Connection: close``.
+                self.close_connection = True
+            return is_parsed
 
     return TimedProtocol
