--- /dev/null
+++ b/tests/system/test_drain.py
@@ -0,0 +1,96 @@
+"""Tests that a graceful shutdown cuts off no request."""
+
+import concurrent.futures
+import json
+import time
+
+import testtools
+import urllib3
+
+from savoryspar.bench import deployments
+from savoryspar.bench import fleet as fleet_lib
+
+HEADERS = {"Authorization": "Bearer key-calle-libre"}
+TOKENS = 60
+STREAMS = 12
+
+
+class DrainTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.fleet = fleet_lib.Fleet()
+        self.addCleanup(self.fleet.close)
+        self.http = urllib3.PoolManager(maxsize=STREAMS * 2, retries=False)
+        self.entry = deployments.start(
+            deployments.GESTO,
+            self.fleet,
+            entries=1,
+            backends_share=0.3,
+            settings={"entry": {"drain_notice_s": 0.5}},
+        )[0]
+
+    def stream(self, number):
+        """Streams a chat; returns whether it came whole."""
+        body = {
+            "model": "archive-digest",
+            "stream": True,
+            "max_tokens": TOKENS,
+            "messages": [{"role": "user", "content": f"notas {number}"}],
+        }
+        resp = self.http.request(
+            "POST",
+            f"{self.entry.url}/v1/chat/completions",
+            body=json.dumps(body).encode(),
+            headers=HEADERS,
+        )
+        return resp.data.count(b'"content"') == TOKENS and (
+            b"data: [DONE]" in resp.data
+        )
+
+    def status_check(self):
+        """Sends a status check; returns its status and connection header."""
+        resp = self.http.request(
+            "POST",
+            f"{self.entry.url}/v1/pipelines/status-check",
+            body=b"{}",
+            headers=HEADERS,
+        )
+        return resp.status, resp.headers.get("Connection", "")
+
+    def test_streams_in_progress_are_finished(self):
+        """A rolling replacement must not cut off a caller's answer."""
+        with concurrent.futures.ThreadPoolExecutor(STREAMS) as pool:
+            answers = [pool.submit(self.stream, n) for n in range(STREAMS)]
+            self.fleet.wait_until(lambda: self.running() >= STREAMS // 2)
+            self.entry.terminate()
+            self.assertEqual(0, self.entry.wait(30))
+        self.assertEqual([True] * STREAMS, [a.result() for a in answers])
+
+    def test_requests_are_served_until_the_balancer_noticed(self):
+        """A balancer that checks now and then still sends requests."""
+        self.assertEqual(200, self.status_check()[0])
+        self.entry.terminate()
+        self.fleet.wait_until(lambda: self.readiness() == 503)
+        self.assertEqual((200, "close"), self.status_check())
+        self.assertEqual(0, self.entry.wait(30))
+
+    def test_second_signal_does_not_cut_a_stream(self):
+        """An impatient operator must not break answers either."""
+        with concurrent.futures.ThreadPoolExecutor(1) as pool:
+            answer = pool.submit(self.stream, 1)
+            self.fleet.wait_until(lambda: self.running() == 1)
+            self.entry.terminate()
+            time.sleep(0.1)
+            self.entry.terminate()
+            self.assertEqual(0, self.entry.wait(30))
+            self.assertTrue(answer.result())
+
+    def readiness(self):
+        return self.http.request("GET", f"{self.entry.url}/readyz").status
+
+    def running(self):
+        return sum(
+            int(self.http.request("GET", f"{process.url}/load").data.split()[1])
+            for name, process in self.fleet.processes.items()
+            if name.startswith("jurado-lm")
+        )
