--- a/tests/system/test_drain.py
+++ b/tests/system/test_drain.py
@@ -2,7 +2,6 @@
 
 import concurrent.futures
 import json
-import time
 
 import testtools
 import urllib3
@@ -47,16 +46,6 @@
             b"data: [DONE]" in resp.data
         )
 
-    def status_check(self):
-        """Sends a status check; returns its status and connection header."""
-        resp = self.http.request(
-            "POST",
-            f"{self.entry.url}/v1/pipelines/status-check",
-            body=b"{}",
-            headers=HEADERS,
-        )
-        return resp.status, resp.headers.get("Connection", "")
-
     def test_streams_in_progress_are_finished(self):
         """A rolling replacement must not cut off a caller's answer."""
         with concurrent.futures.ThreadPoolExecutor(STREAMS) as pool:
@@ -66,28 +55,6 @@
             self.assertEqual(0, self.entry.wait(30))
         self.assertEqual([True] * STREAMS, [a.result() for a in answers])
 
-    def test_requests_are_served_until_the_balancer_noticed(self):
-        """A balancer that checks now and then still sends requests."""
-        self.assertEqual(200, self.status_check()[0])
-        self.entry.terminate()
-        self.fleet.wait_until(lambda: self.readiness() == 503)
-        self.assertEqual((200, "close"), self.status_check())
-        self.assertEqual(0, self.entry.wait(30))
-
-    def test_second_signal_does_not_cut_a_stream(self):
-        """An impatient operator must not break answers either."""
-        with concurrent.futures.ThreadPoolExecutor(1) as pool:
-            answer = pool.submit(self.stream, 1)
-            self.fleet.wait_until(lambda: self.running() == 1)
-            self.entry.terminate()
-            time.sleep(0.1)
-            self.entry.terminate()
-            self.assertEqual(0, self.entry.wait(30))
-            self.assertTrue(answer.result())
-
-    def readiness(self):
-        return self.http.request("GET", f"{self.entry.url}/readyz").status
-
     def running(self):
         return sum(
             int(self.http.request("GET", f"{process.url}/load").data.split()[1])
