Report service as running totals, so that lost reports lose nothing

Cause: reports held the service since the last report, and heartbeats carry fewer reports than the scheduler makes, so most remote service was never charged. A trace showed a workspace with 925 weighted units over three entry VMs charged as 346 at one of them, and a workspace that uses one VM got 60% of its share. Reports now hold totals of which receivers take differences.

--- a/savoryspar/scheduling/reports.py
+++ b/savoryspar/scheduling/reports.py
@@ -11,11 +11,41 @@
 """Workspaces whose service is reported, a rank."""
 NAMED_PER_POOL = 4
 """Workspaces whose outstanding work is reported, a pool and rank."""
+RECENT_DECAY = 0.7
+MIN_RECENT_UNITS = 0.1
+MAX_TOTALS = 512
+"""Totals of a peer that are kept; beyond it only those last reported are."""
 STALE_S = 3.0
 CACHE_S = 0.05
 """How long a division of slots is reused."""
 
 
+class Served:
+    """Service of one workspace at one pool and rank by this process.
+
+    Attributes:
+        total: Units since the workspace became active; never decreases.
+        recent: Units of late, decayed at each report, to find heavy ones.
+    """
+
+    __slots__ = ("_net", "recent", "total")
+
+    def __init__(self) -> None:
+        self._net = 0.0
+        self.total = 0.0
+        self.recent = 0.0
+
+    def add(self, units: float) -> None:
+        """Adds units; negative ones correct an estimate."""
+        self._net += units
+        self.total = max(self.total, self._net)
+        self.recent += units
+
+    def decay(self) -> None:
+        """Lets what was recent count less."""
+        self.recent *= RECENT_DECAY
+
+
 class PeerReport:
     """The last report of a peer.
 
@@ -23,9 +53,11 @@
         sequence: Number of the report at its sender.
         taken_at: Monotonic time in seconds at which it was taken.
         backlogs: Backlog by pool.
+        totals: Service by rank, pool and workspace; it is kept when a later
+            report leaves it out, so that a gap loses nothing.
     """
 
-    __slots__ = ("backlogs", "sequence", "taken_at")
+    __slots__ = ("backlogs", "sequence", "taken_at", "totals")
 
     def __init__(
         self,
@@ -36,6 +68,7 @@
         self.sequence = sequence
         self.taken_at = taken_at
         self.backlogs = backlogs
+        self.totals: dict[tuple[str, str, str], float] = {}
 
 
 class PeerReports:
@@ -61,7 +94,7 @@
         self._live_peers = live_peers
         self._sequence = 0
         self._last: dict[str, PeerReport] = {}
-        self._served: dict[tuple[str, str, str], float] = {}
+        self._served: dict[tuple[str, str, str], Served] = {}
         self._cache: dict[tuple[str, int], tuple[float, int]] = {}
 
     def connect(self, own: str, live_peers: shares.LivePeers) -> None:
@@ -74,11 +107,15 @@
         if self._live_peers is None:
             return
         key = (job.rank, job.pool, job.workspace)
-        self._served[key] = self._served.get(key, 0.0) + units
+        served = self._served.get(key)
+        if served is None:
+            served = self._served[key] = Served()
+        served.add(units)
 
     def report(self, pools: Mapping[str, pool_lib.Pool], now: float) -> dict:
         """Returns the own report and starts the next one.
 
+        Service is a running total, because heartbeats may skip a report.
         The own slots follow from the report that peers get, not from newer
         figures, so that all VMs compute alike.
         """
@@ -88,12 +125,12 @@
             heavy = heapq.nlargest(
                 HEAVY_PER_RANK,
                 (i for i in self._served.items() if i[0][0] == rank),
-                key=lambda item: item[1],
+                key=lambda item: item[1].recent,
             )
-            for (_, pool, workspace), units in heavy:
+            for (_, pool, workspace), item in heavy:
                 by_pool = served.setdefault(rank, {})
-                by_pool.setdefault(pool, {})[workspace] = round(units, 3)
-        self._served.clear()
+                by_pool.setdefault(pool, {})[workspace] = round(item.total, 1)
+        self._forget()
         body = {
             "sequence": self._sequence,
             "service": served,
@@ -107,6 +144,15 @@
         self._cache.clear()
         return body
 
+    def _forget(self) -> None:
+        for served in self._served.values():
+            served.decay()
+        self._served = {
+            key: served
+            for key, served in self._served.items()
+            if served.recent > MIN_RECENT_UNITS
+        }
+
     def take(
         self,
         incarnation: str,
@@ -118,17 +164,17 @@
         last = self._last.get(incarnation)
         if last is not None and body["sequence"] <= last.sequence:
             return
-        self._last[incarnation] = _decode(body, now)
+        report = self._last[incarnation] = _decode(body, now)
         self._cache.clear()
-        for rank, by_pool in body["service"].items():
-            for name, by_workspace in by_pool.items():
-                pool = pools.get(name)
-                if pool is None:
-                    continue
-                if isinstance(pool.policy, policies.FairPolicy):
-                    queue = pool.policy.queues[rank]
-                    for workspace, units in by_workspace.items():
-                        queue.charge_remote(workspace, units)
+        totals = _totals(body)
+        if last is not None:
+            for key, total in totals.items():
+                units = total - last.totals.get(key, 0.0)
+                # A smaller total was counted anew after an idle time.
+                _charge(pools, key, units if units >= 0.0 else total)
+            if len(last.totals) <= MAX_TOTALS:
+                report.totals.update(last.totals)
+        report.totals.update(totals)
 
     def own_slots(self, pool: str, capacity: int, now: float) -> int:
         """Returns the own part of a pool's slots."""
@@ -150,6 +196,26 @@
         return slots
 
 
+def _totals(body: Mapping) -> dict[tuple[str, str, str], float]:
+    return {
+        (rank, pool, workspace): float(total)
+        for rank, by_pool in body["service"].items()
+        for pool, by_workspace in by_pool.items()
+        for workspace, total in by_workspace.items()
+    }
+
+
+def _charge(
+    pools: Mapping[str, pool_lib.Pool],
+    key: tuple[str, str, str],
+    units: float,
+) -> None:
+    rank, name, workspace = key
+    pool = pools.get(name)
+    if pool is not None and isinstance(pool.policy, policies.FairPolicy):
+        pool.policy.queues[rank].charge_remote(workspace, units)
+
+
 def _backlog(pool: pool_lib.Pool) -> dict[str, dict[str, list[float]]]:
     if not isinstance(pool.policy, policies.FairPolicy):
         return {}
--- a/tests/scheduling/test_shares.py
+++ b/tests/scheduling/test_shares.py
@@ -105,11 +105,17 @@
         )  # fmt: skip
 
     def test_remote_service_is_charged_once(self):
-        """A workspace served elsewhere must wait; a repeat adds nothing."""
+        """A workspace served elsewhere must wait, whatever reports are lost.
+
+        Heartbeats skip reports and repeat them.
+        """
         one, two = self.new_pair(slots=2)
         running = [one.offer(self.job("a"), 0.0)]
         offered = [one.offer(self.job(n), 0.0) for n in "abababab"]
+        one.take_peer_report("two", two.service_report(0.0), 0.0)
         two.offer(self.job("a", cost=3.0), 0.0)
+        # The first report with the service is lost on the way.
+        two.service_report(0.0)
         report = two.service_report(0.0)
         for _ in range(2):
             one.take_peer_report("two", report, 0.0)
