--- a/savoryspar/cli/standin.py
+++ b/savoryspar/cli/standin.py
@@ -13,6 +13,7 @@
     platform,
     pool,
     token_source,
+    weights,
     wsgi,
 )
 
@@ -63,6 +64,9 @@
             "service": self._new_pool_server,
             "platform": lambda: platform.new_platform(int(self.option("rate"))),
             "members": self._new_members,
+            "weights": lambda: weights.new_weight_store(
+                int(self.option("rate"))
+            ),
             "plain-relay": lambda: plain_relay.new_plain_relay(
                 self.option("target")
             ),
--- a/savoryspar/membership/links.py
+++ b/savoryspar/membership/links.py
@@ -55,7 +55,7 @@
         peer: Record that the peer sent in its hello.
         is_outgoing: Whether this process opened it.
         used_at: When it last carried something else than a heartbeat.
-        echo: Sequence of the newest frame of the peer.
+        echo: Sequence of the newest frame of the peer that was served.
         is_two_way_at: When a frame was sent that the peer is known to have
             received, minus infinity before the first one.
         facts_sent: Newest counter of each member's facts on this link.
@@ -66,6 +66,7 @@
     __slots__ = (
         "_conn",
         "_incoming",
+        "_info",
         "_outbox",
         "_own",
         "_sent",
@@ -93,6 +94,7 @@
             maxlen=ECHO_MEMORY
         )
         self._sequence = 0
+        self._info = b""
         self._writer: eventlet.greenthread.GreenThread | None = None
         self.echo = 0
         self.facts_sent: dict[str, int] = {}
@@ -127,7 +129,6 @@
         raw = self._conn.recv(timeout=timeout_s, decode=False)
         frame = frames.decode(raw)
         self._incoming.accept(frame)
-        self.echo = frame.sequence
         return frame
 
     def post(self, kind: str, body: Any) -> Outgoing | None:
@@ -199,16 +200,20 @@
     def abort(self) -> None:
         """Closes the link at once; a blocked writer is released."""
         self.is_closed = True
+        self.tcp_info()
         with contextlib.suppress(*SOCKET_ERRORS):
             self._conn.socket.shutdown(socket.SHUT_RDWR)
 
     def tcp_info(self) -> bytes:
-        """Returns the kernel's counters of the connection (``tcp_info``)."""
+        """Returns the kernel's counters of the connection (``tcp_info``).
+
+        Of a closed link, those that were read last.
+        """
         with contextlib.suppress(OSError):
-            return self._conn.socket.getsockopt(
+            self._info = self._conn.socket.getsockopt(
                 socket.IPPROTO_TCP, socket.TCP_INFO, 256
             )
-        return b""
+        return self._info
 
 
 def is_oversize(exc: Exception) -> bool:
--- a/savoryspar/sheet/keys.py
+++ b/savoryspar/sheet/keys.py
@@ -3,12 +3,18 @@
 from collections.abc import Iterable, Mapping
 import hashlib
 import json
+import sys
 
 from savoryspar.sheet import exceptions, model, validate
 
 MANIFEST_KEY = "manifest"
 BUCKET_COUNT = 256
+MAX_CHANGES_BYTES = 900_000
+"""The service stores values up to 1 MB."""
+
 DIGEST_MODULUS = 2**256
+_SHARED_LENGTH = 16
+"""Texts up to this length repeat in many rows, so they are kept once."""
 
 
 class Manifest:
@@ -19,9 +25,10 @@
         previous: Revision that the changes apply to.
         digest: Content digest after the changes, in hexadecimal.
         changes: Changed rows by (table, name); None removes the row.
+        buckets: Digest of each bucket that is not empty, by its number.
     """
 
-    __slots__ = ("changes", "digest", "previous", "revision")
+    __slots__ = ("buckets", "changes", "digest", "previous", "revision")
 
     def __init__(
         self,
@@ -29,11 +36,13 @@
         previous: int,
         digest: str,
         changes: Mapping[tuple[str, str], Mapping[str, str] | None],
+        buckets: Mapping[int, int],
     ):
         self.revision = revision
         self.previous = previous
         self.digest = digest
         self.changes = changes
+        self.buckets = buckets
 
 
 def row_digest(item: tuple[str, str], fields: Mapping[str, str] | None) -> int:
@@ -77,16 +86,26 @@
     rows: model.Rows, revision: int, previous: int, previous_rows: model.Rows
 ) -> dict[str, str]:
     """Returns the keys that an operator publishes for a revision."""
+    # A first revision has no predecessor that changes could apply to; all its
+    # rows in one key would exceed the service's limit for a value.
     changed = {
         item
         for item in {*rows, *previous_rows}
-        if rows.get(item) != previous_rows.get(item)
+        if previous and rows.get(item) != previous_rows.get(item)
     }
+    changes = [[*item, rows.get(item)] for item in sorted(changed)]
+    if not previous_rows or len(json.dumps(changes)) > MAX_CHANGES_BYTES:
+        # Readers fall back to the buckets, which stay below the limit.
+        previous, changes = 0, []
     manifest = {
         "revision": revision,
         "previous": previous,
         "digest": content_digest(rows),
-        "changes": [[*item, rows.get(item)] for item in sorted(changed)],
+        "changes": changes,
+        "buckets": {
+            f"{number:02x}": f"{digest:016x}"
+            for number, digest in sorted(bucket_digests(rows).items())
+        },
     }
     buckets: dict[int, list] = {}
     for item, fields in sorted(rows.items()):
@@ -114,8 +133,12 @@
             previous=int(data["previous"]),
             digest=str(data["digest"]),
             changes=dict(_items(data["changes"])),
+            buckets={
+                int(number, 16): int(digest, 16)
+                for number, digest in data["buckets"].items()
+            },
         )
-    except (ValueError, KeyError, TypeError) as exc:
+    except (ValueError, KeyError, TypeError, AttributeError) as exc:
         raise _not_decodable("manifest", exc) from exc
 
 
@@ -130,7 +153,17 @@
 def _items(
     rows: Iterable[list],
 ) -> Iterable[tuple[tuple[str, str], dict[str, str] | None]]:
-    return (((table, name), fields) for table, name, fields in rows)
+    return (
+        (
+            (sys.intern(table), name),
+            fields and {sys.intern(f): _shared(v) for f, v in fields.items()},
+        )
+        for table, name, fields in rows
+    )
+
+
+def _shared(text: str) -> str:
+    return sys.intern(text) if len(text) <= _SHARED_LENGTH else text
 
 
 def _not_decodable(kind: str, exc: Exception) -> exceptions.SheetError:
--- a/savoryspar/standins/wsgi.py
+++ b/savoryspar/standins/wsgi.py
@@ -68,6 +68,9 @@
 ) -> None:
     """Serves the handler until the process ends; prints the port first."""
     sock = eventlet.listen((address, port), backlog=1024)
+    # Headers and body are two writes; Nagle's algorithm would delay the second
+    # one by 40 ms.
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     print(f"{label} {sock.getsockname()[1]}", flush=True)
 
     def app(environ: dict[str, Any], start_response: Callable) -> Any:
