--- a/savoryspar/conf/sections/scheduling.py
+++ b/savoryspar/conf/sections/scheduling.py
@@ -38,11 +38,4 @@
         "5",
         "Time over which the service of a rank is compared to its floor.",
     ),
-    setting.Setting(
-        "scheduling",
-        "report_interval_s",
-        converters.seconds,
-        "0.5",
-        "Time between two reports of service to the zone's peers.",
-    ),
 )
