Split the reading of links from the interface of membership

The body of a heartbeat is now decoded whole before it changes anything, and a frame whose body is wrong no longer counts as evidence of the peer. Membership.status gives what /status needs.

--- a/savoryspar/membership/heartbeats.py
+++ b/savoryspar/membership/heartbeats.py
@@ -16,6 +16,45 @@
 """Returns the revision in force and the start of its digest."""
 
 
+class Beat:
+    """A decoded heartbeat; the attributes are in the order of the body."""
+
+    __slots__ = ("ages", "digest", "echo", "facts", "key", "revision", "view")
+
+    def __init__(
+        self,
+        echo: int,
+        view: bytes,
+        revision: int,
+        digest: bytes,
+        key: int,
+        ages: bytes,
+        items: list[list],
+    ):
+        self.echo = echo
+        self.view = view
+        self.revision = revision
+        self.digest = digest
+        self.key = key
+        self.ages = ages
+        self.facts = items
+
+
+def decode(body: Any) -> Beat:
+    """Decodes a heartbeat; raises ``ValueError`` when it is not one."""
+    types = (int, bytes, int, bytes, int, bytes, list)
+    fact_types = (str, int, int, int, dict)
+    if not isinstance(body, list) or not _fits(body, types):
+        raise ValueError(f"a heartbeat has the types {types}")
+    if not all(_fits(item, fact_types) for item in body[6]):
+        raise ValueError(f"a fact has the types {fact_types}")
+    return Beat(*body)
+
+
+def _fits(items: list, types: tuple[type, ...]) -> bool:
+    return len(items) == len(types) and all(map(isinstance, items, types))
+
+
 class Heartbeats:
     """Renders and takes heartbeats.
 
@@ -79,23 +118,24 @@
         view = self._records.view_digest().to_bytes(DIGEST_BYTES, "big")
         return [link.echo, view, revision, digest, key, ages, items]
 
-    def take(self, link: links.Link, body: Any, now: float) -> bool:
+    def take(self, link: links.Link, beat: Beat, now: float) -> bool:
         """Takes a heartbeat.
 
         Returns:
             Whether the views have differed for several heartbeats.
         """
-        echo, view, revision, digest, key, ages, items = body
         peer = link.peer
-        sent_at = link.note_echo(echo)
+        sent_at = link.note_echo(beat.echo)
         if now - sent_at <= TWO_WAY_S:
             self._records.note_contact(peer.incarnation, sent_at)
-            evidence.apply_ages(self._records, peer.zone, key, ages, now)
+            evidence.apply_ages(
+                self._records, peer.zone, beat.key, beat.ages, now
+            )
         if peer.zone == self._records.zone:
-            self._facts.take(items, link.facts_sent, self._is_member, now)
-        self.on_sheet_state(peer.incarnation, revision, digest)
+            self._facts.take(beat.facts, link.facts_sent, self._is_member, now)
+        self.on_sheet_state(peer.incarnation, beat.revision, beat.digest)
         own = self._records.view_digest().to_bytes(DIGEST_BYTES, "big")
-        link.mismatches = link.mismatches + 1 if view != own else 0
+        link.mismatches = link.mismatches + 1 if beat.view != own else 0
         if link.mismatches < MISMATCH_LIMIT:
             return False
         link.mismatches = 0
--- /dev/null
+++ b/savoryspar/membership/reader.py
@@ -0,0 +1,164 @@
+"""Reads links and serves their frames."""
+
+from collections.abc import Callable
+import time
+from typing import Any
+
+from savoryspar.membership import (
+    calls,
+    connector,
+    exceptions,
+    frames,
+    gossip,
+    heartbeats,
+    links,
+    model,
+    table,
+    upkeep,
+)
+
+BODY_ERRORS = (TypeError, ValueError, KeyError, AttributeError)
+
+
+class Reader:
+    """Serves the frames of every link.
+
+    Attributes:
+        on_sheet_delta: Called with the incarnation of the sender and the body
+            of a delta of the configuration.
+        is_stopped: Whether the process is leaving.
+    """
+
+    __slots__ = (
+        "_beats",
+        "_calls",
+        "_connector",
+        "_dispatch",
+        "_gossip",
+        "_records",
+        "_upkeep",
+        "is_stopped",
+        "on_sheet_delta",
+    )
+
+    def __init__(
+        self,
+        records: table.MemberTable,
+        own_links: connector.Connector,
+        beats: heartbeats.Heartbeats,
+        spreader: gossip.Gossip,
+        own_calls: calls.Calls,
+        keeper: upkeep.Upkeep,
+    ):
+        self._records = records
+        self._connector = own_links
+        self._beats = beats
+        self._gossip = spreader
+        self._calls = own_calls
+        self._upkeep = keeper
+        self.is_stopped = False
+        self.on_sheet_delta: Callable[[str, Any], None] = (
+            lambda incarnation, body: None
+        )
+        self._dispatch = {
+            "heartbeat": self._take_heartbeat,
+            "members": self._take_members,
+            "request": self._take_request,
+            "reply": self._take_reply,
+            "broadcast": self._take_broadcast,
+            "sheet_delta": self._take_sheet_delta,
+            "leave": self._take_leave,
+        }
+
+    def run_link(self, link: links.Link) -> None:
+        """Reads a new link until it closes."""
+        now = time.monotonic()
+        self._gossip.merge([link.peer], None, now)
+        self._records.note_heard(link.peer.incarnation, now)
+        link.start_writer(
+            lambda: self._beats.link_interval_s(link),
+            lambda link: self._beats.render(link, time.monotonic()),
+        )
+        self._gossip.send_digests(link)
+        source = f"{link.peer.name} {link.peer.address}"
+        try:
+            while True:
+                try:
+                    self.take_frame(link, link.receive())
+                except exceptions.FrameError as exc:
+                    self._connector.refuse(exc, source)
+        except links.SOCKET_ERRORS as exc:
+            if links.is_oversize(exc):
+                self._connector.refuse(_oversize(), source)
+        finally:
+            self._calls.drop_link(link)
+            self._redial(link)
+
+    def take_frame(self, link: links.Link, frame: frames.Frame) -> None:
+        """Serves one frame.
+
+        Raises:
+            FrameError: Its body is wrong; nothing was changed.
+        """
+        handler = self._dispatch.get(frame.kind)
+        try:
+            if handler is None:
+                raise ValueError("it is only valid at the start of a link")
+            handler(link, frame.body)
+        except BODY_ERRORS as exc:
+            raise exceptions.FrameError(
+                "body",
+                f"the body of a {frame.kind} is wrong: {exc!r:.200}",
+                "check the peer's version",
+            ) from exc
+        link.echo = frame.sequence
+        self._records.note_heard(link.peer.incarnation, time.monotonic())
+        if frame.kind != "heartbeat":
+            link.used_at = time.monotonic()
+
+    def _redial(self, link: links.Link) -> None:
+        """Dials a neighbour again at once, to learn whether it died."""
+        now = time.monotonic()
+        if not self.is_stopped and (
+            link.peer.incarnation in self._upkeep.wanted(now)
+        ):
+            self._connector.dial(link.peer.address, now)
+
+    def _take_heartbeat(self, link: links.Link, body: Any) -> None:
+        beat = heartbeats.decode(body)
+        if self._beats.take(link, beat, time.monotonic()):
+            self._gossip.send_digests(link)
+
+    def _take_members(self, link: links.Link, body: Any) -> None:
+        step, content = body
+        if step == 0:
+            self._gossip.answer_digests(link, content)
+            return
+        records = [model.decode_record(item) for item in content]
+        self._gossip.merge(records, link, time.monotonic())
+
+    def _take_request(self, link: links.Link, body: Any) -> None:
+        self._calls.serve(link, body)
+
+    def _take_reply(self, link: links.Link, body: Any) -> None:
+        del link
+        self._calls.take_reply(body)
+
+    def _take_broadcast(self, link: links.Link, body: Any) -> None:
+        if self._calls.take_broadcast(body):
+            self._gossip.flood("broadcast", body, link)
+
+    def _take_sheet_delta(self, link: links.Link, body: Any) -> None:
+        self.on_sheet_delta(link.peer.incarnation, body)
+
+    def _take_leave(self, link: links.Link, body: Any) -> None:
+        record = model.decode_record(body)
+        self._gossip.merge([record], link, time.monotonic())
+
+
+def _oversize() -> exceptions.FrameError:
+    return exceptions.FrameError(
+        "oversize",
+        "a frame is above the largest size",
+        "give all peers the same [membership] max_frame_bytes",
+    )
--- a/savoryspar/membership/service.py
+++ b/savoryspar/membership/service.py
@@ -14,12 +14,11 @@
     evidence,
     exceptions,
     facts,
-    frames,
     gossip,
     heartbeats,
-    links,
     model,
     pause,
+    reader,
     table,
     tls,
     upkeep,
@@ -36,12 +35,12 @@
         records: Records of all members.
         connector: Links to peers.
         beats: Heartbeats; the spreading of the configuration hooks in here.
+        reader: Reads links and serves their frames.
         watcher: Notices pauses of this process.
     """
 
     __slots__ = (
         "_calls",
-        "_dispatch",
         "_facts",
         "_gossip",
         "_is_stopped",
@@ -49,7 +48,7 @@
         "_view",
         "beats",
         "connector",
-        "on_sheet_delta",
+        "reader",
         "records",
         "watcher",
     )
@@ -62,6 +61,7 @@
         cfg: conf.Section,
         now: float,
         wall_now: float,
+        read: Callable[..., reader.Reader],
     ):
         self.records = table.MemberTable(own, now)
         self.connector = links_of_own
@@ -72,9 +72,6 @@
         self.beats = heartbeats.Heartbeats(
             self.records, self._facts, cfg.heartbeat_s
         )
-        self.on_sheet_delta: Callable[[str, Any], None] = (
-            lambda incarnation, body: None
-        )
         self._calls = calls.Calls(own.incarnation)
         self._gossip = gossip.Gossip(self.records, links_of_own)
         self._upkeep = upkeep.Upkeep(
@@ -90,19 +87,20 @@
         )
         self._view: tuple[int, float, tuple[model.Member, ...]] = (-1, 0.0, ())
         self._is_stopped = False
-        self._dispatch = {
-            "heartbeat": self._take_heartbeat,
-            "members": self._take_members,
-            "request": self._take_request,
-            "reply": self._take_reply,
-            "broadcast": self._take_broadcast,
-            "sheet_delta": self._take_sheet_delta,
-            "leave": self._take_leave,
-        }
+        self.reader = read(
+            self.records,
+            links_of_own,
+            self.beats,
+            self._gossip,
+            self._calls,
+            self._upkeep,
+        )
 
     def start(self) -> None:
         """Listens for peers and looks for them."""
-        self.connector.start(lambda: self.records.own_record, self.run_link)
+        self.connector.start(
+            lambda: self.records.own_record, self.reader.run_link
+        )
         eventlet.spawn(self._tick_always)
 
     def leave(self, now: float) -> None:
@@ -112,6 +110,7 @@
     def stop(self, now: float) -> None:
         """Announces that this process is gone and closes its links."""
         self._is_stopped = True
+        self.reader.is_stopped = True
         record = self.records.announce_left(now)
         self._gossip.flood("leave", record.to_body(), None)
         self.connector.stop()
@@ -214,6 +213,32 @@
             if incarnation in records and records[incarnation].is_counted()
         }
 
+    def status(self, now: float) -> dict[str, Any]:
+        """Returns what operators want to know, for ``/status``."""
+        view = self.view(now)
+        return {
+            "incarnation": view.own.incarnation,
+            "address": view.own.address,
+            "revision": view.own.revision,
+            "is_confirmed": view.is_confirmed,
+            "pauses": self.watcher.pauses,
+            "links": len(self.connector.links),
+            "refusals": dict(self.connector.refusals),
+            "late_replies": self._calls.late_replies,
+            "members": [
+                {
+                    "name": member.name,
+                    "incarnation": member.incarnation,
+                    "zone": member.zone,
+                    "address": member.address,
+                    "is_leaving": member.is_leaving,
+                    "revision": member.revision,
+                    "age_s": round(now - member.heard_at, 1),
+                }
+                for member in view.members
+            ],
+        }
+
     def flood_sheet_delta(self, body: Any, source: str = "") -> None:
         """Sends a delta of the configuration on all links but its source's."""
         link = self.connector.links.get(source)
@@ -223,110 +248,19 @@
         """Takes the peer addresses of the VM list."""
         self._upkeep.listed = frozenset(filter(None, addresses))
 
-    def run_link(self, link: links.Link) -> None:
-        """Reads a new link until it closes."""
-        now = time.monotonic()
-        self._gossip.merge([link.peer], None, now)
-        self.records.note_heard(link.peer.incarnation, now)
-        link.start_writer(
-            lambda: self.beats.link_interval_s(link),
-            lambda link: self.beats.render(link, time.monotonic()),
-        )
-        self._gossip.send_digests(link)
-        source = f"{link.peer.name} {link.peer.address}"
-        try:
-            while True:
-                try:
-                    self.take_frame(link, link.receive())
-                except exceptions.FrameError as exc:
-                    self.connector.refuse(exc, source)
-        except links.SOCKET_ERRORS as exc:
-            if links.is_oversize(exc):
-                self.connector.refuse(_oversize(), source)
-        finally:
-            self._calls.drop_link(link)
-            self._link_lost(link)
-
-    def take_frame(self, link: links.Link, frame: frames.Frame) -> None:
-        """Serves one frame.
-
-        Raises:
-            FrameError: Its body is wrong; nothing was changed.
-        """
-        handler = self._dispatch.get(frame.kind)
-        link.echo = frame.sequence
-        self.records.note_heard(link.peer.incarnation, time.monotonic())
-        if frame.kind != "heartbeat":
-            link.used_at = time.monotonic()
-        try:
-            if handler is None:
-                raise ValueError("it is only valid at the start of a link")
-            handler(link, frame.body)
-        except (TypeError, ValueError, KeyError) as exc:
-            raise exceptions.FrameError(
-                "body",
-                f"the body of a {frame.kind} is wrong: {exc!r:.200}",
-                "check the peer's version",
-            ) from exc
-
-    def _link_lost(self, link: links.Link) -> None:
-        """Dials a neighbour again at once, to learn whether it died."""
-        if not self._is_stopped and link.peer.incarnation in (
-            self._upkeep.wanted(time.monotonic())
-        ):
-            self.connector.dial(link.peer.address, time.monotonic())
-
-    def _take_heartbeat(self, link: links.Link, body: Any) -> None:
-        if self.beats.take(link, body, time.monotonic()):
-            self._gossip.send_digests(link)
-
-    def _take_members(self, link: links.Link, body: Any) -> None:
-        step, content = body
-        if step == 0:
-            self._gossip.answer_digests(link, content)
-            return
-        records = [model.decode_record(item) for item in content]
-        self._gossip.merge(records, link, time.monotonic())
-
-    def _take_request(self, link: links.Link, body: Any) -> None:
-        self._calls.serve(link, body)
-
-    def _take_reply(self, link: links.Link, body: Any) -> None:
-        del link
-        self._calls.take_reply(body)
-
-    def _take_broadcast(self, link: links.Link, body: Any) -> None:
-        if self._calls.take_broadcast(body):
-            self._gossip.flood("broadcast", body, link)
-
-    def _take_sheet_delta(self, link: links.Link, body: Any) -> None:
-        self.on_sheet_delta(link.peer.incarnation, body)
-
-    def _take_leave(self, link: links.Link, body: Any) -> None:
-        record = model.decode_record(body)
-        self._gossip.merge([record], link, time.monotonic())
-
     def _tick_always(self) -> None:
         while not self._is_stopped:
             self._upkeep.tick(time.monotonic(), time.time())
             eventlet.sleep(pause.DUE_S)
 
 
-def _oversize() -> exceptions.FrameError:
-    return exceptions.FrameError(
-        "oversize",
-        "a frame is above the largest size",
-        "give all peers the same [membership] max_frame_bytes",
-    )
-
-
 def new_membership(
     cfg: conf.Settings,
     now: float,
     wall_now: float,
     name: str = "",
     zone: str = "",
-    factory: Callable[..., "Membership"] | None = None,
+    read: Callable[..., reader.Reader] = reader.Reader,
 ) -> Membership:
     """Returns a membership that listens but does not serve yet.
 
@@ -336,7 +270,7 @@
         wall_now: Wall clock time in seconds.
         name: Name in place of the one in the settings.
         zone: Availability zone in place of the one in the settings.
-        factory: Class of the membership, for tests of faults.
+        read: Class of the reader of links; tests use one that loses frames.
 
     Raises:
         MembershipError: The certificates cannot be loaded.
@@ -360,5 +294,4 @@
         zone or cfg.entry.zone,
         own_links.address,
     )
-    build = factory or Membership
-    return build(own, own_links, contexts, section, now, wall_now)
+    return Membership(own, own_links, contexts, section, now, wall_now, read)
--- a/savoryspar/membership/spread.py
+++ b/savoryspar/membership/spread.py
@@ -72,7 +72,7 @@
         self._logger = log.new_logger("sheet")
         members.beats.sheet_state = self._state
         members.beats.on_sheet_state = self._take_state
-        members.on_sheet_delta = self._take_delta
+        members.reader.on_sheet_delta = self._take_delta
         members.handle(REQUEST, self._serve)
         sheets.listen(self._spread)
 
--- a/savoryspar/standins/members.py
+++ b/savoryspar/standins/members.py
@@ -10,8 +10,8 @@
 from savoryspar.standins import wsgi
 
 
-class DeafMembership(membership.Membership):
-    """A membership that can lose what some peers send, for one-way cuts.
+class DeafReader(membership.Reader):
+    """A reader that can lose what some peers send, for one-way cuts.
 
     Attributes:
         deaf_to: Incarnations whose frames are lost.
@@ -87,7 +87,7 @@
     def deafen(self, body: Mapping[str, Any]) -> None:
         """Loses what the named peers send to any member."""
         for member in self._members:
-            member.deaf_to = frozenset(body["incarnations"])
+            member.reader.deaf_to = frozenset(body["incarnations"])
 
     def stop(self, body: Mapping[str, Any]) -> None:
         """Lets the first member leave."""
@@ -199,7 +199,7 @@
                 time.time(),
                 name=f"m{number}",
                 zone=f"z{number % zones}",
-                factory=DeafMembership,
+                read=DeafReader,
             )
             for number in range(first, first + count)
         ]
