Keep the first polls of the configuration service short

A process that starts knows no peers, takes itself for a watcher and held its first poll for 20 s. 5 processes in one zone, 3 s after they were ready: all 5 still watched.

--- a/savoryspar/membership/sheet_watch.py
+++ b/savoryspar/membership/sheet_watch.py
@@ -15,6 +15,7 @@
 LATE_START_S = 10.0
 """Time after which a process without a sheet reads the service itself."""
 
+MIN_POLL_S = 1.0
 IDLE_S = 0.25
 RETRY_S = 1.0
 FIRST_REREAD_S = 0.5
@@ -104,7 +105,11 @@
         Raises:
             PlatformError: The service is down or over its rate.
         """
-        after, timeout_s = self._sheets.revision, self._timeout_s
+        after = self._sheets.revision
+        # The first polls are short, because a process that knows no peers yet
+        # takes itself for a watcher.
+        age_s = self._clock() - self._started_at
+        timeout_s = min(self._timeout_s, max(MIN_POLL_S, age_s))
         if self._refusals:
             # A refused revision is read again at growing intervals, because
             # it may have been read while it changed.
