--- a/savoryspar/membership/service.py
+++ b/savoryspar/membership/service.py
@@ -14,12 +14,11 @@
     evidence,
     exceptions,
     facts,
-    frames,
     gossip,
     heartbeats,
-    links,
     model,
     pause,
+    reader,
     table,
     tls,
     upkeep,
@@ -36,12 +35,12 @@
         records: Records of all members.
         connector: Links to peers.
         beats: Heartbeats; the spreading of the configuration hooks in here.
+        reader: Reads links and serves their frames.
         watcher: Notices pauses of this process.
     """
 
     __slots__ = (
         "_calls",
-        "_dispatch",
         "_facts",
         "_gossip",
         "_is_stopped",
@@ -49,7 +48,7 @@
         "_view",
         "beats",
         "connector",
-        "on_sheet_delta",
+        "reader",
         "records",
         "watcher",
     )
@@ -62,6 +61,7 @@
         cfg: conf.Section,
         now: float,
         wall_now: float,
+        read: Callable[..., reader.Reader],
     ):
         self.records = table.MemberTable(own, now)
         self.connector = links_of_own
@@ -72,9 +72,6 @@
         self.beats = heartbeats.Heartbeats(
             self.records, self._facts, cfg.heartbeat_s
         )
-        self.on_sheet_delta: Callable[[str, Any], None] = (
-            lambda incarnation, body: None
-        )
         self._calls = calls.Calls(own.incarnation)
         self._gossip = gossip.Gossip(self.records, links_of_own)
         self._upkeep = upkeep.Upkeep(
@@ -90,19 +87,20 @@
         )
         self._view: tuple[int, float, tuple[model.Member, ...]] = (-1, 0.0, ())
         self._is_stopped = False
-        self._dispatch = {
-            "heartbeat": self._take_heartbeat,
-            "members": self._take_members,
-            "request": self._take_request,
-            "reply": self._take_reply,
-            "broadcast": self._take_broadcast,
-            "sheet_delta": self._take_sheet_delta,
-            "leave": self._take_leave,
-        }
+        self.reader = read(
+            self.records,
+            links_of_own,
+            self.beats,
+            self._gossip,
+            self._calls,
+            self._upkeep,
+        )
 
     def start(self) -> None:
         """Listens for peers and looks for them."""
-        self.connector.start(lambda: self.records.own_record, self.run_link)
+        self.connector.start(
+            lambda: self.records.own_record, self.reader.run_link
+        )
         eventlet.spawn(self._tick_always)
 
     def leave(self, now: float) -> None:
@@ -112,6 +110,7 @@
     def stop(self, now: float) -> None:
         """Announces that this process is gone and closes its links."""
         self._is_stopped = True
+        self.reader.is_stopped = True
         record = self.records.announce_left(now)
         self._gossip.flood("leave", record.to_body(), None)
         self.connector.stop()
@@ -214,6 +213,32 @@
             if incarnation in records and records[incarnation].is_counted()
         }
 
+    def status(self, now: float) -> dict[str, Any]:
+        """Returns what operators want to know, for ``/status``."""
+        view = self.view(now)
+        return {
+            "incarnation": view.own.incarnation,
+            "address": view.own.address,
+            "revision": view.own.revision,
+            "is_confirmed": view.is_confirmed,
+            "pauses": self.watcher.pauses,
+            "links": len(self.connector.links),
+            "refusals": dict(self.connector.refusals),
+            "late_replies": self._calls.late_replies,
+            "members": [
+                {
+                    "name": member.name,
+                    "incarnation": member.incarnation,
+                    "zone": member.zone,
+                    "address": member.address,
+                    "is_leaving": member.is_leaving,
+                    "revision": member.revision,
+                    "age_s": round(now - member.heard_at, 1),
+                }
+                for member in view.members
+            ],
+        }
+
     def flood_sheet_delta(self, body: Any, source: str = "") -> None:
         """Sends a delta of the configuration on all links but its source's."""
         link = self.connector.links.get(source)
@@ -223,6 +248,7 @@
         """Takes the peer addresses of the VM list."""
         self._upkeep.listed = frozenset(filter(None, addresses))
 
+<<<<<<< HEAD
     def is_alone(self) -> bool:
         """Tells whether the VM list names this process and no other."""
         return self._upkeep.listed == {self.connector.address}
@@ -310,27 +336,21 @@
         record = model.decode_record(body)
         self._gossip.merge([record], link, time.monotonic())
 
+=======
+>>>>>>> membership
     def _tick_always(self) -> None:
         while not self._is_stopped:
             self._upkeep.tick(time.monotonic(), time.time())
             eventlet.sleep(pause.DUE_S)
 
 
-def _oversize() -> exceptions.FrameError:
-    return exceptions.FrameError(
-        "oversize",
-        "a frame is above the largest size",
-        "give all peers the same [membership] max_frame_bytes",
-    )
-
-
 def new_membership(
     cfg: conf.Settings,
     now: float,
     wall_now: float,
     name: str = "",
     zone: str = "",
-    factory: Callable[..., "Membership"] | None = None,
+    read: Callable[..., reader.Reader] = reader.Reader,
 ) -> Membership:
     """Returns a membership that listens but does not serve yet.
 
@@ -340,7 +360,7 @@
         wall_now: Wall clock time in seconds.
         name: Name in place of the one in the settings.
         zone: Availability zone in place of the one in the settings.
-        factory: Class of the membership, for tests of faults.
+        read: Class of the reader of links; tests use one that loses frames.
 
     Raises:
         MembershipError: The certificates cannot be loaded.
@@ -364,5 +384,4 @@
         zone or cfg.entry.zone,
         own_links.address,
     )
-    build = factory or Membership
-    return build(own, own_links, contexts, section, now, wall_now)
+    return Membership(own, own_links, contexts, section, now, wall_now, read)
