--- a/savoryspar/membership/service.py
+++ b/savoryspar/membership/service.py
@@ -248,96 +248,10 @@
         """Takes the peer addresses of the VM list."""
         self._upkeep.listed = frozenset(filter(None, addresses))
 
-<<<<<<< HEAD
     def is_alone(self) -> bool:
         """Tells whether the VM list names this process and no other."""
         return self._upkeep.listed == {self.connector.address}
 
-    def run_link(self, link: links.Link) -> None:
-        """Reads a new link until it closes."""
-        now = time.monotonic()
-        self._gossip.merge([link.peer], None, now)
-        self.records.note_heard(link.peer.incarnation, now)
-        link.start_writer(
-            lambda: self.beats.link_interval_s(link),
-            lambda link: self.beats.render(link, time.monotonic()),
-        )
-        self._gossip.send_digests(link)
-        source = f"{link.peer.name} {link.peer.address}"
-        try:
-            while True:
-                try:
-                    self.take_frame(link, link.receive())
-                except exceptions.FrameError as exc:
-                    self.connector.refuse(exc, source)
-        except links.SOCKET_ERRORS as exc:
-            if links.is_oversize(exc):
-                self.connector.refuse(_oversize(), source)
-        finally:
-            self._calls.drop_link(link)
-            self._link_lost(link)
-
-    def take_frame(self, link: links.Link, frame: frames.Frame) -> None:
-        """Serves one frame.
-
-        Raises:
-            FrameError: Its body is wrong; nothing was changed.
-        """
-        handler = self._dispatch.get(frame.kind)
-        link.echo = frame.sequence
-        self.records.note_heard(link.peer.incarnation, time.monotonic())
-        if frame.kind != "heartbeat":
-            link.used_at = time.monotonic()
-        try:
-            if handler is None:
-                raise ValueError("it is only valid at the start of a link")
-            handler(link, frame.body)
-        except (TypeError, ValueError, KeyError) as exc:
-            raise exceptions.FrameError(
-                "body",
-                f"the body of a {frame.kind} is wrong: {exc!r:.200}",
-                "check the peer's version",
-            ) from exc
-
-    def _link_lost(self, link: links.Link) -> None:
-        """Dials a neighbour again at once, to learn whether it died."""
-        if not self._is_stopped and link.peer.incarnation in (
-            self._upkeep.wanted(time.monotonic())
-        ):
-            self.connector.dial(link.peer.address, time.monotonic())
-
-    def _take_heartbeat(self, link: links.Link, body: Any) -> None:
-        if self.beats.take(link, body, time.monotonic()):
-            self._gossip.send_digests(link)
-
-    def _take_members(self, link: links.Link, body: Any) -> None:
-        step, content = body
-        if step == 0:
-            self._gossip.answer_digests(link, content)
-            return
-        records = [model.decode_record(item) for item in content]
-        self._gossip.merge(records, link, time.monotonic())
-
-    def _take_request(self, link: links.Link, body: Any) -> None:
-        self._calls.serve(link, body)
-
-    def _take_reply(self, link: links.Link, body: Any) -> None:
-        del link
-        self._calls.take_reply(body)
-
-    def _take_broadcast(self, link: links.Link, body: Any) -> None:
-        if self._calls.take_broadcast(body):
-            self._gossip.flood("broadcast", body, link)
-
-    def _take_sheet_delta(self, link: links.Link, body: Any) -> None:
-        self.on_sheet_delta(link.peer.incarnation, body)
-
-    def _take_leave(self, link: links.Link, body: Any) -> None:
-        record = model.decode_record(body)
-        self._gossip.merge([record], link, time.monotonic())
-
-=======
->>>>>>> membership
     def _tick_always(self) -> None:
         while not self._is_stopped:
             self._upkeep.tick(time.monotonic(), time.time())
--- a/savoryspar/membership/sheet_watch.py
+++ b/savoryspar/membership/sheet_watch.py
@@ -14,11 +14,8 @@
 have no sheet, or the VM list names none: the service may be stale."""
 
 
-<<<<<<< HEAD
 ASK_TIMEOUT_S = 1.0
-=======
 MIN_POLL_S = 1.0
->>>>>>> membership
 IDLE_S = 0.25
 RETRY_S = 1.0
 FIRST_REREAD_S = 0.5
