--- a/savoryspar/cli/entry.py
+++ b/savoryspar/cli/entry.py
@@ -8,7 +8,7 @@
 import eventlet
 
 from savoryspar import checks, conf, errors, log
-from savoryspar.cli import exit_codes, faults, wiring
+from savoryspar.cli import exit_codes, faults, node, signals, wiring
 
 
 class EntryCommand(command.Command):
@@ -20,7 +20,7 @@
     help = "Example: savoryspar entry --config entry.ini"
 
     def handle(self) -> int:
-        """Runs the command until SIGTERM."""
+        """Runs the command until SIGTERM; a second one shortens the notice."""
         try:
             cfg = conf.load_settings(self.option("config") or "", os.environ)
         except ExceptionGroup as group:
@@ -34,19 +34,13 @@
         except errors.SavorysparError as exc:
             self.line_error(str(exc))
             return exit_codes.USAGE
-        stopped = entry_node.stop_requested
+        stops = signals.new_signal_queue(signal.SIGTERM, signal.SIGINT)
         entry_node.start()
         port = entry_node.server.address[1]
         self.line(f"listening {port} peers {entry_node.peer_port}")
         self.io.output.flush()
-
-        def on_signal(number: int, frame: object) -> None:
-            del number, frame
-            entry_node.request_stop()
-
-        signal.signal(signal.SIGTERM, on_signal)
-        signal.signal(signal.SIGINT, on_signal)
-        stopped.wait()
+        eventlet.spawn(_follow_signals, stops, entry_node)
+        entry_node.stop_requested.wait()
         entry_node.stop()
         eventlet.sleep(0)
         return exit_codes.OK
@@ -56,3 +50,12 @@
         for message in messages:
             self.line_error(f"{message.level.value} {message}")
         return all(m.level is not checks.Level.ERROR for m in messages)
+
+
+def _follow_signals(stops: signals.SignalQueue, entry_node: node.Node) -> None:
+    """Stops at the first signal; further ones only shorten the notice."""
+    stops.wait()
+    entry_node.request_stop()
+    while True:
+        stops.wait()
+        entry_node.hasten()
--- a/savoryspar/pipelines/attempts.py
+++ b/savoryspar/pipelines/attempts.py
@@ -4,12 +4,13 @@
 
 import eventlet
 
-from savoryspar import backends, routing, sheet
+from savoryspar import backends, log, routing, sheet
 from savoryspar.pipelines import bodies, exceptions, model
 
 MAX_ATTEMPTS = 3
 BYTES_PER_TOKEN = 200
 """Bytes of one streamed event."""
+_logger = log.new_logger("pipelines")
 
 
 class Attempts:
@@ -59,10 +60,26 @@
         Raises:
             RunError: No server can take the attempt before the deadline.
         """
+        req = self._req
+        while True:
+            now = self._clock()
+            # Meanwhile, a peer may have met the second crash, or an equal
+            # request may have run alone without one.
+            check_fingerprint(self._router, req, now)
+            try:
+                choice = self._router.choose(self._new_call(), now)
+            except routing.NoServerError as exc:
+                wakes_at = now + exc.retry_after_s
+                if not exc.is_waiting or wakes_at >= req.deadline_at:
+                    raise no_server(req, exc) from exc
+                eventlet.sleep(exc.retry_after_s)
+                continue
+            self._started += 1
+            return choice
+
+    def _new_call(self) -> routing.Call:
         req, stage = self._req, self._stage
-        # A peer may have met the second crash since the request came in.
-        check_fingerprint(self._router, req, self._clock())
-        call = routing.Call(
+        return routing.Call(
             req.request_id,
             req.workspace.name,
             req.rank,
@@ -75,18 +92,6 @@
             self._is_idempotent,
             req.is_suspect,
         )
-        while True:
-            now = self._clock()
-            try:
-                choice = self._router.choose(call, now)
-            except routing.NoServerError as exc:
-                wakes_at = now + exc.retry_after_s
-                if not exc.is_waiting or wakes_at >= req.deadline_at:
-                    raise no_server(req, exc) from exc
-                eventlet.sleep(exc.retry_after_s)
-                continue
-            self._started += 1
-            return choice
 
     def follow(
         self, choice: routing.Choice, exc: backends.BackendError
@@ -105,6 +110,7 @@
             raise failure(self._req, exc)
         if exc.has_sent:
             self._spend_retry(exc)
+        self._log("Retry", choice, exc)
 
     def follow_broken_stream(
         self, choice: routing.Choice, exc: backends.BackendError
@@ -122,6 +128,16 @@
             record_crash(self._router, self._req, choice, self._clock())
         if not self._is_idempotent or self._started >= MAX_ATTEMPTS:
             raise failure(self._req, exc)
+        self._log("Resume", choice, exc)
+
+    def _log(
+        self, event: str, choice: routing.Choice, exc: backends.BackendError
+    ) -> None:
+        _logger.info(
+            f"{event}. request={self._req.request_id}"
+            f" stage={self._stage.name} server={choice.server.name}"
+            f" attempt={self._started} reason={exc.message}"
+        )
 
     def _spend_retry(self, exc: backends.BackendError) -> None:
         now = self._clock()
--- a/tests/scheduling/test_scheduler.py
+++ b/tests/scheduling/test_scheduler.py
@@ -102,6 +102,17 @@
         """A rank above its floor must not be served before urgent work."""
         self.assertLessEqual(self.served("urgent", "bulk")["bulk"], 0.12)
 
+    def test_service_without_contention_is_not_held_against_a_rank(self):
+        """A flood of urgent work must not first starve a busy rank."""
+        scheduler = new_scheduler(1)
+        offered = [scheduler.offer(new_job(), 0.0) for _ in range(220)]
+        for number in range(100):
+            self.serve(scheduler, offered, number * 0.01)
+        for _ in range(30):
+            offered.append(scheduler.offer(new_job(rank="urgent"), 1.0))
+        ranks = [self.serve(scheduler, offered, 1.0).rank for _ in range(20)]
+        self.assertGreaterEqual(ranks.count("standard"), 4)
+
     def test_idle_rank_has_no_claim_on_the_past(self):
         """Bulk work after a quiet time must not stop urgent work."""
         scheduler = new_scheduler(1)
@@ -143,6 +154,18 @@
         simulation.run_until(simulation.now + exc.retry_after_s)
         simulation.offer(new_job(deadline_at=simulation.now + 5.0))
 
+    def test_burst_on_a_new_process_is_not_refused(self):
+        """A process that knows no rates yet must not refuse what fits."""
+        scheduler = new_scheduler(slots=24)
+        later = (scheduling.StageNeed("engines", "m", 64.0),)
+        entries_of_burst = [
+            scheduler.offer(new_job(deadline_at=8.0, later=later), 0.0)
+            for _ in range(24)
+        ]
+        self.assertEqual(
+            [entries.Status.GRANTED] * 24, [e.status for e in entries_of_burst]
+        )
+
     def test_refused_before_the_first_stage_for_a_later_one(self):
         """Stages must not be paid for when the last one is out of reach."""
         simulation = self.new_warm()
@@ -254,7 +277,7 @@
         scheduler = new_scheduler(1)
         now = time.monotonic()
         for _ in range(20):
-            scheduler.estimates.observe("p", "", 1.0, 30.0)
+            scheduler.estimates.observe("p", "", "standard", 1.0, 30.0)
         scheduler.acquire(new_job(deadline_at=now + 1000.0), now)
         job = new_job(deadline_at=now + 33.0, is_started=True)
         with eventlet.Timeout(10.0):
