Build the program as one file that runs without a child process

The target of make binary named a module that does not exist. The file is a zip archive; packages with extension modules are extracted into a memory-backed folder. tools/check_binary.py looks at the process in /proc: no child, no other parent, no library mapped from a disk.

--- a/Makefile
+++ b/Makefile
@@ -31,7 +31,8 @@
 	$(PY) -m savoryspar bench all
 
 binary: $(VENV)/.ready
-	$(PY) -m savoryspar_build
- 
+	$(PY) tools/build_binary.py
+	$(PY) tools/check_binary.py dist/savoryspar
+
 clean:
 	rm -rf $(VENV) build dist .pytest_cache .ruff_cache .hypothesis
