--- a/savoryspar/membership/sheet_watch.py
+++ b/savoryspar/membership/sheet_watch.py
@@ -15,6 +15,7 @@
 
 
 ASK_TIMEOUT_S = 1.0
+MIN_POLL_S = 1.0
 IDLE_S = 0.25
 RETRY_S = 1.0
 FIRST_REREAD_S = 0.5
@@ -118,7 +119,11 @@
         Raises:
             PlatformError: The service is down or over its rate.
         """
-        after, timeout_s = self._sheets.revision, self._timeout_s
+        after = self._sheets.revision
+        # The first polls are short, because a process that knows no peers yet
+        # takes itself for a watcher.
+        age_s = self._clock() - self._started_at
+        timeout_s = min(self._timeout_s, max(MIN_POLL_S, age_s))
         if self._refusals:
             # A refused revision is read again at growing intervals, because
             # it may have been read while it changed.
