Say unknown when a resend is refused before its owner was asked

Cause: an order that had run was sent again to a process without a configuration, which answered 503 not_run. The same held for every refusal before the order desk (key, body, length, pipeline), and for a request with an Idempotency-Key and no ticket.

--- a/savoryspar/http/app.py
+++ b/savoryspar/http/app.py
@@ -107,6 +107,11 @@
             )
         except pipelines.RunError as exc:
             self._metrics.count_problem(exc.kind)
+            if not isinstance(exc, orders.OrderError) and orders.may_be_resend(
+                environ
+            ):
+                # Refused before its owner was asked, which may have run it.
+                exc.run_state = pipelines.RunState.UNKNOWN
             extra = [("X-Request-Id", request_id)]
             if exc.status in (408, 411, 413):
                 # The rest of the body is not read, so the connection ends.
@@ -206,7 +211,7 @@
     def order(self, exchange: Exchange) -> Iterable[bytes]:
         """Answers with the state of an order."""
         _, workspace = self._authenticate(exchange)
-        text = exchange.path[len(ORDERS_PATH) :]
+        text = exchange.path[len(orders.ORDERS_PATH) :]
         return exchange.answer_json(self._orders.state(workspace, text))
 
     def _authenticate(
@@ -312,9 +317,8 @@
     return max(rank, asked, key=sheet.RANKS.index)
 
 
-ORDERS_PATH = "/v1/orders/"
 PIPELINES_PATH = "/v1/pipelines/"
-_PLACEHOLDERS = {ORDERS_PATH: "{ticket}", PIPELINES_PATH: "{name}"}
+_PLACEHOLDERS = {orders.ORDERS_PATH: "{ticket}", PIPELINES_PATH: "{name}"}
 _ROUTES: dict[tuple[str, str], Handler] = {
     ("GET", "/healthz"): App.health,
     ("GET", "/readyz"): App.readiness,
@@ -324,7 +328,7 @@
     ("POST", "/v1/tickets"): App.issue_ticket,
 }
 _PREFIX_ROUTES: dict[tuple[str, str], Handler] = {
-    ("GET", ORDERS_PATH): App.order,
+    ("GET", orders.ORDERS_PATH): App.order,
     ("POST", PIPELINES_PATH): App.pipeline,
 }
 
--- a/savoryspar/http/orders.py
+++ b/savoryspar/http/orders.py
@@ -6,6 +6,7 @@
 from savoryspar import idempotency, pipelines, sheet
 from savoryspar.http import problems
 
+ORDERS_PATH = "/v1/orders/"
 TICKET_HEADER = "Order-Ticket"
 STATE_TIMEOUT_S = 2.0
 MAX_ORDER_BYTES = 524_288
@@ -20,15 +21,16 @@
         ticket: A new ticket that the caller may send it with.
     """
 
-    def __init__(self, ticket: str):
+    def __init__(self, ticket: str, run_state: pipelines.RunState):
         super().__init__(
             "ticket_required",
             428,
             "the pipeline has a stage that must not run twice, so the request"
             " needs a ticket",
             f"send it again with the header '{TICKET_HEADER}: TICKET' and the"
-            " member 'ticket' of this answer, on each send and resend",
-            pipelines.RunState.NOT_RUN,
+            " member 'ticket' of this answer, on each send and resend; if it"
+            " was sent with a ticket before, send that one",
+            run_state,
         )
         self.ticket = ticket
 
@@ -41,6 +43,10 @@
         return {"ticket": self.ticket}
 
 
+class OrderError(pipelines.RunError):
+    """An order has no output; its run state is what its owner can prove."""
+
+
 class OrderCounter:
     """Issues tickets, runs orders and tells their state, for callers."""
 
@@ -113,7 +119,11 @@
         text = environ.get("HTTP_ORDER_TICKET", "").strip()
         if not text:
             ticket = self._issue(environ, req.workspace, req.pipeline)
-            raise TicketRequiredError(ticket.text)
+            # With a key it may have been sent with another ticket before.
+            state = pipelines.RunState.NOT_RUN
+            if may_be_resend(environ):
+                state = pipelines.RunState.UNKNOWN
+            raise TicketRequiredError(ticket.text, state)
         order = idempotency.Order(
             req.request_id,
             text,
@@ -185,12 +195,21 @@
             ) from exc
 
 
+def may_be_resend(environ: dict[str, Any]) -> bool:
+    """Tells whether an earlier send of the request may have run."""
+    return bool(
+        environ.get("HTTP_ORDER_TICKET")
+        or _key(environ)
+        or environ["PATH_INFO"].startswith(ORDERS_PATH)
+    )
+
+
 def _key(environ: dict[str, Any]) -> str:
     return environ.get("HTTP_IDEMPOTENCY_KEY", "").strip()
 
 
-def _problem(found: idempotency.Answer) -> pipelines.RunError:
-    return problems.new_problem(
+def _problem(found: idempotency.Answer) -> OrderError:
+    return OrderError(
         found.kind,
         found.status,
         found.message,
--- a/savoryspar/standins/pool.py
+++ b/savoryspar/standins/pool.py
@@ -76,6 +76,7 @@
         return exchange.answer(
             {
                 "server": self.name,
+                "request_id": exchange.header("X-Request-Id"),
                 "stage": body["stage"],
                 "run": number,
                 "input": body["input"],
