Keep a full batch's worth of the limit; even out lagging load reports

Two causes: a report that lags by calls that ended meanwhile counted as others' load for seconds, and the call that is kept ready raised latency, which lowered the limit below the batch. Reports are now averaged with their sign, and the calls that a server ran while it had a queue are the limit's floor.

--- a/savoryspar/routing/limits.py
+++ b/savoryspar/routing/limits.py
@@ -41,11 +41,19 @@
     a server has them, set a ceiling.
     """
 
-    __slots__ = ("_cap", "_ceiling", "_long_s", "_short_s", "_value")
+    __slots__ = (
+        "_cap",
+        "_ceiling",
+        "_floor",
+        "_long_s",
+        "_short_s",
+        "_value",
+    )
 
     def __init__(self, initial: int, cap: int):
         self._cap = cap
         self._ceiling = cap
+        self._floor = 1
         self._value = float(min(initial, cap))
         self._short_s = 0.0
         self._long_s = 0.0
@@ -74,22 +82,27 @@
     def take_queue(self, running: int, waiting: int) -> None:
         """Takes a queue report.
 
-        A queue shows how many calls the server runs at a time. That stays the
-        ceiling until the server is as busy without a queue.
+        A queue shows how many calls the server runs at a time. That becomes
+        the floor, since latency at a full server is no reason to use less of
+        it, and one call more is the ceiling until the server is as busy
+        without a queue.
         """
         if waiting > 0:
             self._ceiling = running + READY_CALLS
+            self._floor = max(running, 1)
         elif running >= self._ceiling:
             self._ceiling += max(1, self._ceiling // 4)
         self._move(self._value)
 
     def take_refusal(self) -> None:
         """Takes a refused call, which means that the limit is too high."""
+        self._floor = 1
         self._move(self._value * REFUSAL_FACTOR)
 
     def _move(self, value: float) -> None:
         ceiling = min(self._ceiling, self._cap)
-        self._value = max(1.0, min(value, float(ceiling)))
+        floor = min(self._floor, ceiling)
+        self._value = max(float(floor), min(value, float(ceiling)))
 
 
 Limit = GradientLimit | FixedLimit
--- a/savoryspar/routing/servers.py
+++ b/savoryspar/routing/servers.py
@@ -8,6 +8,8 @@
 
 REPORT_HALF_LIFE_S = 2.0
 """Half-life of a load report; calls of other processes end unseen."""
+REPORT_KEPT = 0.8
+"""Part of earlier reports that a new one does not replace."""
 OTHER_ZONES_SIZE = 8
 """Servers of a pool in other zones of the own region to use."""
 OTHER_REGIONS_SIZE = 8
@@ -69,12 +71,9 @@
 
     def load(self, now: float) -> float:
         """Returns own calls and what is left of the others' reported calls."""
-        if not self._others:
+        if self._others <= 0.0:
             return self.in_flight
-        age_s = now - self._reported_at
-        return self.in_flight + self._others * 0.5 ** (
-            age_s / REPORT_HALF_LIFE_S
-        )
+        return self.in_flight + self._others * self._fading(now)
 
     def utilization(self, now: float) -> float:
         """Returns the load as a share of the limit."""
@@ -88,10 +87,17 @@
         """Takes a report of all calls at the server.
 
         Own calls are counted exactly, so only the rest is kept of the report.
+        A report lags behind the own calls that began and ended meanwhile, which
+        makes the rest too high or too low; the mean of several evens it out.
         """
-        self._others = float(max(0, load - self.in_flight))
+        others = load - self.in_flight
+        kept = REPORT_KEPT * self._fading(now) if self._reported_at else 0.0
+        self._others = others + kept * (self._others - others)
         self._reported_at = now
 
+    def _fading(self, now: float) -> float:
+        return 0.5 ** ((now - self._reported_at) / REPORT_HALF_LIFE_S)
+
 
 def tier_of(server: backends.Server, opts: options.Options) -> Tier:
     """Returns how far away a server is."""
--- a/tests/routing/test_limits.py
+++ b/tests/routing/test_limits.py
@@ -62,6 +62,16 @@
             limit.sample(0.1, 12)
         self.assertEqual(12 + limits.READY_CALLS, limit.calls)
 
+    def test_waiting_calls_do_not_push_it_below_a_full_batch(self):
+        """The call kept ready raises latency, which must not empty slots."""
+        limit = limits.new_limit("gradient", 8, 64)
+        for _ in range(50):
+            limit.sample(0.01, 4)
+        limit.take_queue(12, 1)
+        for _ in range(50):
+            limit.sample(0.2, 12)
+        self.assertGreaterEqual(limit.calls, 12)
+
     def test_ceiling_rises_when_the_server_is_busy_without_a_queue(self):
         """A ceiling from a slow moment must not stay for good."""
         limit = limits.new_limit("gradient", 32, 64)
