--- a/savoryspar/bench/catalog.py
+++ b/savoryspar/bench/catalog.py
@@ -7,7 +7,9 @@
     decisions,
     membership,
     orders,
+    placement,
     relay,
+    rolling,
     routing,
     scheduling,
     scheduling_decisions,
@@ -19,9 +21,11 @@
 
 SCENARIOS: Mapping[str, Scenario] = {
     "orders": orders.orders,
+    "placement-window": placement.window,
     "order-owners": orders.owners,
     "relay-cost": relay.relay_cost,
     "relay-gap": relay.relay_gap,
+    "rolling": rolling.rolling_replacement,
     "sched-bulk-flood": scheduling.bulk_flood,
     "sched-urgent-flood": scheduling.urgent_flood,
     "sched-small": scheduling.small_and_large,
--- a/savoryspar/cli/node.py
+++ b/savoryspar/cli/node.py
@@ -83,7 +83,14 @@
         stop_requested: Event that is sent when the process is to leave.
     """
 
-    __slots__ = ("_cfg", "_logger", "_parts", "server", "stop_requested")
+    __slots__ = (
+        "_cfg",
+        "_hastened",
+        "_logger",
+        "_parts",
+        "server",
+        "stop_requested",
+    )
 
     def __init__(self, cfg: conf.Settings, parts: Parts):
         self._cfg = cfg
@@ -91,6 +98,7 @@
         self._logger = log.new_logger("entry")
         self.server = parts.server
         self.stop_requested = event.Event()
+        self._hastened = event.Event()
 
     @property
     def peer_port(self) -> int:
@@ -135,13 +143,20 @@
         if not self.stop_requested.ready():
             self.stop_requested.send(None)
 
+    def hasten(self) -> None:
+        """Ends the notice that the balancer gets before the listener closes."""
+        if not self._hastened.ready():
+            self._hastened.send(None)
+
     def stop(self) -> None:
         """Leaves: not ready first, then finishes every request."""
         parts = self._parts
         parts.app.is_draining = True
         parts.members.leave(time.monotonic())
         self._logger.notice("Draining.")
-        eventlet.sleep(self._cfg.entry.drain_notice_s)
+        parts.server.drain()
+        with eventlet.Timeout(self._cfg.entry.drain_notice_s, False):
+            self._hastened.wait()
         parts.server.stop()
         parts.desk.shut_down(self._cfg.idempotency.handover_timeout_s)
         parts.members.stop(time.monotonic())
--- a/savoryspar/sheet/reader.py
+++ b/savoryspar/sheet/reader.py
@@ -1,7 +1,7 @@
 """Reads a revision from the configuration service, by delta or whole."""
 
 from savoryspar import platform
-from savoryspar.sheet import delta, exceptions, holder, keys, model
+from savoryspar.sheet import delta, exceptions, holder, keys, model, offload
 
 
 def read_sheet(
@@ -40,10 +40,13 @@
         )
     rows = _read_rows(client, manifest, current.rows if current else {})
     if current is None:
-        return keys.new_sheet(rows, manifest.revision, manifest.digest)
+        return offload.run(
+            len(rows), keys.new_sheet, rows, manifest.revision, manifest.digest
+        )
+    changes = offload.run(len(rows), delta.changes_between, current.rows, rows)
     return delta.apply_delta(
         current,
-        delta.changes_between(current.rows, rows),
+        changes,
         manifest.revision,
         manifest.digest,
     )
@@ -53,7 +56,7 @@
     client: platform.ConfigClient, manifest: keys.Manifest, known: model.Rows
 ) -> model.Rows:
     """Reads the buckets that differ and takes the others from known rows."""
-    own = keys.bucket_digests(known)
+    own = offload.run(len(known), keys.bucket_digests, known)
     differing = {
         number
         for number in own.keys() | manifest.buckets.keys()
