Pass evidence of zones across zones, and let relays of a ring rest

Above 5 zones, relays are linked to four other zones only, and ages were taken inside a zone only, so members of the other zones left every view. Peers of another zone now get the ages of zones alone, which is shorter too. Relays of a ring no longer pass on facts of others; with that, the budget of facts is 800 bytes/s.

--- a/savoryspar/conf/sections/membership.py
+++ b/savoryspar/conf/sections/membership.py
@@ -77,7 +77,7 @@
         "membership",
         "fact_budget_bytes_per_s",
         converters.size,
-        "500",
+        "800",
         "Traffic that the facts of all the zone's members may cause a member.",
     ),
     setting.Setting(
--- a/savoryspar/membership/evidence.py
+++ b/savoryspar/membership/evidence.py
@@ -20,20 +20,27 @@
     return zlib.crc32("\n".join([*members, "", *zones]).encode())
 
 
-def render_ages(records: table.MemberTable, now: float) -> tuple[int, bytes]:
-    """Returns the checksum of the order and the ages, one byte each."""
-    by_zone = records.members_by_zone()
-    members, zones = by_zone[records.zone], list(by_zone)
+def render_ages(
+    records: table.MemberTable, zone: str, now: float
+) -> tuple[int, bytes]:
+    """Returns the checksum of the order and the ages, one byte each.
+
+    Args:
+        records: Where the evidence is kept.
+        zone: Zone of the peer; one of another zone gets ages of zones only.
+        now: Monotonic time in seconds.
+    """
+    members, zones = _names(records, zone)
     times = [
         now if member == records.own else records.contact_at.get(member, 0.0)
         for member in members
     ]
     times += [
-        now if zone == records.zone else records.zone_heard_at(zone)
-        for zone in zones
+        now if other == records.zone else records.zone_heard_at(other)
+        for other in zones
     ]
     return names_key(members, zones), bytes(
-        min(MAX_AGE, max(0, math.ceil((now - at) / UNIT_S))) for at in times
+        math.ceil(min(MAX_AGE, max(0.0, (now - at) / UNIT_S))) for at in times
     )
 
 
@@ -48,14 +55,13 @@
 
     Args:
         records: Where the evidence is kept.
-        zone: Zone of the peer; one of another zone has no evidence of ours.
+        zone: Zone of the peer; one of another zone knows of zones only.
         key: Checksum of the order; ages in another order are skipped.
         ages: As ``render_ages`` returned them.
         now: Monotonic time in seconds.
     """
-    by_zone = records.members_by_zone()
-    members, zones = by_zone[records.zone], list(by_zone)
-    if zone != records.zone or key != names_key(members, zones):
+    members, zones = _names(records, zone)
+    if key != names_key(members, zones):
         return
     if len(ages) != len(members) + len(zones):
         return
@@ -67,6 +73,13 @@
             records.note_zone(other, now - age * UNIT_S)
 
 
+def _names(
+    records: table.MemberTable, zone: str
+) -> tuple[Sequence[str], Sequence[str]]:
+    by_zone = records.members_by_zone()
+    return by_zone[zone] if zone == records.zone else (), list(by_zone)
+
+
 def is_confirmed(
     records: table.MemberTable, paused_at: float, now: float
 ) -> bool:
--- a/savoryspar/membership/facts.py
+++ b/savoryspar/membership/facts.py
@@ -63,10 +63,20 @@
         self._facts[self._own] = Fact(counter, now, revision, body)
         self._size = 24 + len(cbor2.dumps(body))
 
-    def newer_than(self, sent: dict[str, int], now: float) -> list[list]:
-        """Returns what a link has not carried yet and marks it as sent."""
+    def newer_than(
+        self, sent: dict[str, int], is_own_only: bool, now: float
+    ) -> list[list]:
+        """Returns what a link has not carried yet and marks it as sent.
+
+        Args:
+            sent: Newest counter of each member on the link; updated.
+            is_own_only: Whether to leave out the facts of others.
+            now: Monotonic time in seconds.
+        """
         items = []
         for incarnation, fact in self._facts.items():
+            if is_own_only and incarnation != self._own:
+                continue
             if fact.counter > sent.get(incarnation, 0):
                 sent[incarnation] = fact.counter
                 age = int(min(MAX_AGE, (now - fact.at) / UNIT_S))
--- a/savoryspar/membership/heartbeats.py
+++ b/savoryspar/membership/heartbeats.py
@@ -68,6 +68,7 @@
         "_facts",
         "_max_interval_s",
         "_records",
+        "_relay",
         "on_sheet_state",
         "sheet_state",
     )
@@ -81,6 +82,7 @@
         self._records = records
         self._facts = store
         self._max_interval_s = max_interval_s
+        self._relay = (0, False)
         self.sheet_state: SheetState = lambda: (0, b"")
         self.on_sheet_state: Callable[[str, int, bytes], None] = (
             lambda incarnation, revision, digest: None
@@ -108,13 +110,15 @@
     def render(self, link: links.Link, now: float) -> list:
         """Returns the body of a heartbeat for a link."""
         revision, digest = self.sheet_state()
-        key, ages = evidence.render_ages(self._records, now)
+        key, ages = evidence.render_ages(self._records, link.peer.zone, now)
         items: list[list] = []
         if link.peer.zone == self._records.zone:
             self._facts.renew(
                 self._zone_size(), self.interval_s(), revision, now
             )
-            items = self._facts.newer_than(link.facts_sent, now)
+            items = self._facts.newer_than(
+                link.facts_sent, self._is_relay_of_ring(), now
+            )
         view = self._records.view_digest().to_bytes(DIGEST_BYTES, "big")
         return [link.echo, view, revision, digest, key, ages, items]
 
@@ -149,6 +153,24 @@
         renewal_s = self._facts.interval_s(size, interval_s)
         return 2 * renewal_s + hops * interval_s + table.EVIDENCE_S
 
+    def _is_relay_of_ring(self) -> bool:
+        """Tells whether others pass the zone's facts on without this process.
+
+        Relays have most links. A ring with four links a member stays connected
+        without its two relays.
+        """
+        generation, is_relay = self._relay
+        if generation != self._records.generation:
+            zone = self._records.zone
+            members = self._records.members_by_zone()[zone]
+            is_relay = len(
+                members
+            ) > topology.MESH_LIMIT and self._records.own in topology.relays(
+                zone, members
+            )
+            self._relay = (self._records.generation, is_relay)
+        return is_relay
+
     def _zone_size(self) -> int:
         return len(self._records.members_by_zone()[self._records.zone])
 
--- a/tests/membership/test_table.py
+++ b/tests/membership/test_table.py
@@ -164,10 +164,24 @@
         """Ages must never be credited to another member."""
         members, other = new_table(), new_table(("a", "own", "b", "x"))
         self.contact(other, ("own", "b", "x"), 9.9)
-        key, ages = evidence.render_ages(other, 10.0)
+        key, ages = evidence.render_ages(other, "z", 10.0)
         evidence.apply_ages(members, "z", key, ages, 10.0)
         self.assertEqual({}, members.contact_at)
 
+    def test_evidence_of_zones_crosses_other_zones(self):
+        """A zone without a direct link must not drop out of the view."""
+        members = new_table()
+        other = table.MemberTable(model.Record("x", "x", "r", "zx", "x:1"), 0.0)
+        far = model.Record("y", "y", "r", "zy", "y:1")
+        others = [far, other.own_record, *members.records.values()]
+        members.merge(others, 0.0)
+        other.merge(others, 0.0)
+        other.note_heard("y", 50.0)
+        key, ages = evidence.render_ages(other, "z", 51.0)
+        evidence.apply_ages(members, "zx", key, ages, 51.0)
+        self.assertAlmostEqual(50.0, members.zone_heard_at("zy"), delta=0.2)
+        self.assertEqual({}, members.contact_at)
+
     @settings(derandomize=True, deadline=None)
     @given(st.lists(st.floats(0, 40), min_size=3, max_size=3))
     def test_ages_never_grow_younger_on_the_way(self, ages):
@@ -175,7 +189,7 @@
         members, other = new_table(), new_table(("a", "own", "b", "c"))
         for name, age in zip(("own", "b", "c"), ages, strict=True):
             other.note_contact(name, 100.0 - age)
-        key, raw = evidence.render_ages(other, 100.0)
+        key, raw = evidence.render_ages(other, "z", 100.0)
         evidence.apply_ages(members, "z", key, raw, 100.0)
         for name in ("b", "c"):
             got = members.contact_at.get(name, 0.0)
