--- a/savoryspar/cli/entry.py
+++ b/savoryspar/cli/entry.py
@@ -6,10 +6,9 @@
 from cleo.commands import command
 from cleo.helpers import option
 import eventlet
-from eventlet import event
 
-from savoryspar import conf, errors, log
-from savoryspar.cli import exit_codes, faults, wiring
+from savoryspar import checks, conf, errors, log
+from savoryspar.cli import exit_codes, faults, node, signals, wiring
 
 
 class EntryCommand(command.Command):
@@ -21,31 +20,42 @@
     help = "Example: savoryspar entry --config entry.ini"
 
     def handle(self) -> int:
-        """Runs the command until SIGTERM."""
+        """Runs the command until SIGTERM; a second one shortens the notice."""
         try:
             cfg = conf.load_settings(self.option("config") or "", os.environ)
         except ExceptionGroup as group:
             faults.print_faults(self, group)
             return exit_codes.USAGE
         log.configure(cfg.log.level, cfg.log.format)
+        if not self._passes_checks(cfg):
+            return exit_codes.USAGE
         try:
-            node = wiring.new_node(cfg)
+            entry_node = wiring.new_node(cfg)
         except errors.SavorysparError as exc:
             self.line_error(str(exc))
             return exit_codes.USAGE
-        stopped = event.Event()
-        node.start()
-        self.line(f"listening {node.server.address[1]} peers {node.peer_port}")
+        stops = signals.new_signal_queue(signal.SIGTERM, signal.SIGINT)
+        entry_node.start()
+        port = entry_node.server.address[1]
+        self.line(f"listening {port} peers {entry_node.peer_port}")
         self.io.output.flush()
-
-        def on_signal(number: int, frame: object) -> None:
-            del number, frame
-            if not stopped.ready():
-                stopped.send(None)
-
-        signal.signal(signal.SIGTERM, on_signal)
-        signal.signal(signal.SIGINT, on_signal)
-        stopped.wait()
-        node.stop()
+        eventlet.spawn(_follow_signals, stops, entry_node)
+        entry_node.stop_requested.wait()
+        entry_node.stop()
         eventlet.sleep(0)
         return exit_codes.OK
+
+    def _passes_checks(self, cfg: conf.Settings) -> bool:
+        messages = checks.run_checks(cfg)
+        for message in messages:
+            self.line_error(f"{message.level.value} {message}")
+        return all(m.level is not checks.Level.ERROR for m in messages)
+
+
+def _follow_signals(stops: signals.SignalQueue, entry_node: node.Node) -> None:
+    """Stops at the first signal; further ones only shorten the notice."""
+    stops.wait()
+    entry_node.request_stop()
+    while True:
+        stops.wait()
+        entry_node.hasten()
--- a/savoryspar/cli/standin.py
+++ b/savoryspar/cli/standin.py
@@ -5,7 +5,17 @@
 
 from savoryspar import conf, log
 from savoryspar.cli import exit_codes
-from savoryspar.standins import engine, members, platform, pool, wsgi
+from savoryspar.standins import (
+    engine,
+    fault_proxy,
+    members,
+    plain_relay,
+    platform,
+    pool,
+    token_source,
+    weights,
+    wsgi,
+)
 
 
 class StandinCommand(command.Command):
@@ -23,6 +33,14 @@
         option("max-batch", None, "Batch size.", flag=False, default="16"),
         option("work-ms", None, "Time per call.", flag=False, default="5"),
         option("rate", None, "Calls per second.", flag=False, default="2000"),
+        option(
+            "cache-blocks", None, "Prefix cache.", flag=False, default="1024"
+        ),
+        option(
+            "prefill-us", None, "Time per new token.", flag=False, default="0"
+        ),
+        option("target", None, "IP:port to pass on to.", flag=False),
+        option("groups", None, "Batches.", flag=False, default="8"),
         option("seed", None, "Seed.", flag=False, default="1"),
         option("config", None, "Settings file of members.", flag=False),
         option("zones", None, "Zones of members.", flag=False, default="1"),
@@ -39,15 +57,30 @@
                 float(self.option("step-ms")),
                 int(self.option("max-batch")),
                 int(self.option("seed")),
+                int(self.option("cache-blocks")),
+                float(self.option("prefill-us")),
             ),
             "pool": self._new_pool_server,
             "service": self._new_pool_server,
             "platform": lambda: platform.new_platform(int(self.option("rate"))),
             "members": self._new_members,
+            "weights": lambda: weights.new_weight_store(
+                int(self.option("rate"))
+            ),
+            "plain-relay": lambda: plain_relay.new_plain_relay(
+                self.option("target")
+            ),
+            "token-source": lambda: token_source.new_token_source(
+                float(self.option("step-ms")), int(self.option("groups"))
+            ),
         }
         kind = self.argument("kind")
+        if kind == "fault-proxy":
+            return self._serve_fault_proxy()
         if kind not in factories:
-            self.line_error(f"unknown stand-in {kind!r}; use {[*factories]}")
+            self.line_error(
+                f"unknown stand-in {kind!r}; use {[*factories, 'fault-proxy']}"
+            )
             return exit_codes.USAGE
         server = factories[kind]()
         wsgi.serve("127.0.0.1", int(self.option("port")), server.handle)
@@ -63,6 +96,17 @@
             int(self.option("count")),
         )
 
+    def _serve_fault_proxy(self) -> int:
+        proxy = fault_proxy.new_fault_proxy(
+            self.option("target"),
+            int(self.option("seed")),
+            int(self.option("port")),
+        )
+        self.line(f"listening {proxy.port}")
+        self.io.output.flush()
+        wsgi.serve("127.0.0.1", 0, proxy.handle, "control")
+        return exit_codes.OK
+
     def _new_pool_server(self) -> pool.PoolServer:
         return pool.new_pool_server(
             self.option("name"), float(self.option("work-ms"))
--- a/savoryspar/cli/wiring.py
+++ b/savoryspar/cli/wiring.py
@@ -2,141 +2,146 @@
 
 import time
 
-import eventlet
-
 from savoryspar import (
     backends,
     conf,
     http,
+    idempotency,
     log,
     membership,
     metrics,
     pipelines,
+    placement,
     platform,
     routing,
     scheduling,
     sheet,
 )
-
-LEAVE_S = 0.1
-"""Time to write the last frames to peers before the process ends."""
+from savoryspar.cli import duties, links, node, suspects
 
 
-class Node:
-    """The parts of one entry process.
+def new_node(cfg: conf.Settings) -> node.Node:
+    """Builds an entry process from its settings.
 
-    Attributes:
-        server: The callers' server.
-        sheets: The sheet in force.
-        members: The peers.
+    Raises:
+        MembershipError: The certificates cannot be loaded.
+        OSError: A port is in use.
     """
-
-    __slots__ = (
-        "_app",
-        "_cfg",
-        "_logger",
-        "_router",
-        "_sheet_watch",
-        "_vm_list",
-        "members",
-        "server",
-        "sheets",
-    )
-
-    def __init__(
-        self,
-        cfg: conf.Settings,
-        app: http.App,
-        server: http.Server,
-        sheets: sheet.SheetHolder,
-        router: routing.Router,
-        sheet_watch: membership.SheetWatch,
-        vm_list: platform.VmListClient,
-        members: membership.Membership,
-    ):
-        self._cfg = cfg
-        self._app = app
-        self.server = server
-        self.sheets = sheets
-        self._router = router
-        self._sheet_watch = sheet_watch
-        self._vm_list = vm_list
-        self.members = members
-        self._logger = log.new_logger("entry")
-
-    @property
-    def peer_port(self) -> int:
-        """TCP port on which peers are served."""
-        return int(self.members.connector.address.rpartition(":")[2])
-
-    def start(self) -> None:
-        """Starts the server and the background duties."""
-        self.members.start()
-        self.server.start()
-        eventlet.spawn(self._sheet_watch.run)
-        eventlet.spawn(self._follow_vm_list)
-
-    def stop(self) -> None:
-        """Leaves: not ready first, then finishes every request."""
-        self._app.is_draining = True
-        self.members.leave(time.monotonic())
-        self._logger.notice("Draining.")
-        eventlet.sleep(self._cfg.entry.drain_notice_s)
-        self.server.stop()
-        self.members.stop(time.monotonic())
-        eventlet.sleep(LEAVE_S)
-        self._logger.notice("Stopped. Every request was answered.")
-
-    def _follow_vm_list(self) -> None:
-        while True:
-            try:
-                vms = self._vm_list.read()
-                self.members.set_listed(vm.peer_address for vm in vms)
-                servers = [
-                    backends.Server(
-                        vm.name, vm.address, vm.region, vm.zone, vm.pool
-                    )
-                    for vm in vms
-                    if vm.role == "backend" and not vm.is_leaving
-                ]
-                self._router.replace_servers(servers, time.monotonic())
-            except platform.PlatformError as exc:
-                self._logger.warning(f"VM list not read. {exc}")
-            eventlet.sleep(self._cfg.platform.vm_list_interval_s)
-
-
-def new_node(cfg: conf.Settings) -> Node:
-    """Builds an entry process from its settings."""
     sheets = sheet.new_sheet_holder()
+    decisions = log.new_decision_log(cfg.log.decision_sample_percent)
     members = membership.new_membership(cfg, time.monotonic(), time.time())
     membership.new_sheet_spreader(members, sheets, time.monotonic)
-    router = routing.new_router(
-        log.new_decision_log(cfg.log.decision_sample_percent)
-    )
-    scheduler = scheduling.new_scheduler(router.capacity)
+    router = routing.new_router(decisions, routing.new_options(cfg))
+    suspects.share_suspects(router.suspects, members)
+    client = backends.new_client()
+    scheduler = _new_scheduler(cfg, router, decisions, sheets, members)
     runner = pipelines.new_runner(
-        sheets.get, scheduler, router, backends.new_client(), time.monotonic
+        sheets.get, scheduler, router, client, time.monotonic
     )
-    app = http.new_app(
-        cfg, sheets.get, runner, metrics.new_metrics(), time.monotonic
+    desk = _new_order_desk(
+        cfg,
+        members,
+        pipelines.new_order_runner(sheets.get, runner, time.monotonic),
     )
-    return Node(
+    suspect_fetch = suspects.SuspectFetch(router.suspects, members)
+    app = http.new_app(
         cfg,
-        app,
-        http.new_server(app, cfg),
-        sheets,
-        router,
-        membership.new_sheet_watch(
-            members,
-            sheets,
-            platform.new_config_client(
-                cfg.platform.config_url,
-                cfg.platform.config_calls_per_s,
-                cfg.platform.config_burst_calls,
-            ),
-            cfg.platform.watch_timeout_s,
-            time.monotonic,
+        sheets.get,
+        runner,
+        metrics.new_metrics(),
+        time.monotonic,
+        lambda: _missing(sheets, router, suspect_fetch),
+        desk,
+    )
+    parts = node.Parts(
+        app=app,
+        decisions=decisions,
+        desk=desk,
+        dispatcher=placement.new_dispatcher(
+            links.PlacementPeers(members),
+            sheets.get,
+            placement.new_engine_client(),
+            decisions,
+            placement.new_options(cfg),
+            idempotency.read_clocks,
         ),
-        platform.new_vm_list_client(cfg.platform.vm_list_url),
-        members,
+        members=members,
+        reports=routing.new_report_reader(router, client),
+        router=router,
+        scheduler=scheduler,
+        server=http.new_server(app, cfg),
+        sheet_watch=_new_sheet_watch(cfg, members, sheets),
+        sheets=sheets,
+        suspect_fetch=suspect_fetch,
+        vm_list=platform.new_vm_list_client(cfg.platform.vm_list_url),
+    )
+    return node.Node(cfg, parts)
+
+
+def _new_scheduler(
+    cfg: conf.Settings,
+    router: routing.Router,
+    decisions: log.DecisionLog,
+    sheets: sheet.SheetHolder,
+    members: membership.Membership,
+) -> scheduling.Scheduler:
+    scheduler = scheduling.new_scheduler(
+        router.capacity, cfg.scheduling, decisions=decisions
+    )
+    own = members.view(time.monotonic()).own.incarnation
+    scheduler.peers.connect(own, lambda now: duties.zone_peers(members, now))
+    sheets.listen(
+        lambda current: scheduler.configure(current, time.monotonic())
+    )
+    return scheduler
+
+
+def _new_sheet_watch(
+    cfg: conf.Settings,
+    members: membership.Membership,
+    sheets: sheet.SheetHolder,
+) -> membership.SheetWatch:
+    client = platform.new_config_client(
+        cfg.platform.config_url,
+        cfg.platform.config_calls_per_s,
+        cfg.platform.config_burst_calls,
     )
+    return membership.new_sheet_watch(
+        members, sheets, client, cfg.platform.watch_timeout_s, time.monotonic
+    )
+
+
+def _new_order_desk(
+    cfg: conf.Settings,
+    members: membership.Membership,
+    order_runner: pipelines.OrderRunner,
+) -> idempotency.OrderDesk:
+    settings = cfg.idempotency
+    return idempotency.new_order_desk(
+        members.view(time.monotonic()).own.incarnation,
+        idempotency.new_ticket_signer(
+            settings.ticket_keys, settings.ticket_ttl_s
+        ),
+        idempotency.new_ledger(
+            settings.ledger_max_entries,
+            settings.ledger_workspace_percent,
+            settings.ledger_max_result_bytes,
+        ),
+        links.MemberLinks(members),
+        order_runner.execute,
+    )
+
+
+def _missing(
+    sheets: sheet.SheetHolder,
+    router: routing.Router,
+    suspect_fetch: suspects.SuspectFetch,
+) -> str:
+    """Returns what the process lacks before it can serve, or an empty text."""
+    if sheets.current is None:
+        return "no configuration"
+    if not router.has_servers():
+        return "no backend servers"
+    if not suspect_fetch.is_done:
+        return "no peer told of crash suspects"
+    return ""
--- a/savoryspar/http/app.py
+++ b/savoryspar/http/app.py
@@ -8,8 +8,16 @@
 
 from eventlet import wsgi
 
-from savoryspar import conf, log, metrics, pipelines, sheet
-from savoryspar.http import auth, bodies, chat, hangup, problems, streaming
+from savoryspar import conf, idempotency, log, metrics, pipelines, sheet
+from savoryspar.http import (
+    auth,
+    bodies,
+    chat,
+    hangup,
+    orders,
+    problems,
+    streaming,
+)
 
 Handler = Callable[["App", "Exchange"], Iterable[bytes]]
 MIN_DEADLINE_MS = 1
@@ -58,6 +66,8 @@
         "_current_sheet",
         "_logger",
         "_metrics",
+        "_missing",
+        "_orders",
         "_runner",
         "is_draining",
     )
@@ -69,12 +79,16 @@
         runner: pipelines.Runner,
         registry: metrics.Metrics,
         clock: Callable[[], float],
+        missing: Callable[[], str],
+        counter: orders.OrderCounter,
     ):
         self._cfg = cfg
+        self._orders = counter
         self._current_sheet = current_sheet
         self._runner = runner
         self._metrics = registry
         self._clock = clock
+        self._missing = missing
         self._logger = log.new_logger("http")
         self.is_draining = False
 
@@ -86,6 +100,11 @@
         exchange = Exchange(environ, start_response, request_id)
         try:
             return self._route(exchange)
+        except orders.TicketRequiredError as exc:
+            self._metrics.count_problem(exc.kind)
+            return orders.respond_ticket_required(
+                start_response, exc, request_id
+            )
         except pipelines.RunError as exc:
             self._metrics.count_problem(exc.kind)
             extra = [("X-Request-Id", request_id)]
@@ -101,8 +120,15 @@
     def _route(self, exchange: Exchange) -> Iterable[bytes]:
         method = exchange.environ["REQUEST_METHOD"]
         handler = _ROUTES.get((method, exchange.path))
-        if handler is None and exchange.path.startswith(PIPELINES_PATH):
-            handler = _PREFIX_ROUTES.get(method)
+        if handler is None:
+            handler = next(
+                (
+                    found
+                    for (verb, prefix), found in _PREFIX_ROUTES.items()
+                    if verb == method and exchange.path.startswith(prefix)
+                ),
+                None,
+            )
         if handler is None:
             raise problems.new_problem(
                 "not_found",
@@ -118,8 +144,8 @@
 
     def readiness(self, exchange: Exchange) -> Iterable[bytes]:
         """Answers whether the balancer should send requests."""
-        if self.is_draining or self._current_sheet() is None:
-            reason = "draining" if self.is_draining else "no configuration"
+        reason = "draining" if self.is_draining else self._missing()
+        if reason:
             return exchange.answer_json(
                 {"status": reason}, "503 Service Unavailable"
             )
@@ -144,9 +170,9 @@
         req = self._new_request(
             exchange, current, workspace, body["model"], body
         )
-        if body.get("stream"):
+        if body.get("stream") and current.is_idempotent(req.pipeline):
             return self._stream(exchange, req)
-        output = self._run(exchange, req)
+        output = self._run(exchange, current, req)
         return exchange.answer_json(
             chat.completion_document(req, output, int(time.time()))
         )
@@ -158,9 +184,9 @@
         bodies.check_max_tokens(body)
         name = exchange.path[len(PIPELINES_PATH) :]
         req = self._new_request(exchange, current, workspace, name, body)
-        if body.get("stream") is True:
+        if body.get("stream") is True and current.is_idempotent(req.pipeline):
             return self._stream(exchange, req)
-        output = self._run(exchange, req)
+        output = self._run(exchange, current, req)
         return exchange.answer_json(
             {
                 "request_id": req.request_id,
@@ -170,6 +196,19 @@
             }
         )
 
+    def issue_ticket(self, exchange: Exchange) -> Iterable[bytes]:
+        """Answers with a ticket for one order."""
+        current, workspace = self._authenticate(exchange)
+        body = self._read_body(exchange)
+        ticket = self._orders.issue(exchange.environ, current, workspace, body)
+        return exchange.answer_json(ticket, "201 Created")
+
+    def order(self, exchange: Exchange) -> Iterable[bytes]:
+        """Answers with the state of an order."""
+        _, workspace = self._authenticate(exchange)
+        text = exchange.path[len(ORDERS_PATH) :]
+        return exchange.answer_json(self._orders.state(workspace, text))
+
     def _authenticate(
         self, exchange: Exchange
     ) -> tuple[sheet.Sheet, sheet.Workspace]:
@@ -220,11 +259,17 @@
         )
 
     def _run(
-        self, exchange: Exchange, req: pipelines.Request
+        self,
+        exchange: Exchange,
+        current: sheet.Sheet,
+        req: pipelines.Request,
     ) -> dict[str, Any]:
         sock = exchange.environ["eventlet.input"].get_socket()
         with hangup.cancel_on_hangup(sock):
-            output = self._runner.run(req)
+            if current.is_idempotent(req.pipeline):
+                output = self._runner.run(req)
+            else:
+                output = self._orders.run(exchange.environ, req)
         self._metrics.count_request(req.pipeline.name, req.rank)
         return output
 
@@ -234,8 +279,9 @@
         sock = exchange.environ["eventlet.input"].get_socket()
         with hangup.cancel_on_hangup(sock):
             stream = self._runner.stream(req)
-            wsgi.WSGI_LOCAL.already_handled = True
-            streaming.relay(sock, stream, req.request_id)
+            streaming.relay(
+                sock, stream, req.request_id, self._cfg.http.relay_mode
+            )
         self._metrics.count_request(req.pipeline.name, req.rank)
         return []
 
@@ -266,15 +312,30 @@
     return max(rank, asked, key=sheet.RANKS.index)
 
 
+ORDERS_PATH = "/v1/orders/"
 PIPELINES_PATH = "/v1/pipelines/"
+_PLACEHOLDERS = {ORDERS_PATH: "{ticket}", PIPELINES_PATH: "{name}"}
 _ROUTES: dict[tuple[str, str], Handler] = {
     ("GET", "/healthz"): App.health,
     ("GET", "/readyz"): App.readiness,
     ("GET", "/metrics"): App.metrics,
     ("GET", "/v1/models"): App.models,
     ("POST", "/v1/chat/completions"): App.chat,
+    ("POST", "/v1/tickets"): App.issue_ticket,
 }
-_PREFIX_ROUTES: dict[str, Handler] = {"POST": App.pipeline}
+_PREFIX_ROUTES: dict[tuple[str, str], Handler] = {
+    ("GET", ORDERS_PATH): App.order,
+    ("POST", PIPELINES_PATH): App.pipeline,
+}
+
+
+def endpoints() -> dict[tuple[str, str], Handler]:
+    """Returns the callers' endpoints: (method, path) to handler."""
+    prefixed = {
+        (method, prefix + _PLACEHOLDERS[prefix]): handler
+        for (method, prefix), handler in _PREFIX_ROUTES.items()
+    }
+    return {**_ROUTES, **prefixed}
 
 
 def new_app(
@@ -283,6 +344,19 @@
     runner: pipelines.Runner,
     registry: metrics.Metrics,
     clock: Callable[[], float],
+    missing: Callable[[], str],
+    desk: idempotency.OrderDesk,
 ) -> App:
-    """Returns the application over the given parts."""
-    return App(cfg, current_sheet, runner, registry, clock)
+    """Returns the application over the given parts.
+
+    Args:
+        cfg: The settings.
+        current_sheet: Returns the sheet in force, or None.
+        runner: Runs requests.
+        registry: Counts requests.
+        clock: Returns the monotonic time in seconds.
+        missing: Returns what the process lacks before it can serve, or "".
+        desk: Runs orders at most once.
+    """
+    counter = orders.OrderCounter(desk, clock)
+    return App(cfg, current_sheet, runner, registry, clock, missing, counter)
--- a/savoryspar/log/setup.py
+++ b/savoryspar/log/setup.py
@@ -2,29 +2,31 @@
 
 import json
 import sys
+from typing import TextIO
 
 import logbook
 
-PARTS = (
-    "entry",
-    "http",
-    "scheduling",
-    "routing",
-    "pipelines",
-    "membership",
-    "sheet",
-    "platform",
-    "placement",
-    "idempotency",
-    "standin",
-    "bench",
-)
+PARTS = {
+    "entry": "Start, drain and end of an entry process.",
+    "http": "Callers' connections.",
+    "scheduling": "Admission, refusals and slot shares.",
+    "routing": "The backend server chosen for each stage call.",
+    "pipelines": "Retries and resumed streams.",
+    "membership": "Peers, links and suspected processes.",
+    "sheet": "Sheets put in force or refused.",
+    "platform": "The configuration service and the VM list.",
+    "placement": "Models on engines and the orders sent for them.",
+    "idempotency": "Tickets, forwarded orders and hand-over.",
+    "standin": "Stand-ins of outside systems.",
+    "bench": "The bench.",
+}
+"""What each part logs, by the prefix of its lines."""
 
 
 def new_logger(part: str) -> logbook.Logger:
     """Returns the logger of a part; its lines start with ``[part]``."""
     if part not in PARTS:
-        raise ValueError(f"unknown part {part!r}; use one of {PARTS}")
+        raise ValueError(f"unknown part {part!r}; use one of {[*PARTS]}")
     return logbook.Logger(part)
 
 
@@ -35,9 +37,16 @@
         level: Lowest level that is written, for example ``info``.
         format_name: ``plain`` or ``json``.
     """
-    handler = logbook.StreamHandler(sys.stderr, level=level.upper())
+    new_handler(sys.stderr, level, format_name).push_application()
+
+
+def new_handler(
+    stream: TextIO, level: str, format_name: str
+) -> logbook.StreamHandler:
+    """Returns a handler that writes log lines to a stream."""
+    handler = logbook.StreamHandler(stream, level=level.upper())
     handler.formatter = _FORMATTERS[format_name]
-    handler.push_application()
+    return handler
 
 
 def _plain(record: logbook.LogRecord, handler: logbook.Handler) -> str:
--- a/savoryspar/membership/rows.py
+++ b/savoryspar/membership/rows.py
@@ -57,15 +57,6 @@
     }
 
 
-def changed_rows(old: sheet.Rows, new: sheet.Rows) -> sheet.Changes:
-    """Returns the rows that turn the old ones into the new ones."""
-    changes: dict = {
-        item: fields for item, fields in new.items() if old.get(item) != fields
-    }
-    changes.update({item: None for item in old if item not in new})
-    return changes
-
-
 def encode_changes(changes: sheet.Changes) -> Encoded:
     """Returns the changes as they are sent."""
     return [
--- a/savoryspar/membership/service.py
+++ b/savoryspar/membership/service.py
@@ -248,6 +248,10 @@
         """Takes the peer addresses of the VM list."""
         self._upkeep.listed = frozenset(filter(None, addresses))
 
+    def is_alone(self) -> bool:
+        """Tells whether the VM list names this process and no other."""
+        return self._upkeep.listed == {self.connector.address}
+
     def _tick_always(self) -> None:
         while not self._is_stopped:
             self._upkeep.tick(time.monotonic(), time.time())
--- a/savoryspar/membership/spread.py
+++ b/savoryspar/membership/spread.py
@@ -85,7 +85,7 @@
     def _spread(self, accepted: sheet.Sheet) -> None:
         """Remembers the delta to the former sheet and sends it on."""
         former, self._last = self._last, accepted
-        changes = rows.changed_rows(
+        changes = sheet.changes_between(
             former.rows if former else {}, accepted.rows
         )
         previous = former.revision if former else 0
@@ -121,7 +121,7 @@
             self._start_fetch(sender, revision)
             return
         changes = rows.decode_changes(encoded)
-        if sheet.updated_digest(current, changes) != digest:
+        if sheet.delta_digest(current, changes) != digest:
             self._start_fetch(sender, revision)
             return
         self._offer(current, changes, revision, digest, sender)
@@ -147,7 +147,7 @@
             else:
                 offered = sheet.run_beside(
                     len(changes),
-                    sheet.update_sheet,
+                    sheet.apply_delta,
                     base,
                     changes,
                     revision,
--- a/savoryspar/sheet/__init__.py
+++ b/savoryspar/sheet/__init__.py
@@ -1,5 +1,11 @@
 """The planners' sheet: model, CSV, keys of the configuration service."""
 
+from savoryspar.sheet.delta import (
+    Changes,
+    apply_delta,
+    changes_between,
+    delta_digest,
+)
 from savoryspar.sheet.diff import Change, diff_rows
 from savoryspar.sheet.exceptions import RevisionConflictError, SheetError
 from savoryspar.sheet.holder import SheetHolder, new_sheet_holder
@@ -17,7 +23,6 @@
     new_sheet,
     render_keys,
     row_digest,
-    updated_digest,
 )
 from savoryspar.sheet.model import (
     RANKS,
@@ -33,5 +38,4 @@
 from savoryspar.sheet.offload import run as run_beside
 from savoryspar.sheet.parse import parse_csv, read_rows
 from savoryspar.sheet.reader import read_sheet, refresh
-from savoryspar.sheet.update import Changes, update_sheet
 from savoryspar.sheet.validate import build_sheet
--- a/savoryspar/sheet/keys.py
+++ b/savoryspar/sheet/keys.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable, Mapping
 import hashlib
 import json
+import sys
 
 from savoryspar.sheet import exceptions, model, validate
 
@@ -11,7 +12,9 @@
 MAX_CHANGES_BYTES = 900_000
 """The service stores values up to 1 MB."""
 
-_DIGEST_MODULUS = 2**256
+DIGEST_MODULUS = 2**256
+_SHARED_LENGTH = 16
+"""Texts up to this length repeat in many rows, so they are kept once."""
 
 
 class Manifest:
@@ -22,9 +25,10 @@
         previous: Revision that the changes apply to.
         digest: Content digest after the changes, in hexadecimal.
         changes: Changed rows by (table, name); None removes the row.
+        buckets: Digest of each bucket that is not empty, by its number.
     """
 
-    __slots__ = ("changes", "digest", "previous", "revision")
+    __slots__ = ("buckets", "changes", "digest", "previous", "revision")
 
     def __init__(
         self,
@@ -32,11 +36,13 @@
         previous: int,
         digest: str,
         changes: Mapping[tuple[str, str], Mapping[str, str] | None],
+        buckets: Mapping[int, int],
     ):
         self.revision = revision
         self.previous = previous
         self.digest = digest
         self.changes = changes
+        self.buckets = buckets
 
 
 def row_digest(item: tuple[str, str], fields: Mapping[str, str] | None) -> int:
@@ -53,19 +59,7 @@
     A sum can be updated row by row, so a delta is checked without the rest.
     """
     total = sum(row_digest(item, fields) for item, fields in rows.items())
-    return f"{total % _DIGEST_MODULUS:064x}"
-
-
-def updated_digest(
-    base: model.Sheet,
-    changes: Mapping[tuple[str, str], Mapping[str, str] | None],
-) -> str:
-    """Returns the content digest after the changes."""
-    total = int(base.digest, 16) + sum(
-        row_digest(item, fields or None) - row_digest(item, base.rows.get(item))
-        for item, fields in changes.items()
-    )
-    return f"{total % _DIGEST_MODULUS:064x}"
+    return f"{total % DIGEST_MODULUS:064x}"
 
 
 def bucket_digests(rows: model.Rows) -> dict[int, int]:
@@ -92,10 +86,12 @@
     rows: model.Rows, revision: int, previous: int, previous_rows: model.Rows
 ) -> dict[str, str]:
     """Returns the keys that an operator publishes for a revision."""
+    # A first revision has no predecessor that changes could apply to; all its
+    # rows in one key would exceed the service's limit for a value.
     changed = {
         item
         for item in {*rows, *previous_rows}
-        if rows.get(item) != previous_rows.get(item)
+        if previous and rows.get(item) != previous_rows.get(item)
     }
     changes = [[*item, rows.get(item)] for item in sorted(changed)]
     if not previous_rows or len(json.dumps(changes)) > MAX_CHANGES_BYTES:
@@ -106,6 +102,10 @@
         "previous": previous,
         "digest": content_digest(rows),
         "changes": changes,
+        "buckets": {
+            f"{number:02x}": f"{digest:016x}"
+            for number, digest in sorted(bucket_digests(rows).items())
+        },
     }
     buckets: dict[int, list] = {}
     for item, fields in sorted(rows.items()):
@@ -133,8 +133,12 @@
             previous=int(data["previous"]),
             digest=str(data["digest"]),
             changes=dict(_items(data["changes"])),
+            buckets={
+                int(number, 16): int(digest, 16)
+                for number, digest in data["buckets"].items()
+            },
         )
-    except (ValueError, KeyError, TypeError) as exc:
+    except (ValueError, KeyError, TypeError, AttributeError) as exc:
         raise _not_decodable("manifest", exc) from exc
 
 
@@ -149,7 +153,17 @@
 def _items(
     rows: Iterable[list],
 ) -> Iterable[tuple[tuple[str, str], dict[str, str] | None]]:
-    return (((table, name), fields) for table, name, fields in rows)
+    return (
+        (
+            (sys.intern(table), name),
+            fields and {sys.intern(f): _shared(v) for f, v in fields.items()},
+        )
+        for table, name, fields in rows
+    )
+
+
+def _shared(text: str) -> str:
+    return sys.intern(text) if len(text) <= _SHARED_LENGTH else text
 
 
 def _not_decodable(kind: str, exc: Exception) -> exceptions.SheetError:
@@ -167,8 +181,13 @@
     changes: Mapping[tuple[str, str], Mapping[str, str] | None],
 ) -> dict[tuple[str, str], Mapping[str, str]]:
     """Returns the rows after the changes."""
-    merged = {**rows, **changes}
-    return {item: fields for item, fields in merged.items() if fields}
+    merged = dict(rows)
+    for item, fields in changes.items():
+        if fields:
+            merged[item] = fields
+        else:
+            merged.pop(item, None)
+    return merged
 
 
 def new_sheet(rows: model.Rows, revision: int, digest: str) -> model.Sheet:
--- a/savoryspar/sheet/model.py
+++ b/savoryspar/sheet/model.py
@@ -184,15 +184,13 @@
         self.models = models
         self.works = works
         self.pipelines = pipelines
-        self.workspace_by_key = (
-            {
+        if workspace_by_key is None:
+            workspace_by_key = {
                 digest: workspace.name
                 for workspace in workspaces.values()
                 for digest in workspace.key_digests
             }
-            if workspace_by_key is None
-            else workspace_by_key
-        )
+        self.workspace_by_key = workspace_by_key
 
     def is_idempotent(self, pipeline: Pipeline) -> bool:
         """Tells whether every stage of the pipeline may be repeated."""
