--- a/savoryspar/pipelines/streaming.py
+++ b/savoryspar/pipelines/streaming.py
@@ -11,8 +11,8 @@
     from savoryspar.pipelines import runner as runner_lib
 
 DONE = b"[DONE]"
-CHARGE_EVENTS = 16
-"""Events between two corrections of the account, which cost time each."""
+CHARGE_BYTES = 4096
+"""Bytes between two corrections of the account, which cost time each."""
 DONE_CHUNK = b"e\r\ndata: [DONE]\n\n\r\n"
 
 
@@ -24,6 +24,7 @@
     """
 
     __slots__ = (
+        "_charge_at",
         "_charged",
         "_choice",
         "_grant",
@@ -53,6 +54,7 @@
         self._is_ended = False
         self.tokens = 0
         self._charged = 0
+        self._charge_at = CHARGE_BYTES
         cost = bodies.stage_cost(req, runner.sheet().pools[stage.pool])
         self._grant = runner.admit(req, stage, cost)
         try:
@@ -112,11 +114,10 @@
             self._end(routing.Outcome.CANCELLED)
 
     def _take(self, data: bytes) -> None:
-        self._relayed += data
-        if (
-            self._stream
-            and self._stream.events - self._charged >= CHARGE_EVENTS
-        ):
+        # Runs for every token, so it compares lengths instead of events.
+        relayed = self._relayed
+        relayed += data
+        if len(relayed) >= self._charge_at:
             self._charge()
 
     def _open(self) -> None:
@@ -179,6 +180,7 @@
         events = self._stream.events
         self._grant.charge(float(events - self._charged), self._runner.clock())
         self._charged = events
+        self._charge_at = len(self._relayed) + CHARGE_BYTES
 
 
 def relayed_text(relayed: bytes | bytearray) -> tuple[str, int]:
