Measure a chunk's CPU without the duties of the process

Cause: with 224 streams open and silent the process uses 60 ms of CPU a second for membership, reports and scheduling, against 200 ms with 4,443 tokens/s.

--- a/savoryspar/standins/token_source.py
+++ b/savoryspar/standins/token_source.py
@@ -81,16 +81,20 @@
 class TokenSource:
     """Sends a token to each stream once a step."""
 
-    __slots__ = ("_groups", "_next_group", "_step_s")
+    __slots__ = ("_groups", "_is_paused", "_next_group", "_step_s")
 
     def __init__(self, step_s: float, groups: int):
         self._step_s = step_s
+        self._is_paused = False
         self._groups: list[list[Stream]] = [[] for _ in range(groups)]
         self._next_group = itertools.cycle(self._groups)
         eventlet.spawn(self._drive)
 
     def handle(self, exchange: wsgi.Exchange) -> Any:
-        """Answers one request."""
+        """Answers one request; ``/control`` pauses all streams."""
+        if exchange.path == "/control":
+            self._is_paused = bool(exchange.read_json()["is_paused"])
+            return exchange.answer({"is_paused": self._is_paused})
         if exchange.path != "/v1/chat/completions":
             return exchange.answer({"error": "no such path"}, "404 Not Found")
         body = exchange.read_json()
@@ -118,6 +122,8 @@
         for group in itertools.cycle(self._groups):
             due_at += gap_s
             eventlet.sleep(max(0.0, due_at - time.monotonic()))
+            if self._is_paused:
+                continue
             over = [s for s in group if s.step(time.monotonic_ns())]
             for stream in over:
                 group.remove(stream)
