--- a/savoryspar/bench/catalog.py
+++ b/savoryspar/bench/catalog.py
@@ -7,6 +7,7 @@
     decisions,
     membership,
     orders,
+    placement,
     relay,
     rolling,
     routing,
@@ -20,11 +21,11 @@
 
 SCENARIOS: Mapping[str, Scenario] = {
     "orders": orders.orders,
+    "placement-window": placement.window,
     "order-owners": orders.owners,
     "relay-cost": relay.relay_cost,
     "relay-gap": relay.relay_gap,
     "rolling": rolling.rolling_replacement,
-    "state": state.state_memory,
     "sched-bulk-flood": scheduling.bulk_flood,
     "sched-urgent-flood": scheduling.urgent_flood,
     "sched-small": scheduling.small_and_large,
@@ -43,4 +44,5 @@
     "config-spread": membership.configuration_spread,
     "stale-service": membership.stale_service,
     "control-traffic": membership.control_traffic,
+    "state": state.state_memory,
 }
