Put a proxy before servers that the VM list names by address

Cause: matching by name only left a token source that is listed under sixteen names without its proxy, and the slope of bytes for each token read 0.

--- a/savoryspar/bench/fleet.py
+++ b/savoryspar/bench/fleet.py
@@ -284,7 +284,8 @@
         """
         proxy = self.start_proxy(f"proxy-{process.name}", process.address, seed)
         for vm in self.vms:
-            if vm["name"] == process.name:
+            is_named = vm.get("address") == process.address
+            if is_named or vm["name"] == process.name:
                 vm["address"] = proxy.address
         return proxy
 
