--- a/tests/http/test_bad_input.py
+++ b/tests/http/test_bad_input.py
@@ -19,6 +19,7 @@
     def setUpClass(cls):
         super().setUpClass()
         cls.fleet = fleet_lib.Fleet()
+        cls.addClassCleanup(cls.fleet.close)
         cls.entry = deployments.start(
             deployments.GESTO,
             cls.fleet,
@@ -29,11 +30,6 @@
             },
         )[0]
 
-    @classmethod
-    def tearDownClass(cls):
-        cls.fleet.close()
-        super().tearDownClass()
-
     def tearDown(self):
         status, _ = self.send(STATUS, b"{}")
         self.assertEqual(200, status, "the process no longer serves")
--- a/tests/http/test_openai_client.py
+++ b/tests/http/test_openai_client.py
@@ -15,15 +15,11 @@
     def setUpClass(cls):
         super().setUpClass()
         cls.fleet = fleet_lib.Fleet()
+        cls.addClassCleanup(cls.fleet.close)
         cls.entry = deployments.start(
             deployments.GESTO, cls.fleet, entries=1, backends_share=0.1
         )[0]
 
-    @classmethod
-    def tearDownClass(cls):
-        cls.fleet.close()
-        super().tearDownClass()
-
     def new_client(self, key="key-calle-libre"):
         return openai.OpenAI(
             base_url=f"{self.entry.url}/v1", api_key=key, max_retries=0
--- a/tests/http/test_stream_fuzz.py
+++ b/tests/http/test_stream_fuzz.py
@@ -43,15 +43,11 @@
     def setUpClass(cls):
         super().setUpClass()
         cls.fleet = fleet_lib.Fleet()
+        cls.addClassCleanup(cls.fleet.close)
         cls.entry = deployments.start(
             deployments.GESTO, cls.fleet, entries=1, backends_share=0.1
         )[0]
 
-    @classmethod
-    def tearDownClass(cls):
-        cls.fleet.close()
-        super().tearDownClass()
-
     def start_engine(self, script):
         engine = scripted_engine.ScriptedEngine(script)
         self.addCleanup(engine.close)
