--- a/savoryspar/bench/order_world.py
+++ b/savoryspar/bench/order_world.py
@@ -1,7 +1,7 @@
-"""Order desks in one process, over a network and a service with faults.
+"""Order services in one process, over a network and a service with faults.
 
-The desks are those of the entry processes; only the links, the clocks and the
-service are stand-ins. A seed decides every fault.
+The order services are those of the entry processes; only the links, the clocks
+and the plain service are stand-ins. A seed decides every fault.
 """
 
 import collections
@@ -31,7 +31,7 @@
 
 
 class Links:
-    """The links of one desk."""
+    """The links of one service."""
 
     __slots__ = ("_handlers", "_name", "_world")
 
@@ -56,29 +56,29 @@
         return self._world.carry(self._name, incarnation, kind, body)
 
     def broadcast(self, kind: str, body: Any) -> None:
-        """Tells all desks; each may miss it."""
+        """Tells all services; each may miss it."""
         self._world.spread(self._name, kind, body)
 
     def is_live(self, incarnation: str, now: float) -> bool:
-        """Tells whether the desk runs."""
+        """Tells whether the order service runs."""
         del now
-        return incarnation in self._world.desks
+        return incarnation in self._world.services
 
     def peers(self, now: float) -> list[str]:
-        """Returns the other desks that are not leaving."""
+        """Returns the other services that are not leaving."""
         del now
         return [
             name
-            for name in self._world.desks
+            for name in self._world.services
             if name != self._name and name not in self._world.leaving
         ]
 
 
 class OrderWorld:
-    """Desks, the network between them and the service with its book.
+    """Order services, the network between them and the service with its book.
 
     Attributes:
-        desks: Running desks by incarnation.
+        services: Running order services by incarnation.
         leaving: Incarnations that are leaving.
         runs: Sends that ran, by nonce of the ticket.
     """
@@ -89,18 +89,18 @@
         self._started = 0
         self._delayed: collections.deque[tuple] = collections.deque()
         self._links: dict[str, Links] = {}
-        self.desks: dict[str, idempotency.OrderDesk] = {}
+        self.services: dict[str, idempotency.OrderService] = {}
         self.leaving: set[str] = set()
         self.runs: dict[str, list[str]] = {}
         for _ in range(count):
-            self.start_desk()
+            self.start_service()
 
-    def start_desk(self) -> None:
+    def start_service(self) -> None:
         """Starts a process."""
         self._started += 1
         name = f"inc-{self._started}"
         self._links[name] = Links(self, name)
-        self.desks[name] = idempotency.new_order_desk(
+        self.services[name] = idempotency.new_order_service(
             name,
             idempotency.new_ticket_signer(KEYS, TTL_S),
             idempotency.new_ledger(5000, 100.0, 100_000),
@@ -111,26 +111,26 @@
 
     def kill_one(self) -> None:
         """Kills a process and starts another one."""
-        del self.desks[self._rng.choice([*self.desks])]
-        self.start_desk()
+        del self.services[self._rng.choice([*self.services])]
+        self.start_service()
 
     def replace_one(self) -> None:
         """Replaces a process gracefully."""
-        name = self._rng.choice([*self.desks])
-        self.start_desk()
+        name = self._rng.choice([*self.services])
+        self.start_service()
         self.leaving.add(name)
-        self.desks[name].shut_down(1.0)
-        del self.desks[name]
+        self.services[name].shut_down(1.0)
+        del self.services[name]
 
-    def any_desk(self) -> idempotency.OrderDesk:
-        """Returns a desk that a balancer would choose."""
-        names = [name for name in self.desks if name not in self.leaving]
-        return self.desks[self._rng.choice(names)]
+    def any_service(self) -> idempotency.OrderService:
+        """Returns a service that a balancer would choose."""
+        names = [name for name in self.services if name not in self.leaving]
+        return self.services[self._rng.choice(names)]
 
     def send(
         self, ticket: idempotency.Ticket, send_id: str, number: int
     ) -> Any:
-        """Sends an order to any desk and returns the answer."""
+        """Sends an order to any service and returns the answer."""
         order = idempotency.Order(
             send_id,
             ticket.text,
@@ -142,13 +142,13 @@
             TIMEOUT_S,
         )
         self._now += STEP_S
-        return self.any_desk().run(order)
+        return self.any_service().run(order)
 
     def carry(self, sender: str, target: str, kind: str, body: Any) -> Any:
         """Carries a request and its reply, or loses, doubles, delays them."""
         self._now += STEP_S
         self._deliver_delayed()
-        if target not in self.desks:
+        if target not in self.services:
             raise LostError(has_sent=False)
         chance = self._rng.random()
         if chance < LOSS:
@@ -164,8 +164,8 @@
         return reply
 
     def spread(self, sender: str, kind: str, body: Any) -> None:
-        """Carries a broadcast to every desk, which may miss it."""
-        for name in [*self.desks]:
+        """Carries a broadcast to every service, which may miss it."""
+        for name in [*self.services]:
             if name != sender and self._rng.random() >= LOSS:
                 self._links[name].serve(sender, kind, body)
 
@@ -173,7 +173,7 @@
         is_due = len(self._delayed) > MAX_DELAYED or self._rng.random() < 0.1
         if self._delayed and is_due:
             sender, target, kind, body = self._delayed.popleft()
-            if target in self.desks:
+            if target in self.services:
                 eventlet.spawn_n(self._links[target].serve, sender, kind, body)
 
     def _read_clocks(self) -> idempotency.Moment:
@@ -220,7 +220,7 @@
         self, ticket: idempotency.Ticket, send_id: str, number: int
     ) -> idempotency.Answer:
         """Runs the order in any process unless it remembers it."""
-        name = self._rng.choice([*self.desks])
+        name = self._rng.choice([*self.services])
         key = (name, ticket.nonce)
         if key not in self._known:
             order = idempotency.Order(
--- a/savoryspar/bench/owner_designs.py
+++ b/savoryspar/bench/owner_designs.py
@@ -150,7 +150,7 @@
 def by_ticket(
     scene: Scene, key: int, issuer: Entry, at_entry: Entry, at: float
 ) -> bool:
-    """The issuer of the ticket, or its heir after a graceful shutdown."""
+    """The issuer of the ticket, or its successor after a graceful shutdown."""
     del key
     if not issuer.is_alive(at):
         return scene.event == EVENTS[2]
--- a/savoryspar/bench/scenarios/orders.py
+++ b/savoryspar/bench/scenarios/orders.py
@@ -24,7 +24,7 @@
 RESEND_S = 0.05
 SERVICE_WORK_MS = 2
 MODEL_WORKERS = 8
-MODEL_DESKS = 5
+MODEL_SERVICES = 5
 BASELINE_SENDS = 5000
 KILL_EVERY, REPLACE_EVERY = 900, 700
 START_S = 2.5
@@ -126,7 +126,7 @@
 
 
 class ModelRun:
-    """Callers of desks in one process over a network with faults."""
+    """Callers of services in one process over a network with faults."""
 
     def __init__(
         self,
@@ -137,7 +137,7 @@
         self.tally = order_tally.Tally()
         self._sends = sends
         self._rng = random.Random(seed)
-        self._world = new_world(seed, MODEL_DESKS)
+        self._world = new_world(seed, MODEL_SERVICES)
         self._numbers = iter(range(10**9))
 
     def play(self) -> dict[str, list[str]]:
@@ -156,7 +156,7 @@
             if number % REPLACE_EVERY == REPLACE_EVERY - 1:
                 self._world.replace_one()
             try:
-                ticket = self._world.any_desk().issue("w", "p")
+                ticket = self._world.any_service().issue("w", "p")
             except idempotency.LedgerFullError:
                 eventlet.sleep(0)
                 continue
--- a/savoryspar/cli/entry.py
+++ b/savoryspar/cli/entry.py
@@ -58,4 +58,4 @@
     entry_node.request_stop()
     while True:
         stops.wait()
-        entry_node.hasten()
+        entry_node.shorten_notice()
--- a/savoryspar/cli/links.py
+++ b/savoryspar/cli/links.py
@@ -1,4 +1,4 @@
-"""Gives the order desk and placement their peers through the membership."""
+"""Gives the order service and placement their peers through the membership."""
 
 from collections.abc import Callable, Iterable, Sequence
 import time
@@ -8,7 +8,7 @@
 
 
 class MemberLinks:
-    """The messages of the order desk, carried by the membership."""
+    """The messages of the order service, carried by the membership."""
 
     __slots__ = ("_members",)
 
--- a/savoryspar/cli/node.py
+++ b/savoryspar/cli/node.py
@@ -31,9 +31,9 @@
     __slots__ = (
         "app",
         "decisions",
-        "desk",
         "dispatcher",
         "members",
+        "orders",
         "reports",
         "router",
         "scheduler",
@@ -48,7 +48,7 @@
         self,
         app: http.App,
         decisions: log.DecisionLog,
-        desk: idempotency.OrderDesk,
+        orders: idempotency.OrderService,
         dispatcher: placement.Dispatcher,
         members: membership.Membership,
         reports: routing.ReportReader,
@@ -62,7 +62,7 @@
     ):
         self.app = app
         self.decisions = decisions
-        self.desk = desk
+        self.orders = orders
         self.dispatcher = dispatcher
         self.members = members
         self.reports = reports
@@ -144,7 +144,7 @@
         if not self.stop_requested.ready():
             self.stop_requested.send(None)
 
-    def hasten(self) -> None:
+    def shorten_notice(self) -> None:
         """Ends the notice that the balancer gets before the listener closes."""
         if not self._hastened.ready():
             self._hastened.send(None)
@@ -159,7 +159,7 @@
         with eventlet.Timeout(self._cfg.entry.drain_notice_s, False):
             self._hastened.wait()
         parts.server.stop()
-        parts.desk.shut_down(self._cfg.idempotency.handover_timeout_s)
+        parts.orders.shut_down(self._cfg.idempotency.handover_timeout_s)
         parts.members.stop(time.monotonic())
         eventlet.sleep(LEAVE_S)
         self._logger.notice("Stopped. Every request was answered.")
--- a/savoryspar/cli/suspects.py
+++ b/savoryspar/cli/suspects.py
@@ -36,7 +36,7 @@
 class SuspectFetch:
     """Asks one peer for the crashes that were met before this start.
 
-    Without it, a process that replaces another would run a condemned request
+    Without it, a process that replaces another would run a blocked request
     again.
 
     Attributes:
--- a/savoryspar/cli/wiring.py
+++ b/savoryspar/cli/wiring.py
@@ -38,7 +38,7 @@
     runner = pipelines.new_runner(
         sheets.get, scheduler, router, client, time.monotonic
     )
-    desk = _new_order_desk(
+    orders = _new_order_service(
         cfg,
         members,
         pipelines.new_order_runner(sheets.get, runner, time.monotonic),
@@ -51,12 +51,12 @@
         metrics.new_metrics(),
         time.monotonic,
         lambda: _missing(sheets, router, suspect_fetch),
-        desk,
+        orders,
     )
     parts = node.Parts(
         app=app,
         decisions=decisions,
-        desk=desk,
+        orders=orders,
         dispatcher=placement.new_dispatcher(
             links.PlacementPeers(members),
             sheets.get,
@@ -111,13 +111,13 @@
     )
 
 
-def _new_order_desk(
+def _new_order_service(
     cfg: conf.Settings,
     members: membership.Membership,
     order_runner: pipelines.OrderRunner,
-) -> idempotency.OrderDesk:
+) -> idempotency.OrderService:
     settings = cfg.idempotency
-    return idempotency.new_order_desk(
+    return idempotency.new_order_service(
         members.view(time.monotonic()).own.incarnation,
         idempotency.new_ticket_signer(
             settings.ticket_keys, settings.ticket_ttl_s
--- a/savoryspar/http/app.py
+++ b/savoryspar/http/app.py
@@ -80,10 +80,10 @@
         registry: metrics.Metrics,
         clock: Callable[[], float],
         missing: Callable[[], str],
-        counter: orders.OrderCounter,
+        order_endpoints: orders.OrderEndpoints,
     ):
         self._cfg = cfg
-        self._orders = counter
+        self._orders = order_endpoints
         self._current_sheet = current_sheet
         self._runner = runner
         self._metrics = registry
@@ -349,7 +349,7 @@
     registry: metrics.Metrics,
     clock: Callable[[], float],
     missing: Callable[[], str],
-    desk: idempotency.OrderDesk,
+    order_service: idempotency.OrderService,
 ) -> App:
     """Returns the application over the given parts.
 
@@ -360,7 +360,9 @@
         registry: Counts requests.
         clock: Returns the monotonic time in seconds.
         missing: Returns what the process lacks before it can serve, or "".
-        desk: Runs orders at most once.
+        order_service: Runs orders at most once.
     """
-    counter = orders.OrderCounter(desk, clock)
-    return App(cfg, current_sheet, runner, registry, clock, missing, counter)
+    order_endpoints = orders.OrderEndpoints(order_service, clock)
+    return App(
+        cfg, current_sheet, runner, registry, clock, missing, order_endpoints
+    )
--- a/savoryspar/http/orders.py
+++ b/savoryspar/http/orders.py
@@ -47,13 +47,15 @@
     """An order has no output; its run state is what its owner can prove."""
 
 
-class OrderCounter:
+class OrderEndpoints:
     """Issues tickets, runs orders and tells their state, for callers."""
 
-    __slots__ = ("_clock", "_desk")
+    __slots__ = ("_clock", "_orders")
 
-    def __init__(self, desk: idempotency.OrderDesk, clock: Callable[[], float]):
-        self._desk = desk
+    def __init__(
+        self, orders: idempotency.OrderService, clock: Callable[[], float]
+    ):
+        self._orders = orders
         self._clock = clock
 
     def issue(
@@ -134,7 +136,7 @@
             idempotency.key_digest(_key(environ)),
             req.deadline_at - self._clock(),
         )
-        found = self._ask(lambda: self._desk.run(order))
+        found = self._ask(lambda: self._orders.run(order))
         if found.kind:
             raise _problem(found)
         return found.output
@@ -146,7 +148,7 @@
             RunError: There is no such ticket, or its owner gives no answer.
         """
         found = self._ask(
-            lambda: self._desk.state(text, workspace.name, STATE_TIMEOUT_S)
+            lambda: self._orders.state(text, workspace.name, STATE_TIMEOUT_S)
         )
         if found.kind == "order_unknown" and not found.is_final:
             raise _problem(found)
@@ -168,7 +170,7 @@
         pipeline: sheet.Pipeline,
     ) -> idempotency.Ticket:
         try:
-            return self._desk.issue(
+            return self._orders.issue(
                 workspace.name, pipeline.name, _key(environ)
             )
         except idempotency.LedgerFullError as exc:
--- a/savoryspar/idempotency/__init__.py
+++ b/savoryspar/idempotency/__init__.py
@@ -2,7 +2,6 @@
 
 from savoryspar.idempotency.answer import Answer, RunState, unknown
 from savoryspar.idempotency.clocks import Moment, read_clocks
-from savoryspar.idempotency.desk import OrderDesk, key_digest, new_order_desk
 from savoryspar.idempotency.exceptions import (
     LedgerFullError,
     OrderError,
@@ -11,6 +10,11 @@
 from savoryspar.idempotency.ledger import Ledger, new_ledger
 from savoryspar.idempotency.links import Links, NoLinks
 from savoryspar.idempotency.order import Order
+from savoryspar.idempotency.service import (
+    OrderService,
+    key_digest,
+    new_order_service,
+)
 from savoryspar.idempotency.ticket import (
     Ticket,
     TicketSigner,
--- a/savoryspar/idempotency/handover.py
+++ b/savoryspar/idempotency/handover.py
@@ -2,8 +2,8 @@
 
 The owner closes its ledger for good before it sends anything. It sends to a
 second peer only when no byte to the first one can have left or the first one
-refused for good, so a lost confirmation never makes two heirs. The heir takes
-effect when it holds every part, and tells all members itself.
+refused for good, so a lost confirmation never makes two successors. The
+successor takes effect when it holds every part, and tells all members itself.
 """
 
 from collections.abc import Callable, Iterator
@@ -26,8 +26,8 @@
 )
 
 HANDOVER = "handover"
-HEIR = "order_heir"
-LOOK_UP = "order_heir_of"
+SUCCESSOR = "order_successor"
+LOOK_UP = "order_successor_of"
 PART_BYTES = 200_000
 ENTRY_BYTES = 400
 """Estimate of an entry without its result in a message."""
@@ -36,16 +36,15 @@
 LOOK_UP_PEERS = 2
 LOOK_UP_TIMEOUT_S = 0.2
 MAX_INHERITED_ENTRIES = 40_000
-MAX_HEIRS = 10_000
-"""Incarnations whose heirs are remembered; the oldest is forgotten first."""
+MAX_SUCCESSORS = 10_000
+"""Incarnations whose successors are kept; the oldest goes first."""
 
 
-class Heirs:
+class Successors:
     """Who answers for which incarnation, as far as this process knows."""
 
     __slots__ = (
         "_clocks",
-        "_heir_of",
         "_incarnation",
         "_inherited",
         "_links",
@@ -53,6 +52,7 @@
         "_own",
         "_parts",
         "_refused",
+        "_successor_of",
     )
 
     def __init__(
@@ -69,18 +69,18 @@
         self._inherited: dict[str, ledger_lib.Ledger] = {}
         self._parts: dict[str, dict[int, list[dict[str, Any]]]] = {}
         self._refused: set[str] = set()
-        self._heir_of: dict[str, str] = {}
+        self._successor_of: dict[str, str] = {}
         self._logger = log.new_logger("idempotency")
         links.handle(HANDOVER, self._serve_handover)
-        links.handle(HEIR, self._serve_heir)
+        links.handle(SUCCESSOR, self._serve_successor)
         links.handle(LOOK_UP, self._serve_look_up)
 
     def ledger_of(self, incarnation: str) -> ledger_lib.Ledger | None:
         """Returns the ledger with which this process answers, or None.
 
-        It is None once the heir of this process is known.
+        It is None once the successor of this process is known.
         """
-        if self._incarnation in self._heir_of:
+        if self._incarnation in self._successor_of:
             return None
         if incarnation == self._incarnation:
             return self._own
@@ -89,19 +89,19 @@
     def owner_of(self, incarnation: str) -> str:
         """Returns who answers for an incarnation, along all hand-overs."""
         seen = {incarnation}
-        while incarnation in self._heir_of:
-            incarnation = self._heir_of[incarnation]
+        while incarnation in self._successor_of:
+            incarnation = self._successor_of[incarnation]
             if incarnation in seen:
                 break
             seen.add(incarnation)
         return incarnation
 
     def look_up(self, incarnation: str) -> None:
-        """Asks peers for the heir of an incarnation that is gone.
+        """Asks peers for the successor of an incarnation that is gone.
 
         A process that started after the broadcast has not heard of it.
         """
-        if incarnation in self._heir_of:
+        if incarnation in self._successor_of:
             return
         peers = self._links.peers(self._clocks().monotonic_s)
         for peer in peers[:LOOK_UP_PEERS]:
@@ -111,8 +111,8 @@
                 )
             except errors.SavorysparError:
                 continue
-            if reply.get("heir"):
-                self._set_heir(incarnation, reply["heir"])
+            if reply.get("successor"):
+                self._set_successor(incarnation, reply["successor"])
                 return
 
     @property
@@ -136,22 +136,26 @@
         """Hands all ledgers to one peer, after ``close``.
 
         Returns:
-            The heir's incarnation, or empty when nobody is known to have
+            The successor's incarnation, or empty when nobody is known to have
             taken them; resends are then answered ``unknown``.
         """
         deadline_at = self._clocks().monotonic_s + timeout_s
         for ledger in self._ledgers():
             ledger.is_frozen = True
         parts = [*self._new_parts()]
-        for heir in self._links.peers(self._clocks().monotonic_s):
-            is_confirmed, may_have_it = self._offer(heir, parts, deadline_at)
+        for successor in self._links.peers(self._clocks().monotonic_s):
+            is_confirmed, may_have_it = self._offer(
+                successor, parts, deadline_at
+            )
             if is_confirmed:
-                self._set_heir(self._incarnation, heir)
-                self._logger.notice(f"Ledgers handed over. heir={heir}")
-                return heir
+                self._set_successor(self._incarnation, successor)
+                self._logger.notice(f"Ledgers handed over. peer={successor}")
+                return successor
             if may_have_it:
-                self._set_heir(self._incarnation, heir)
-                self._logger.warning(f"Hand-over not confirmed. heir={heir}")
+                self._set_successor(self._incarnation, successor)
+                self._logger.warning(
+                    f"Hand-over not confirmed. successor={successor}"
+                )
                 return ""
         for ledger in self._ledgers():
             ledger.is_frozen = False
@@ -177,15 +181,15 @@
             }
 
     def _offer(
-        self, heir: str, parts: list[dict[str, Any]], deadline_at: float
+        self, successor: str, parts: list[dict[str, Any]], deadline_at: float
     ) -> tuple[bool, bool]:
-        """Returns whether the heir confirmed, and whether it may have it."""
+        """Returns whether it confirmed, and whether it may have the copy."""
         may_have_it = False
         for part in parts:
             while True:
                 try:
                     reply = self._links.request(
-                        heir, HANDOVER, part, REQUEST_TIMEOUT_S
+                        successor, HANDOVER, part, REQUEST_TIMEOUT_S
                     )
                 except errors.SavorysparError as exc:
                     may_have_it |= getattr(exc, "has_sent", True)
@@ -234,7 +238,7 @@
                 )
         for incarnation in all_of:
             self._links.broadcast(
-                HEIR, {"of": incarnation, "heir": self._incarnation}
+                SUCCESSOR, {"of": incarnation, "successor": self._incarnation}
             )
         self._logger.notice(f"Ledgers inherited. of={','.join(all_of)}")
 
@@ -245,25 +249,25 @@
             if not all(found.is_expired(moment) for found in ledger.entries())
         }
 
-    def _serve_heir(self, sender: str, body: dict[str, Any]) -> None:
+    def _serve_successor(self, sender: str, body: dict[str, Any]) -> None:
         del sender
-        self._set_heir(body["of"], body["heir"])
+        self._set_successor(body["of"], body["successor"])
 
     def _serve_look_up(
         self, sender: str, body: dict[str, Any]
     ) -> dict[str, Any]:
         del sender
         if body["of"] in self._inherited:
-            return {"heir": self._incarnation}
-        heir = self.owner_of(body["of"])
-        return {"heir": "" if heir == body["of"] else heir}
+            return {"successor": self._incarnation}
+        successor = self.owner_of(body["of"])
+        return {"successor": "" if successor == body["of"] else successor}
 
-    def _set_heir(self, incarnation: str, heir: str) -> None:
-        if heir == self._incarnation:
+    def _set_successor(self, incarnation: str, successor: str) -> None:
+        if successor == self._incarnation:
             return
-        while len(self._heir_of) >= MAX_HEIRS:
-            del self._heir_of[next(iter(self._heir_of))]
-        self._heir_of[incarnation] = heir
+        while len(self._successor_of) >= MAX_SUCCESSORS:
+            del self._successor_of[next(iter(self._successor_of))]
+        self._successor_of[incarnation] = successor
 
 
 def _batches(
--- a/savoryspar/idempotency/ledger.py
+++ b/savoryspar/idempotency/ledger.py
@@ -36,8 +36,8 @@
 
     Attributes:
         is_closed: Whether no order may begin any more.
-        is_frozen: Whether an heir may hold a copy, so that nothing that can
-            still change may be told from here.
+        is_frozen: Whether a successor may hold a copy, so that nothing that
+            can still change may be told from here.
     """
 
     __slots__ = (
--- a/savoryspar/idempotency/links.py
+++ b/savoryspar/idempotency/links.py
@@ -1,4 +1,4 @@
-"""What the order desk needs of the links between processes."""
+"""What the order service needs of the links between processes."""
 
 from collections.abc import Callable, Sequence
 from typing import Any, Protocol
--- a/savoryspar/idempotency/desk.py
+++ b/savoryspar/idempotency/service.py
@@ -53,8 +53,8 @@
     """The ticket expired before the first byte of the order left."""
 
 
-class OrderDesk:
-    """Orders of one process; construct it with ``new_order_desk``."""
+class OrderService:
+    """Orders of one process; construct it with ``new_order_service``."""
 
     __slots__ = (
         "_clocks",
@@ -63,8 +63,8 @@
         "_links",
         "_logger",
         "_signer",
-        "heirs",
         "ledger",
+        "successors",
     )
 
     def __init__(
@@ -82,7 +82,9 @@
         self._links = links
         self._execute = execute
         self._clocks = read_clocks
-        self.heirs = handover.Heirs(incarnation, ledger, links, read_clocks)
+        self.successors = handover.Successors(
+            incarnation, ledger, links, read_clocks
+        )
         self._logger = log.new_logger("idempotency")
         links.handle(RUN, self._serve_run)
         links.handle(STATE, self._serve_state)
@@ -147,15 +149,15 @@
         """Stops running orders for good and hands the ledgers to one peer.
 
         Returns:
-            The heir's incarnation, or empty when none confirmed.
+            The successor's incarnation, or empty when none confirmed.
         """
         started_at = self._clocks().monotonic_s
-        self.heirs.close()
-        while self.heirs.is_running:
+        self.successors.close()
+        while self.successors.is_running:
             if self._clocks().monotonic_s >= started_at + timeout_s:
                 break
             eventlet.sleep(SHUTDOWN_POLL_S)
-        return self.heirs.hand_over(timeout_s)
+        return self.successors.hand_over(timeout_s)
 
     def _verify(self, text: str, workspace: str) -> ticket_lib.Ticket:
         ticket = self._signer.verify(text)
@@ -170,7 +172,7 @@
         hops: int,
         generation: int | None,
     ) -> Answer:
-        ledger = self.heirs.ledger_of(ticket.incarnation)
+        ledger = self.successors.ledger_of(ticket.incarnation)
         if ledger is not None:
             return self._run_here(ledger, ticket, order, generation)
         body = {
@@ -184,7 +186,7 @@
     def _state(
         self, ticket: ticket_lib.Ticket, timeout_s: float, hops: int
     ) -> Answer:
-        ledger = self.heirs.ledger_of(ticket.incarnation)
+        ledger = self.successors.ledger_of(ticket.incarnation)
         if ledger is None:
             body = {
                 "ticket": ticket.text,
@@ -210,10 +212,10 @@
         timeout_s: float,
         hops: int,
     ) -> Answer:
-        owner = self.heirs.owner_of(ticket.incarnation)
+        owner = self.successors.owner_of(ticket.incarnation)
         if not self._links.is_live(owner, self._clocks().monotonic_s):
-            self.heirs.look_up(owner)
-            owner = self.heirs.owner_of(owner)
+            self.successors.look_up(owner)
+            owner = self.successors.owner_of(owner)
         if hops <= 0 or owner == self._incarnation:
             return answer_lib.unknown(
                 "no process answers for the owner of the ticket", ticket.text
@@ -343,13 +345,15 @@
     return hashlib.sha256(idempotency_key.encode()).hexdigest()
 
 
-def new_order_desk(
+def new_order_service(
     incarnation: str,
     signer: ticket_lib.TicketSigner,
     ledger: ledger_lib.Ledger,
     links: links_lib.Links,
     execute: Execute,
     read_clocks: Callable[[], clocks.Moment] = clocks.read_clocks,
-) -> OrderDesk:
-    """Returns the desk of a process and connects it to its peers."""
-    return OrderDesk(incarnation, signer, ledger, links, execute, read_clocks)
+) -> OrderService:
+    """Returns the order service of a process and connects it to its peers."""
+    return OrderService(
+        incarnation, signer, ledger, links, execute, read_clocks
+    )
--- a/savoryspar/pipelines/attempts.py
+++ b/savoryspar/pipelines/attempts.py
@@ -149,13 +149,13 @@
 def check_fingerprint(
     router: routing.Router, req: model.Request, now: float
 ) -> None:
-    """Refuses a condemned request and notes whether it is a suspect.
+    """Refuses a blocked request and notes whether it is a suspect.
 
     Raises:
         RunError: The request crashed two backend servers.
     """
     verdict = router.suspects.check(req.fingerprint, now)
-    if verdict is routing.Verdict.CONDEMNED:
+    if verdict is routing.Verdict.BLOCKED:
         raise refusal(req)
     req.is_suspect = verdict is routing.Verdict.SUSPECT
 
@@ -169,7 +169,7 @@
     """Makes the request a suspect.
 
     Raises:
-        RunError: It is condemned.
+        RunError: It is blocked.
     """
     router.suspects.record_crash(
         req.fingerprint, choice.server.name, now, choice.call.is_alone
@@ -185,7 +185,7 @@
 
 
 def refusal(req: model.Request) -> exceptions.RunError:
-    """Returns the error for a condemned request."""
+    """Returns the error for a blocked request."""
     return exceptions.RunError(
         "refused_fingerprint",
         422,
--- a/savoryspar/pipelines/orders.py
+++ b/savoryspar/pipelines/orders.py
@@ -1,4 +1,4 @@
-"""Runs an order that its ticket allows, for the order desk."""
+"""Runs an order that its ticket allows, for the order service."""
 
 from collections.abc import Callable
 
--- a/savoryspar/routing/suspects.py
+++ b/savoryspar/routing/suspects.py
@@ -2,7 +2,7 @@
 
 A request in flight when a server's connection dies is a suspect. A suspect
 runs alone: no other call of this process is at its server. If that server dies
-too, the request is condemned, which peers are told. A request that was only in
+too, the request is blocked, which peers are told. A request that was only in
 flight beside the culprit runs alone without a crash and is cleared.
 """
 
@@ -18,7 +18,7 @@
 MAX_ENTRIES = 4096
 MAX_ENTRIES_PER_WORKSPACE = 64
 SUSPECT_TTL_S = 300.0
-CONDEMNED_TTL_S = 3600.0
+BLOCKED_TTL_S = 3600.0
 MAX_SERVERS_NAMED = 4
 
 
@@ -27,19 +27,19 @@
 
     CLEAR = "clear"
     SUSPECT = "suspect"
-    CONDEMNED = "condemned"
+    BLOCKED = "blocked"
 
 
 class Entry:
     """What is known of one fingerprint; its lack means ``CLEAR``."""
 
-    __slots__ = ("expires_at", "is_condemned", "servers")
+    __slots__ = ("expires_at", "is_blocked", "servers")
 
     def __init__(
-        self, servers: frozenset[str], is_condemned: bool, expires_at: float
+        self, servers: frozenset[str], is_blocked: bool, expires_at: float
     ):
         self.servers = servers
-        self.is_condemned = is_condemned
+        self.is_blocked = is_blocked
         self.expires_at = expires_at
 
 
@@ -77,21 +77,21 @@
         entry = self._workspaces.get(_workspace(mark), {}).get(mark)
         if entry is None or entry.expires_at <= now:
             return Verdict.CLEAR
-        if entry.is_condemned:
-            return Verdict.CONDEMNED
+        if entry.is_blocked:
+            return Verdict.BLOCKED
         return Verdict.SUSPECT
 
     def record_crash(
         self, mark: str, server: str, now: float, was_alone: bool = False
     ) -> None:
-        """Records a crash; the second one, met alone, condemns."""
+        """Records a crash; the second one, met alone, blocks."""
         if not self.is_enabled:
             return
         known = self.check(mark, now)
         is_second = known is not Verdict.CLEAR
         self._merge(mark, frozenset({server}), was_alone and is_second, now)
         entry = self._workspaces[_workspace(mark)][mark]
-        if known is not Verdict.CONDEMNED:
+        if known is not Verdict.BLOCKED:
             self._logger.warning(
                 f"Server crashed under a request. fingerprint={mark}"
                 f" server={server} alone={was_alone}"
@@ -101,7 +101,7 @@
             {
                 "fingerprint": mark,
                 "servers": sorted(entry.servers)[:MAX_SERVERS_NAMED],
-                "is_condemned": entry.is_condemned,
+                "is_blocked": entry.is_blocked,
             }
         )
 
@@ -119,11 +119,11 @@
         try:
             mark = str(record["fingerprint"])
             servers = frozenset(str(name) for name in record["servers"])
-            is_condemned = bool(record["is_condemned"])
+            is_blocked = bool(record["is_blocked"])
         except (KeyError, TypeError) as exc:
             raise ValueError(f"not a record of a crash: {exc!r}") from exc
         if self.is_enabled:
-            self._merge(mark, servers, is_condemned, now)
+            self._merge(mark, servers, is_blocked, now)
 
     def records(self, now: float) -> list[dict[str, Any]]:
         """Returns the records in effect, for a new peer."""
@@ -131,7 +131,7 @@
             {
                 "fingerprint": mark,
                 "servers": sorted(entry.servers),
-                "is_condemned": entry.is_condemned,
+                "is_blocked": entry.is_blocked,
             }
             for entries in self._workspaces.values()
             for mark, entry in entries.items()
@@ -142,7 +142,7 @@
         self,
         mark: str,
         servers: frozenset[str],
-        is_condemned: bool,
+        is_blocked: bool,
         now: float,
     ) -> None:
         known = self.check(mark, now)
@@ -153,12 +153,12 @@
         self._count -= old is not None
         if old is not None and known is not Verdict.CLEAR:
             servers |= old.servers
-        is_condemned = is_condemned or known is Verdict.CONDEMNED
-        ttl_s = CONDEMNED_TTL_S if is_condemned else SUSPECT_TTL_S
+        is_blocked = is_blocked or known is Verdict.BLOCKED
+        ttl_s = BLOCKED_TTL_S if is_blocked else SUSPECT_TTL_S
         self._make_room(entries, now)
         entries[mark] = Entry(
             frozenset(sorted(servers)[:MAX_SERVERS_NAMED]),
-            is_condemned,
+            is_blocked,
             now + ttl_s,
         )
         self._workspaces[_workspace(mark)] = entries
@@ -180,7 +180,7 @@
             entries,
             key=lambda m: (
                 entries[m].expires_at > now,
-                entries[m].is_condemned,
+                entries[m].is_blocked,
             ),
         )
         self._remove(mark)
--- a/tests/idempotency/test_desks.py
+++ b/tests/idempotency/test_services.py
@@ -1,4 +1,4 @@
-"""Property test of order desks over a network that fails in every way."""
+"""Property test of order services over a network that fails in every way."""
 
 import collections
 
@@ -7,8 +7,8 @@
 from hypothesis import strategies as st
 
 from savoryspar.idempotency import answer as answer_lib
-from savoryspar.idempotency import desk as desk_lib
 from savoryspar.idempotency import handover
+from savoryspar.idempotency import service as service_lib
 from tests.idempotency import world as world_lib
 
 MAX_TICKETS = 3
@@ -32,10 +32,10 @@
 PICK = st.integers(0, 30)
 RunState = answer_lib.RunState
 handover.RETRY_S = 0
-desk_lib.SHUTDOWN_POLL_S = 0
+service_lib.SHUTDOWN_POLL_S = 0
 
 
-class Desks(stateful.RuleBasedStateMachine):
+class OrderServices(stateful.RuleBasedStateMachine):
     """No ticket runs twice, no ``not_run`` ran, results reach their ticket."""
 
     def __init__(self):
@@ -61,8 +61,8 @@
     @stateful.rule(number=PICK)
     def issue(self, number):
         node = self.acting(number)
-        if node is not None and not node.desk.ledger.is_closed:
-            self.tickets.append(node.desk.issue("w", "p"))
+        if node is not None and not node.service.ledger.is_closed:
+            self.tickets.append(node.service.issue("w", "p"))
 
     @stateful.precondition(lambda self: self.tickets)
     @stateful.rule(number=PICK, which=PICK, value=st.sampled_from("aaab"))
@@ -189,7 +189,7 @@
         return self.deaths <= MAX_DEATHS
 
     def teardown(self):
-        # Ends the loops of leaving desks, which would slow the next example.
+        # Ends the loops of leaving services, which would slow the next example.
         self.world.now += 1e9
         self.world.settle()
 
@@ -232,7 +232,7 @@
     def one_process_may_run_a_ticket(self):
         for name in self.world.nodes:
             ledgers = [
-                node.desk.heirs.ledger_of(name)
+                node.service.successors.ledger_of(name)
                 for node in self.world.nodes.values()
                 if node.is_alive
             ]
@@ -242,8 +242,8 @@
             assert len(open_ones) <= 1, name
 
 
-DesksTest = Desks.TestCase
-DesksTest.settings = hypothesis.settings(
+ServicesTest = OrderServices.TestCase
+ServicesTest.settings = hypothesis.settings(
     max_examples=300,
     stateful_step_count=50,
     deadline=None,
--- a/tests/idempotency/world.py
+++ b/tests/idempotency/world.py
@@ -1,4 +1,4 @@
-"""Several order desks over a fake network and a fake service with a book.
+"""Several order services over a fake network and a fake service with a book.
 
 Nothing happens by itself: messages, replies and runs wait until a test lets
 them go on, so every order of events can be played and repeated.
@@ -64,7 +64,7 @@
         self.is_alive, self.is_paused, self.is_leaving = True, False, False
         self.wall_offset = 1000.0
         self.links = FakeLinks(world, name)
-        self.desk = idempotency.new_order_desk(
+        self.service = idempotency.new_order_service(
             name,
             idempotency.new_ticket_signer(KEYS, TTL_S),
             idempotency.new_ledger(50, 100.0, 240),
@@ -137,7 +137,7 @@
         )  # fmt: skip
 
         def run():
-            answer = node.desk.run(order)
+            answer = node.service.run(order)
             if node.is_alive:
                 self.answers.append((order, ticket, answer))
                 self.note_told(ticket, answer)
@@ -156,7 +156,9 @@
 
     def ask(self, node, ticket):
         def run():
-            answer = node.desk.state(ticket.text, ticket.workspace, FOREVER_S)
+            answer = node.service.state(
+                ticket.text, ticket.workspace, FOREVER_S
+            )
             self.states.append((ticket, answer))
             self.note_told(ticket, answer)
 
@@ -207,5 +209,5 @@
 
     def leave(self, node):
         node.is_leaving = True
-        eventlet.spawn(node.desk.shut_down, 30.0)
+        eventlet.spawn(node.service.shut_down, 30.0)
         self.settle()
