--- a/savoryspar/http/app.py
+++ b/savoryspar/http/app.py
@@ -1,7 +1,6 @@
 """The WSGI application that callers use."""
 
 from collections.abc import Callable, Iterable
-import json
 import secrets
 import time
 from typing import Any
@@ -12,45 +11,16 @@
 from savoryspar.http import (
     auth,
     bodies,
+    caller_headers,
     chat,
     hangup,
     orders,
     problems,
     streaming,
 )
+from savoryspar.http import exchange as exchange_lib
 
-Handler = Callable[["App", "Exchange"], Iterable[bytes]]
-MIN_DEADLINE_MS = 1
-
-
-class Exchange:
-    """One request and the means to answer it."""
-
-    __slots__ = ("environ", "path", "request_id", "start_response")
-
-    def __init__(
-        self,
-        environ: dict[str, Any],
-        start_response: problems.StartResponse,
-        request_id: str,
-    ):
-        self.environ = environ
-        self.start_response = start_response
-        self.request_id = request_id
-        self.path = environ.get("PATH_INFO", "")
-
-    def answer_json(
-        self, document: dict[str, Any], status: str = "200 OK"
-    ) -> list[bytes]:
-        """Answers with a JSON document."""
-        self.start_response(
-            status,
-            [
-                ("Content-Type", "application/json"),
-                ("X-Request-Id", self.request_id),
-            ],
-        )
-        return [json.dumps(document).encode()]
+Handler = Callable[["App", exchange_lib.Exchange], Iterable[bytes]]
 
 
 class App:
@@ -97,7 +67,7 @@
     ) -> Iterable[bytes]:
         """Answers one request (PEP 3333)."""
         request_id = f"req-{secrets.token_hex(8)}"
-        exchange = Exchange(environ, start_response, request_id)
+        exchange = exchange_lib.Exchange(environ, start_response, request_id)
         try:
             return self._route(exchange)
         except orders.TicketRequiredError as exc:
@@ -122,7 +92,7 @@
             wsgi.WSGI_LOCAL.already_handled = True
             return []
 
-    def _route(self, exchange: Exchange) -> Iterable[bytes]:
+    def _route(self, exchange: exchange_lib.Exchange) -> Iterable[bytes]:
         method = exchange.environ["REQUEST_METHOD"]
         handler = _ROUTES.get((method, exchange.path))
         if handler is None:
@@ -143,11 +113,11 @@
             )
         return handler(self, exchange)
 
-    def health(self, exchange: Exchange) -> Iterable[bytes]:
+    def health(self, exchange: exchange_lib.Exchange) -> Iterable[bytes]:
         """Answers that the process runs."""
         return exchange.answer_json({"status": "ok"})
 
-    def readiness(self, exchange: Exchange) -> Iterable[bytes]:
+    def readiness(self, exchange: exchange_lib.Exchange) -> Iterable[bytes]:
         """Answers whether the balancer should send requests."""
         reason = "draining" if self.is_draining else self._missing()
         if reason:
@@ -156,18 +126,18 @@
             )
         return exchange.answer_json({"status": "ready"})
 
-    def metrics(self, exchange: Exchange) -> Iterable[bytes]:
+    def metrics(self, exchange: exchange_lib.Exchange) -> Iterable[bytes]:
         """Answers with the metrics in the Prometheus format."""
         content, headers = self._metrics.render()
         exchange.start_response("200 OK", headers)
         return [content]
 
-    def models(self, exchange: Exchange) -> Iterable[bytes]:
+    def models(self, exchange: exchange_lib.Exchange) -> Iterable[bytes]:
         """Answers with the pipelines as OpenAI models."""
         current, _ = self._authenticate(exchange)
         return exchange.answer_json(chat.models_document(current))
 
-    def chat(self, exchange: Exchange) -> Iterable[bytes]:
+    def chat(self, exchange: exchange_lib.Exchange) -> Iterable[bytes]:
         """Runs a pipeline through the OpenAI chat format."""
         current, workspace = self._authenticate(exchange)
         body = self._read_body(exchange)
@@ -182,7 +152,7 @@
             chat.completion_document(req, output, int(time.time()))
         )
 
-    def pipeline(self, exchange: Exchange) -> Iterable[bytes]:
+    def pipeline(self, exchange: exchange_lib.Exchange) -> Iterable[bytes]:
         """Runs a pipeline on any JSON object."""
         current, workspace = self._authenticate(exchange)
         body = self._read_body(exchange)
@@ -201,21 +171,21 @@
             }
         )
 
-    def issue_ticket(self, exchange: Exchange) -> Iterable[bytes]:
+    def issue_ticket(self, exchange: exchange_lib.Exchange) -> Iterable[bytes]:
         """Answers with a ticket for one order."""
         current, workspace = self._authenticate(exchange)
         body = self._read_body(exchange)
         ticket = self._orders.issue(exchange.environ, current, workspace, body)
         return exchange.answer_json(ticket, "201 Created")
 
-    def order(self, exchange: Exchange) -> Iterable[bytes]:
+    def order(self, exchange: exchange_lib.Exchange) -> Iterable[bytes]:
         """Answers with the state of an order."""
         _, workspace = self._authenticate(exchange)
         text = exchange.path[len(orders.ORDERS_PATH) :]
         return exchange.answer_json(self._orders.state(workspace, text))
 
     def _authenticate(
-        self, exchange: Exchange
+        self, exchange: exchange_lib.Exchange
     ) -> tuple[sheet.Sheet, sheet.Workspace]:
         current = self._current_sheet()
         if current is None:
@@ -228,7 +198,7 @@
             )
         return current, auth.authenticate(exchange.environ, current)
 
-    def _read_body(self, exchange: Exchange) -> dict[str, Any]:
+    def _read_body(self, exchange: exchange_lib.Exchange) -> dict[str, Any]:
         return bodies.read_json(
             exchange.environ,
             self._cfg.http.max_body_bytes,
@@ -237,7 +207,7 @@
 
     def _new_request(
         self,
-        exchange: Exchange,
+        exchange: exchange_lib.Exchange,
         current: sheet.Sheet,
         workspace: sheet.Workspace,
         name: str,
@@ -253,19 +223,19 @@
             )
         work = current.works[pipeline.work]
         environ = exchange.environ
-        deadline_ms = _lowered_deadline(environ, work.deadline_ms)
+        deadline_ms = caller_headers.lowered_deadline(environ, work.deadline_ms)
         return pipelines.Request(
             exchange.request_id,
             workspace,
             pipeline,
-            _lowered_rank(environ, work.rank),
+            caller_headers.lowered_rank(environ, work.rank),
             self._clock() + deadline_ms / 1000.0,
             body,
         )
 
     def _run(
         self,
-        exchange: Exchange,
+        exchange: exchange_lib.Exchange,
         current: sheet.Sheet,
         req: pipelines.Request,
     ) -> dict[str, Any]:
@@ -279,7 +249,7 @@
         return output
 
     def _stream(
-        self, exchange: Exchange, req: pipelines.Request
+        self, exchange: exchange_lib.Exchange, req: pipelines.Request
     ) -> Iterable[bytes]:
         sock = exchange.environ["eventlet.input"].get_socket()
         with hangup.cancel_on_hangup(sock):
@@ -291,32 +261,6 @@
         return []
 
 
-def _lowered_deadline(environ: dict[str, Any], deadline_ms: int) -> int:
-    text = environ.get("HTTP_X_DEADLINE_MS", "")
-    if not text:
-        return deadline_ms
-    if not text.isascii() or not text.isdigit() or int(text) < 1:
-        raise problems.new_problem(
-            "bad_request",
-            400,
-            f"X-Deadline-Ms has the value {text!r}",
-            "give it a whole number of milliseconds above 0",
-        )
-    return min(deadline_ms, int(text))
-
-
-def _lowered_rank(environ: dict[str, Any], rank: str) -> str:
-    asked = environ.get("HTTP_X_RANK", rank)
-    if asked not in sheet.RANKS:
-        raise problems.new_problem(
-            "bad_request",
-            400,
-            f"X-Rank has the value {asked!r}",
-            "give it one of " + ", ".join(sheet.RANKS),
-        )
-    return max(rank, asked, key=sheet.RANKS.index)
-
-
 PIPELINES_PATH = "/v1/pipelines/"
 _PLACEHOLDERS = {orders.ORDERS_PATH: "{ticket}", PIPELINES_PATH: "{name}"}
 _ROUTES: dict[tuple[str, str], Handler] = {
