--- a/savoryspar/cli/sheet_check.py
+++ b/savoryspar/cli/sheet_check.py
@@ -1,9 +1,10 @@
 """``savoryspar sheet check``."""
 
+import json
 import pathlib
 
 from cleo.commands import command
-from cleo.helpers import argument
+from cleo.helpers import argument, option
 
 from savoryspar import sheet
 from savoryspar.cli import exit_codes, faults
@@ -15,6 +16,7 @@
     name = "sheet check"
     description = "Validate a sheet in CSV and print every fault."
     arguments = [argument("file", "The CSV file.")]
+    options = [option("json", None, "Print JSON.")]
     help = "Example: savoryspar sheet check morning.csv"
 
     def handle(self) -> int:
@@ -23,7 +25,10 @@
         try:
             parsed = sheet.parse_csv(text, revision=1)
         except ExceptionGroup as group:
-            faults.print_faults(self, group)
+            faults.print_faults(self, group, self.option("json"))
             return exit_codes.FAILED
-        self.line(f"{len(parsed.rows)} rows, no faults found.")
+        if self.option("json"):
+            self.line(json.dumps({"rows": len(parsed.rows), "faults": 0}))
+        else:
+            self.line(f"{len(parsed.rows)} rows, no faults found.")
         return exit_codes.OK
--- a/savoryspar/cli/sheet_diff.py
+++ b/savoryspar/cli/sheet_diff.py
@@ -1,9 +1,10 @@
 """``savoryspar sheet diff``."""
 
+import json
 import pathlib
 
 from cleo.commands import command
-from cleo.helpers import argument
+from cleo.helpers import argument, option
 
 from savoryspar import sheet
 from savoryspar.cli import exit_codes
@@ -18,6 +19,7 @@
         argument("old", "The older CSV file."),
         argument("new", "The newer CSV file."),
     ]
+    options = [option("json", None, "Print one JSON object a field.")]
     help = "Example: savoryspar sheet diff yesterday.csv today.csv"
 
     def handle(self) -> int:
@@ -30,7 +32,25 @@
         )
         for change in sheet.diff_rows(old, new):
             self.line(
-                f"{change.table} {change.name} {change.field}:"
-                f" {change.old!r} -> {change.new!r}"
+                _to_json(change) if self.option("json") else _to_text(change)
             )
         return exit_codes.OK
+
+
+def _to_json(change: sheet.Change) -> str:
+    return json.dumps(
+        {
+            "table": change.table,
+            "name": change.name,
+            "field": change.field,
+            "old": change.old,
+            "new": change.new,
+        }
+    )
+
+
+def _to_text(change: sheet.Change) -> str:
+    return (
+        f"{change.table} {change.name} {change.field}:"
+        f" {change.old!r} -> {change.new!r}"
+    )
--- a/savoryspar/cli/version.py
+++ b/savoryspar/cli/version.py
@@ -1,6 +1,9 @@
 """``savoryspar version``."""
 
+import json
+
 from cleo.commands import command
+from cleo.helpers import option
 
 import savoryspar
 from savoryspar.cli import exit_codes
@@ -11,9 +14,13 @@
 
     name = "version"
     description = "Print the version."
+    options = [option("json", None, "Print JSON.")]
     help = "Example: savoryspar version"
 
     def handle(self) -> int:
         """Runs the command."""
-        self.line(savoryspar.__version__)
+        version = savoryspar.__version__
+        if self.option("json"):
+            version = json.dumps({"version": version})
+        self.line(version)
         return exit_codes.OK
