Give the configuration scenarios a backend server

Cause: an entry process is ready only when it knows a backend server, so both scenarios waited in vain and failed in the full run.

--- a/savoryspar/bench/scenarios/membership.py
+++ b/savoryspar/bench/scenarios/membership.py
@@ -141,6 +141,10 @@
         refused = {"platform": {"config_url": REFUSED_URL}}
         settings = refused if half_refused and number % 2 else {}
         fleet.start_entry(name, region, f"{region}-a", settings)
+    # An entry process is ready only when it knows a backend server.
+    fleet.start_backend(
+        "pool", "programacion-0", "programacion", ZONES[0], f"{ZONES[0]}-a"
+    )
     fleet.publish_vms()
     fleet.wait_ready(*names)
     time.sleep(1.5)
