--- a/savoryspar/cli/wiring.py
+++ b/savoryspar/cli/wiring.py
@@ -48,7 +48,7 @@
         cfg,
         sheets.get,
         runner,
-        metrics.new_metrics(),
+        _new_metrics(client, members, sheets),
         time.monotonic,
         lambda: _missing(sheets, router, suspect_fetch),
         orders,
@@ -132,6 +132,27 @@
     )
 
 
+def _new_metrics(
+    client: backends.Client,
+    members: membership.Membership,
+    sheets: sheet.SheetHolder,
+) -> metrics.Metrics:
+    registry = metrics.new_metrics()
+    registry.read_with(
+        "savoryspar_dropped_answers", lambda: client.dropped_answers
+    )
+    registry.read_with(
+        "savoryspar_peers",
+        lambda: len(members.view(time.monotonic()).members),
+    )
+    registry.read_with(
+        "savoryspar_refused_frames",
+        lambda: sum(members.connector.refusals.values()),
+    )
+    registry.read_with("savoryspar_sheet_revision", lambda: sheets.revision)
+    return registry
+
+
 def _missing(
     sheets: sheet.SheetHolder,
     router: routing.Router,
--- a/savoryspar/metrics/registry.py
+++ b/savoryspar/metrics/registry.py
@@ -1,14 +1,25 @@
 """The metrics of one process."""
 
+from collections.abc import Callable
+
 import aioprometheus
 
 ACCEPT = ("text/plain",)
+GAUGES = {
+    "savoryspar_dropped_answers": "Backend answers that came late or for"
+    " another attempt, since the start.",
+    "savoryspar_peers": "Live peers in the view of this process.",
+    "savoryspar_refused_frames": "Frames and handshakes of peers that were"
+    " refused, since the start.",
+    "savoryspar_sheet_revision": "Revision of the sheet in force, 0 if none.",
+}
+"""What each gauge tells; its value is read when the metrics are."""
 
 
 class Metrics:
     """Counts what the process does."""
 
-    __slots__ = ("_problems", "_registry", "_requests")
+    __slots__ = ("_gauges", "_problems", "_readers", "_registry", "_requests")
 
     def __init__(self, registry: aioprometheus.Registry):
         self._registry = registry
@@ -23,6 +34,16 @@
             registry=registry,
         )
 
+        self._gauges = {
+            name: aioprometheus.Gauge(name, text, registry=registry)
+            for name, text in GAUGES.items()
+        }
+        self._readers: dict[str, Callable[[], float]] = {}
+
+    def read_with(self, name: str, reader: Callable[[], float]) -> None:
+        """Reads the gauge of ``GAUGES`` with the function from now on."""
+        self._readers[name] = reader
+
     def count_request(self, pipeline: str, rank: str) -> None:
         """Counts a request that was answered whole."""
         self._requests.inc({"pipeline": pipeline, "rank": rank})
@@ -40,6 +61,8 @@
 
     def render(self) -> tuple[bytes, list[tuple[str, str]]]:
         """Returns the metrics as text, and the headers that describe it."""
+        for name, reader in self._readers.items():
+            self._gauges[name].set({}, reader())
         content, headers = aioprometheus.render(self._registry, list(ACCEPT))
         return content, list(headers.items())
 
