--- a/savoryspar/bench/catalog.py
+++ b/savoryspar/bench/catalog.py
@@ -14,6 +14,7 @@
     scheduling,
     scheduling_decisions,
     state,
+    zones,
 )
 
 Scenario = Callable[[int], list[results.Row]]
@@ -44,5 +45,6 @@
     "config-spread": membership.configuration_spread,
     "stale-service": membership.stale_service,
     "control-traffic": membership.control_traffic,
+    "silent-zone": zones.silent_zone,
     "state": state.state_memory,
 }
