--- a/savoryspar/bench/scenarios/scheduling.py
+++ b/savoryspar/bench/scenarios/scheduling.py
@@ -73,25 +73,30 @@
     ours = _flood(seed, "bulk", {})
     rival = _flood(seed, "bulk", scheduling_fleet.RIVAL)
     name = "sched-bulk-flood"
-    return [
-        _row(name, seed, "urgent attainment, 10x bulk", ">= 99",
-             ours.urgent_percent, rival.urgent_percent),
-        _row(name, seed, "floors attained, 10x bulk", ">= 95",
-             ours.floor_percent, rival.floor_percent),
-        _row(name, seed, "useful work of the uncontended maximum", ">= 95",
-             ours.useful_percent, rival.useful_percent),
-        _row(name, seed, "work for requests that missed", "<= 3",
-             ours.wasted_percent, rival.wasted_percent),
-    ]  # fmt: skip
+    urgent = _row(
+        name,
+        seed,
+        "urgent attainment, 10x bulk",
+        ">= 99",
+        ours.urgent_percent,
+        rival.urgent_percent,
+    )
+    return [urgent, *_flood_rows(name, seed, "bulk", ours, rival)]
 
 
 def urgent_flood(seed: int) -> list[results.Row]:
     """Floods the most urgent rank with ten times the capacity."""
     ours = _flood(seed, "urgent", {})
     rival = _flood(seed, "urgent", scheduling_fleet.RIVAL)
-    name = "sched-urgent-flood"
+    return _flood_rows("sched-urgent-flood", seed, "urgent", ours, rival)
+
+
+def _flood_rows(
+    name: str, seed: int, rank: str, ours: _Figures, rival: _Figures
+) -> list[results.Row]:
+    """Returns the rows that both floods have."""
     return [
-        _row(name, seed, "floors attained, 10x urgent", ">= 95",
+        _row(name, seed, f"floors attained, 10x {rank}", ">= 95",
              ours.floor_percent, rival.floor_percent),
         _row(name, seed, "useful work of the uncontended maximum", ">= 95",
              ours.useful_percent, rival.useful_percent),
