Remove work that is thrown away and a constant that nothing reads

An attempt at an engine wrote its body and earlier outputs out as text, only to replace the size by that of the prompt. render_keys decided in two places that a manifest has no predecessor.

--- a/savoryspar/http/bodies.py
+++ b/savoryspar/http/bodies.py
@@ -7,8 +7,6 @@
 
 from savoryspar.http import problems
 
-MAX_DEPTH_HINT = "send a JSON object with fewer nested levels"
-
 
 def read_json(
     environ: dict[str, Any], max_bytes: int, timeout_s: float
--- a/savoryspar/pipelines/attempts.py
+++ b/savoryspar/pipelines/attempts.py
@@ -48,11 +48,12 @@
         self._started = 0
         self.excluded: frozenset[str] = frozenset()
         self._prompt = ""
-        self._size_bytes = len(str(req.body)) + len(str(req.outputs))
         if pool.kind == "engine":
             self._prompt = bodies.prompt_text(bodies.engine_messages(req))
             max_tokens = req.body.get("max_tokens", bodies.DEFAULT_MAX_TOKENS)
             self._size_bytes = len(self._prompt) + BYTES_PER_TOKEN * max_tokens
+        else:
+            self._size_bytes = len(str(req.body)) + len(str(req.outputs))
 
     def choose(self) -> routing.Choice:
         """Chooses a server; a suspect waits until one is free of calls.
--- a/savoryspar/sheet/keys.py
+++ b/savoryspar/sheet/keys.py
@@ -86,16 +86,15 @@
     rows: model.Rows, revision: int, previous: int, previous_rows: model.Rows
 ) -> dict[str, str]:
     """Returns the keys that an operator publishes for a revision."""
-    # A first revision has no predecessor that changes could apply to; all its
-    # rows in one key would exceed the service's limit for a value.
-    changed = {
-        item
-        for item in {*rows, *previous_rows}
-        if previous and rows.get(item) != previous_rows.get(item)
-    }
-    changes = [[*item, rows.get(item)] for item in sorted(changed)]
-    if not previous_rows or len(json.dumps(changes)) > MAX_CHANGES_BYTES:
-        # Readers fall back to the buckets, which stay below the limit.
+    changes = [
+        [*item, rows.get(item)]
+        for item in sorted({*rows, *previous_rows})
+        if rows.get(item) != previous_rows.get(item)
+    ]
+    has_base = previous and previous_rows
+    if not has_base or len(json.dumps(changes)) > MAX_CHANGES_BYTES:
+        # Without a predecessor, or above the service's limit for a value,
+        # readers fall back to the buckets, which stay below the limit.
         previous, changes = 0, []
     manifest = {
         "revision": revision,
