--- a/savoryspar/backends/__init__.py
+++ b/savoryspar/backends/__init__.py
@@ -1,6 +1,11 @@
 """HTTP clients of backend servers."""
 
 from savoryspar.backends.client import Client, new_client
+from savoryspar.backends.connections import (
+    Answer,
+    Connections,
+    new_connections,
+)
 from savoryspar.backends.exceptions import (
     BackendError,
     CallRefusedError,
@@ -10,3 +15,10 @@
 from savoryspar.backends.model import Server, StageCall, StageResult
 from savoryspar.backends.relay import EngineStream
 from savoryspar.backends.reports import CacheReport, LoadReport
+from savoryspar.backends.requests import (
+    AnswerFacts,
+    BackendSend,
+    BadRequestError,
+    CallerRequest,
+    PromptPart,
+)
--- a/savoryspar/cli/duties.py
+++ b/savoryspar/cli/duties.py
@@ -11,7 +11,7 @@
     log,
     membership,
     placement,
-    platform,
+    discovery,
     routing,
     scheduling,
     sheet,
@@ -33,7 +33,7 @@
 
 def follow_vm_list(
     cfg: conf.Settings,
-    client: platform.VmListClient,
+    client: discovery.VmListClient,
     router: routing.Router,
     members: membership.Membership,
     dispatcher: placement.Dispatcher,
@@ -50,13 +50,13 @@
                 for vm in vms
                 if vm.role == "backend" and not vm.is_leaving
             )
-        except platform.PlatformError as exc:
+        except discovery.PlatformError as exc:
             logger.warning(f"VM list not read. {exc}")
         eventlet.sleep(cfg.platform.vm_list_interval_s)
 
 
 def take_vm_list(
-    vms: Sequence[platform.Vm], router: routing.Router, now: float
+    vms: Sequence[discovery.Vm], router: routing.Router, now: float
 ) -> None:
     """Gives the router the servers and entry VMs of the list."""
     live = [vm for vm in vms if not vm.is_leaving]
@@ -68,7 +68,7 @@
     )
 
 
-def _server(vm: platform.Vm) -> backends.Server:
+def _server(vm: discovery.Vm) -> backends.Server:
     return backends.Server(vm.name, vm.address, vm.region, vm.zone, vm.pool)
 
 
--- a/savoryspar/cli/node.py
+++ b/savoryspar/cli/node.py
@@ -14,7 +14,7 @@
     log,
     membership,
     placement,
-    platform,
+    discovery,
     routing,
     scheduling,
     sheet,
@@ -58,7 +58,7 @@
         sheet_watch: membership.SheetWatch,
         sheets: sheet.SheetHolder,
         suspect_fetch: suspects.SuspectFetch,
-        vm_list: platform.VmListClient,
+        vm_list: discovery.VmListClient,
     ):
         self.app = app
         self.decisions = decisions
--- a/savoryspar/cli/signals.py
+++ b/savoryspar/cli/signals.py
@@ -1,5 +1,6 @@
 """Waits for signals within the hub's loop."""
 
+import collections
 from collections.abc import Iterable
 import os
 import signal
@@ -16,17 +17,18 @@
         # A handler alone does not end the hub's poll: the signal would be
         # noticed with the next event.
         self._reader, writer = os.pipe2(os.O_NONBLOCK | os.O_CLOEXEC)
-        self._pending = 0
+        self._pending: collections.deque[int] = collections.deque()
         signal.set_wakeup_fd(writer, warn_on_full_buffer=False)
         for number in numbers:
             signal.signal(number, lambda number, frame: None)
 
-    def wait(self) -> None:
-        """Waits for the next signal."""
+    def wait(self) -> int:
+        """Waits for the next signal and returns its number."""
         while not self._pending:
             hubs.trampoline(self._reader, read=True)
-            self._pending = len(os.read(self._reader, 64))
-        self._pending -= 1
+            # The interpreter writes the number of each signal as one byte.
+            self._pending.extend(os.read(self._reader, 64))
+        return self._pending.popleft()
 
 
 def new_signal_queue(*numbers: int) -> SignalQueue:
--- a/savoryspar/cli/wiring.py
+++ b/savoryspar/cli/wiring.py
@@ -12,7 +12,7 @@
     metrics,
     pipelines,
     placement,
-    platform,
+    discovery,
     routing,
     scheduling,
     sheet,
@@ -73,7 +73,7 @@
         sheet_watch=_new_sheet_watch(cfg, members, sheets),
         sheets=sheets,
         suspect_fetch=suspect_fetch,
-        vm_list=platform.new_vm_list_client(cfg.platform.vm_list_url),
+        vm_list=discovery.new_vm_list_client(cfg.platform.vm_list_url),
     )
     return node.Node(cfg, parts)
 
@@ -101,7 +101,7 @@
     members: membership.Membership,
     sheets: sheet.SheetHolder,
 ) -> membership.SheetWatch:
-    client = platform.new_config_client(
+    client = discovery.new_config_client(
         cfg.platform.config_url,
         cfg.platform.config_calls_per_s,
         cfg.platform.config_burst_calls,
--- a/savoryspar/conf/converters.py
+++ b/savoryspar/conf/converters.py
@@ -4,6 +4,7 @@
 """
 
 from collections.abc import Callable
+import ipaddress
 
 
 def text(value: str) -> str:
@@ -53,6 +54,32 @@
     return tuple(value.replace(",", " ").split())
 
 
+def address(value: str) -> str:
+    """Returns an address as ``IP:port``."""
+    host, _, number = value.strip().rpartition(":")
+    try:
+        ipaddress.IPv4Address(host)
+        is_port = 0 <= int(number) <= 65535
+    except ValueError:
+        is_port = False
+    if not is_port:
+        raise ValueError("an IP number and a port such as 10.0.0.1:8080")
+    return f"{host}:{number}"
+
+
+def pairs(value: str) -> dict[str, str]:
+    """Returns the words ``NAME:VALUE`` of the text as a mapping."""
+    found = [word.partition(":") for word in words(value)]
+    if not all(name and text for name, _, text in found):
+        raise ValueError("words of the form NAME:VALUE")
+    return {name: text for name, _, text in found}
+
+
+def ratio(value: str) -> float:
+    """Returns a share, zero or more."""
+    return _decimal(value, 100.0, "a share such as 0.2")
+
+
 def choice(*allowed: str) -> Callable[[str], str]:
     """Returns a converter that accepts only the allowed words."""
 
--- a/savoryspar/conf/loader.py
+++ b/savoryspar/conf/loader.py
@@ -1,6 +1,6 @@
 """Reads the INI file, applies the environment and converts the values."""
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Collection, Iterable, Mapping
 import configparser
 import difflib
 from typing import Any
@@ -8,14 +8,25 @@
 from savoryspar.conf import exceptions, schema, setting
 
 ENVIRONMENT_PREFIX = "SAVORYSPAR_"
+GATEWAY_SECTIONS = frozenset({"gateway", "membership", "log"})
+"""Sections of an entry VM on the users' platform."""
+ENTRY_SECTIONS = frozenset(
+    item.section for item in schema.SETTINGS if item.section != "gateway"
+)
+"""Sections of an entry VM behind the product's own interface."""
 
 
-def load_settings(path: str, environ: Mapping[str, str]) -> schema.Settings:
+def load_settings(
+    path: str,
+    environ: Mapping[str, str],
+    sections: Collection[str] = ENTRY_SECTIONS,
+) -> schema.Settings:
     """Loads the settings of one process.
 
     Args:
         path: The INI file.
         environ: Variables ``SAVORYSPAR_SECTION_KEY`` override the file.
+        sections: Sections that the process reads.
 
     Returns:
         The settings, converted.
@@ -43,16 +54,20 @@
         for section in parser.sections()
         for key, value in parser.items(section)
     }
-    return convert_settings(texts, environ)
+    return convert_settings(texts, environ, sections)
 
 
 def convert_settings(
-    texts: Mapping[tuple[str, str], str], environ: Mapping[str, str]
+    texts: Mapping[tuple[str, str], str],
+    environ: Mapping[str, str],
+    sections: Collection[str] = ENTRY_SECTIONS,
 ) -> schema.Settings:
     """Converts texts by (section, key); raises as ``load_settings`` does."""
     faults = list(_unknown_keys(texts))
     values: dict[str, dict[str, Any]] = {}
     for item in schema.SETTINGS:
+        if item.section not in sections:
+            continue
         section = values.setdefault(item.section, {})
         try:
             section[item.key] = _value(item, texts, environ)
@@ -65,7 +80,7 @@
     )
 
 
-def default_section(name: str, **changes: str) -> schema.Section:
+def default_section(name: str, /, **changes: str) -> schema.Section:
     """Returns a section with its defaults, for parts that run alone.
 
     Args:
--- a/savoryspar/conf/schema.py
+++ b/savoryspar/conf/schema.py
@@ -7,6 +7,7 @@
 from savoryspar.conf import setting
 from savoryspar.conf.sections import (
     entry,
+    gateway,
     http,
     idempotency,
     log,
@@ -61,6 +62,7 @@
             membership,
             idempotency,
             placement,
+            gateway,
         )
     )
 )
--- a/savoryspar/platform/config.py
+++ b/savoryspar/discovery/config.py
@@ -6,7 +6,7 @@
 import eventlet
 import urllib3
 
-from savoryspar.platform import budget, exceptions
+from savoryspar.discovery import budget, exceptions
 
 CONNECT_TIMEOUT_S = 1.0
 READ_TIMEOUT_S = 2.0
--- a/savoryspar/platform/vms.py
+++ b/savoryspar/discovery/vms.py
@@ -6,7 +6,7 @@
 
 import urllib3
 
-from savoryspar.platform import exceptions
+from savoryspar.discovery import exceptions
 
 CONNECT_TIMEOUT_S = 1.0
 READ_TIMEOUT_S = 2.0
--- /dev/null
+++ b/savoryspar/fleet/__init__.py
@@ -0,0 +1,22 @@
+"""What the platform publishes: routes, workspaces and backend servers."""
+
+from savoryspar.fleet.exceptions import (
+    DocumentError,
+    HistoryGoneError,
+    StoreError,
+)
+from savoryspar.fleet.holder import ConfigurationHolder, new_holder
+from savoryspar.fleet.model import (
+    BackendEntry,
+    CallerLimits,
+    Configuration,
+    EnginePool,
+    Route,
+    RouteKind,
+    Service,
+    Stage,
+    StagePool,
+    Workspace,
+)
+from savoryspar.fleet.roster import Roster, new_roster
+
--- /dev/null
+++ b/savoryspar/gateway/__init__.py
@@ -0,0 +1,3 @@
+"""An entry VM on the users' platform."""
+
+from savoryspar.gateway.node import Node, new_node
--- /dev/null
+++ b/savoryspar/gateway/app.py
@@ -0,0 +1,327 @@
+"""The WSGI application for callers on the users' platform."""
+
+from collections.abc import Callable, Iterable
+import zlib
+from typing import Any
+
+from eventlet import wsgi
+
+from savoryspar import backends, fleet, http, log, platform
+from savoryspar.gateway import (
+    attempts,
+    counters,
+    model,
+    plain,
+    streams,
+)
+
+DEFAULT_DEADLINE_S = 30.0
+"""Longest wait for a caller that names no deadline on a route without one."""
+NO_CONFIGURATION_RETRY_S = 0.5
+STOPPING_RETRY_S = 0.3
+LATE_STOP_S = 2.5
+"""Time after SIGTERM from which new requests are sent to another VM: what came
+sooner may still be at work in the last sixth of the grace time."""
+
+StartResponse = Callable[[str, list[tuple[str, str]]], Callable[[bytes], Any]]
+
+
+class GatewayApp:
+    """Serves callers.
+
+    Attributes:
+        running: Requests being served.
+        stopping_since: When the process was asked to stop, or None.
+    """
+
+    __slots__ = (
+        "_clock",
+        "_counters",
+        "_events",
+        "_holder",
+        "_plain",
+        "_streams",
+        "running",
+        "stopping_since",
+    )
+
+    def __init__(
+        self,
+        holder: fleet.ConfigurationHolder,
+        plain_forwarder: plain.PlainForwarder,
+        stream_forwarder: streams.StreamForwarder,
+        event_log: log.EventLog,
+        counted: counters.Counters,
+        clock: model.Clock,
+    ):
+        self._holder = holder
+        self._plain = plain_forwarder
+        self._streams = stream_forwarder
+        self._events = event_log
+        self._counters = counted
+        self._clock = clock
+        self.running = 0
+        self.stopping_since: float | None = None
+
+    def __call__(
+        self, environ: dict[str, Any], start_response: StartResponse
+    ) -> Iterable[bytes]:
+        """Answers one request (PEP 3333)."""
+        received_at = self._clock()
+        self.running += 1
+        sock = environ["eventlet.input"].get_socket()
+        attempt_id, route = "", ""
+        try:
+            req = self._read(environ)
+            attempt_id = req.attempt_id
+            with http.cancel_on_hangup(sock):
+                job = self._admit(req, received_at)
+                route = job.route.name
+                reply = self._run(job, start_response)
+            if reply is None:
+                self._note(attempt_id, route, "stream complete", received_at)
+                return []
+            self._note(attempt_id, route, reply.status, received_at)
+            start_response(reply.status, reply.fields)
+            return [reply.body]
+        except (model.GatewayError, backends.BadRequestError) as exc:
+            return self._fail(exc, attempt_id, route, received_at, start_response)
+        except model.BrokenStreamError as exc:
+            self._note_failure(
+                attempt_id, route, "stream_broken", str(exc), received_at
+            )
+            # The connection closes without the end of the body, so that the
+            # answer does not look complete.
+            wsgi.WSGI_LOCAL.already_handled = True
+            return []
+        except (http.CallerGoneError, OSError) as exc:
+            self._note_failure(
+                attempt_id, route, "caller_gone", repr(exc), received_at
+            )
+            wsgi.WSGI_LOCAL.already_handled = True
+            return []
+        finally:
+            self.running -= 1
+
+    def _run(
+        self, job: model.Job, start_response: StartResponse
+    ) -> model.Reply | None:
+        if job.route.kind is not fleet.RouteKind.STREAM:
+            return self._plain.run(job)
+        return self._streams.run(job, start_response)
+
+    def _read(self, environ: dict[str, Any]) -> backends.CallerRequest:
+        current = self._holder.current
+        if current is None:
+            raise model.refusal(
+                "no_configuration",
+                "this entry VM has no configuration yet",
+                NO_CONFIGURATION_RETRY_S,
+            )
+        body = _read_body(environ, current.limits.max_body_bytes)
+        return platform.decode_caller_request(
+            environ["REQUEST_METHOD"],
+            environ[http.TARGET_KEY],
+            environ[http.FIELDS_KEY],
+            body,
+        )
+
+    def _admit(
+        self, req: backends.CallerRequest, received_at: float
+    ) -> model.Job:
+        now = self._clock()
+        if (
+            self.stopping_since is not None
+            and now - self.stopping_since > LATE_STOP_S
+        ):
+            raise model.refusal(
+                "stopping", "this entry VM is leaving", STOPPING_RETRY_S
+            )
+        current = self._holder.current
+        route = current.find_route(req.host, req.path)
+        if route is None:
+            raise model.GatewayError(
+                "404 Not Found",
+                "no_route",
+                f"no route for host {req.host!r} and path {req.path!r}",
+                "see the routes in force",
+            )
+        workspace = self._authenticate(current, route, req.key)
+        timeout_s = route.timeout_s or DEFAULT_DEADLINE_S
+        deadline_s = min(timeout_s, req.deadline_s or timeout_s)
+        rank = route.rank
+        job = model.Job(
+            req,
+            route,
+            _choose_pool(route, req.attempt_id),
+            workspace.name if workspace else "",
+            rank,
+            received_at,
+            received_at + route.objective_s,
+            received_at + deadline_s,
+            current.version,
+            attempts.fingerprint(workspace.name if workspace else "", req),
+        )
+        self._events.decision(
+            "request admitted",
+            now,
+            req.attempt_id,
+            route=route.name,
+            pool=job.pool,
+            workspace=job.workspace,
+            rank=rank,
+            version=current.version,
+            version_age_s=round(now - self._holder.since, 1),
+            deadline_s=deadline_s,
+            prompt_tokens=req.prompt_tokens,
+            pieces=req.pieces,
+        )
+        return job
+
+    def _authenticate(
+        self, current: fleet.Configuration, route: fleet.Route, key: str
+    ) -> fleet.Workspace | None:
+        if not current.has_workspaces:
+            return None
+        workspace = current.find_workspace(key) if key else None
+        if workspace is None and not route.is_public:
+            raise model.GatewayError(
+                "401 Unauthorized",
+                "unknown_key",
+                "the request carries no key of a workspace",
+                "send a key that is in force",
+            )
+        return workspace
+
+    def _fail(
+        self,
+        exc: model.GatewayError | backends.BadRequestError,
+        attempt_id: str,
+        route: str,
+        received_at: float,
+        start_response: StartResponse,
+    ) -> Iterable[bytes]:
+        if isinstance(exc, backends.BadRequestError):
+            exc = model.GatewayError(
+                "400 Bad Request", "bad_request", exc.message, exc.remedy
+            )
+        self._note_failure(
+            attempt_id,
+            route,
+            exc.reason,
+            str(exc),
+            received_at,
+            exc.retry_after_s,
+        )
+        fields = [("Content-Type", "text/plain; charset=utf-8")]
+        if exc.retry_after_s is not None:
+            fields.append(("Retry-After", f"{exc.retry_after_s:.2f}"))
+        if exc.is_closing:
+            fields.append(("Connection", "close"))
+        start_response(exc.status, fields)
+        return [f"{exc}\n".encode()]
+
+    def _note(
+        self, attempt_id: str, route: str, outcome: str, received_at: float
+    ) -> None:
+        now = self._clock()
+        self._counters.count(route, outcome, now - received_at)
+        self._events.decision(
+            "request answered",
+            now,
+            attempt_id,
+            route=route,
+            outcome=outcome,
+            took_s=round(now - received_at, 3),
+        )
+
+    def _note_failure(
+        self,
+        attempt_id: str,
+        route: str,
+        reason: str,
+        cause: str,
+        received_at: float,
+        retry_after_s: float | None = None,
+    ) -> None:
+        now = self._clock()
+        self._counters.count(route, reason, now - received_at)
+        self._events.failure(
+            "request failed",
+            now,
+            attempt_id,
+            route=route,
+            reason=reason,
+            cause=cause,
+            retry_after_s=retry_after_s,
+            took_s=round(now - received_at, 3),
+        )
+
+
+def _read_body(environ: dict[str, Any], max_bytes: int) -> bytes:
+    """Reads the whole body.
+
+    Raises:
+        GatewayError: It is too long, or ended early.
+    """
+    length = environ.get("CONTENT_LENGTH")
+    if length and int(length) > max_bytes:
+        raise _too_long(max_bytes)
+    try:
+        body = environ["wsgi.input"].read(max_bytes + 1)
+    except (ValueError, wsgi.ChunkReadError) as exc:
+        raise model.GatewayError(
+            "400 Bad Request",
+            "bad_body",
+            f"the body cannot be read: {exc}",
+            "send it whole, with a length or in chunks",
+            is_closing=True,
+        ) from exc
+    if len(body) > max_bytes:
+        raise _too_long(max_bytes)
+    if length and len(body) < int(length):
+        raise model.GatewayError(
+            "400 Bad Request",
+            "bad_body",
+            f"the body ended after {len(body)} of {length} bytes",
+            "send it whole",
+            is_closing=True,
+        )
+    return body
+
+
+def _too_long(max_bytes: int) -> model.GatewayError:
+    return model.GatewayError(
+        "413 Content Too Large",
+        "body_too_long",
+        f"the body is longer than {max_bytes} bytes",
+        "send less",
+        is_closing=True,
+    )
+
+
+def _choose_pool(route: fleet.Route, attempt_id: str) -> str:
+    """Returns one of the route's pools, in proportion to their weights."""
+    if len(route.services) == 1:
+        return route.services[0][0]
+    total = sum(weight for _, weight in route.services)
+    point = zlib.crc32(attempt_id.encode()) / 2**32 * total
+    for pool, weight in route.services:
+        point -= weight
+        if point < 0.0:
+            return pool
+    return route.services[-1][0]
+
+
+def new_gateway_app(
+    holder: fleet.ConfigurationHolder,
+    plain_forwarder: plain.PlainForwarder,
+    stream_forwarder: streams.StreamForwarder,
+    event_log: log.EventLog,
+    counted: counters.Counters,
+    clock: model.Clock,
+) -> GatewayApp:
+    """Returns the application over the given parts."""
+    return GatewayApp(
+        holder, plain_forwarder, stream_forwarder, event_log, counted, clock
+    )
--- /dev/null
+++ b/savoryspar/gateway/fleet_watch.py
@@ -0,0 +1,270 @@
+"""Follows the platform's store; asks peers while the store does not answer."""
+
+import random
+
+import eventlet
+
+from savoryspar import fleet, log, membership, platform
+from savoryspar.gateway import model
+
+CONFIGURATION_KEY = "op/config"
+CONFIGURATION_PREFIX = "op/"
+SERVER_PREFIX = "servers/"
+WATCH_S = 20.0
+"""Wait of one watch; a longer one saves few calls, and the store cuts some."""
+RETRY_S = 0.4
+"""Wait after a failed call, doubled up to ``MAX_RETRY_S``, with jitter."""
+MAX_RETRY_S = 1.6
+"""A configuration must be in force 2.5 s after the store is back."""
+MISSING_RETRY_S = 0.3
+"""Wait before a key that does not exist yet is read again."""
+PEER_KIND = "fleet"
+PEER_TIMEOUT_S = 1.0
+PEERS_ASKED = 2
+"""Peers asked at a time: one of the own zone and any other one."""
+EXPIRE_S = 0.25
+
+
+class FleetWatch:
+    """Keeps the configuration and the roster up to date.
+
+    Attributes:
+        is_connected: Whether the last call to the store succeeded.
+        changes: Changes that the store reported, by prefix.
+    """
+
+    __slots__ = (
+        "_clock",
+        "_clients",
+        "_events",
+        "_holder",
+        "_members",
+        "_on_change",
+        "_rng",
+        "_roster",
+        "changes",
+        "heard_at",
+        "is_connected",
+    )
+
+    def __init__(
+        self,
+        address: str,
+        holder: fleet.ConfigurationHolder,
+        roster: fleet.Roster,
+        members: membership.Membership,
+        events: log.EventLog,
+        on_change,
+        clock: model.Clock,
+    ):
+        self._clients = {
+            prefix: platform.new_store_client(address)
+            for prefix in (CONFIGURATION_PREFIX, SERVER_PREFIX)
+        }
+        self._holder = holder
+        self._roster = roster
+        self._members = members
+        self._events = events
+        self._on_change = on_change
+        self._clock = clock
+        self._rng = random.Random(address)
+        self.is_connected = dict.fromkeys(self._clients, False)
+        self.heard_at = dict.fromkeys(self._clients, 0.0)
+        self.changes = dict.fromkeys(self._clients, 0)
+        members.handle(PEER_KIND, self._serve_peer)
+
+    def start(self) -> None:
+        """Follows the store in green threads."""
+        eventlet.spawn(self._follow, CONFIGURATION_PREFIX)
+        eventlet.spawn(self._follow, SERVER_PREFIX)
+        eventlet.spawn(self._expire_always)
+
+    def calls(self) -> int:
+        """Returns the calls made to the store so far."""
+        return sum(client.calls for client in self._clients.values())
+
+    def _follow(self, prefix: str) -> None:
+        client = self._clients[prefix]
+        revision = 0
+        retry_s = RETRY_S
+        while True:
+            try:
+                if not revision:
+                    revision = self._read(prefix, client)
+                else:
+                    changes = client.watch(prefix, revision, WATCH_S)
+                    self._take(prefix, changes.items)
+                    revision = max(revision, changes.revision)
+                self._note_connected(prefix, revision)
+                retry_s = RETRY_S
+                if not revision:
+                    eventlet.sleep(MISSING_RETRY_S)
+            except fleet.HistoryGoneError as exc:
+                self._events.belief(
+                    "store history gone",
+                    self._clock(),
+                    prefix=prefix,
+                    revision=revision,
+                    cause=str(exc),
+                )
+                revision = 0
+            except fleet.StoreError as exc:
+                self._note_lost(prefix, exc)
+                self._ask_peers()
+                eventlet.sleep(retry_s * self._rng.uniform(0.5, 1.0))
+                retry_s = min(2.0 * retry_s, MAX_RETRY_S)
+
+    def _read(self, prefix: str, client: platform.StoreClient) -> int:
+        if prefix == CONFIGURATION_PREFIX:
+            snapshot = client.get(CONFIGURATION_KEY)
+            self._take(prefix, snapshot.items)
+            return snapshot.revision if snapshot.items else 0
+        snapshot = client.read_all(SERVER_PREFIX)
+        now = self._clock()
+        entries = [self._decode(item, now) for item in snapshot.items]
+        self._roster.replace(
+            [entry for entry in entries if entry is not None],
+            snapshot.revision,
+            "store",
+            now,
+        )
+        self._on_change(now)
+        return snapshot.revision
+
+    def _take(self, prefix: str, items: list[platform.Item]) -> None:
+        now = self._clock()
+        self.changes[prefix] += len(items)
+        for item in items:
+            if item.key == CONFIGURATION_KEY and item.value is not None:
+                self._offer(item.value, "store", now)
+            elif item.key.startswith(SERVER_PREFIX):
+                self._take_server(item, now)
+        if items:
+            self._on_change(now)
+
+    def _take_server(self, item: platform.Item, now: float) -> None:
+        name = item.key[len(SERVER_PREFIX) :]
+        if item.value is None:
+            self._roster.remove(name, item.revision, "store", now)
+            return
+        entry = self._decode(item, now)
+        if entry is not None:
+            self._roster.put(entry, "store", now)
+
+    def _decode(
+        self, item: platform.Item, now: float
+    ) -> fleet.BackendEntry | None:
+        try:
+            return platform.decode_backend_entry(
+                item.key[len(SERVER_PREFIX) :], item.value or b"", item.revision
+            )
+        except fleet.DocumentError as exc:
+            self._events.belief(
+                "entry ignored", now, key=item.key, cause=str(exc)
+            )
+            return None
+
+    def _offer(self, document: bytes, source: str, now: float) -> None:
+        try:
+            candidate = platform.decode_configuration(document)
+        except fleet.DocumentError as exc:
+            self._events.belief(
+                "configuration ignored", now, source=source, cause=str(exc)
+            )
+            return
+        self._holder.offer(candidate, document, source, now)
+
+    def _note_connected(self, prefix: str, revision: int) -> None:
+        now = self._clock()
+        if not self.is_connected[prefix]:
+            self._events.belief(
+                "store reached",
+                now,
+                prefix=prefix,
+                revision=revision,
+                away_s=round(now - self.heard_at[prefix], 2),
+            )
+        self.is_connected[prefix] = True
+        self.heard_at[prefix] = now
+
+    def _note_lost(self, prefix: str, exc: fleet.StoreError) -> None:
+        now = self._clock()
+        if self.is_connected[prefix]:
+            self._events.belief(
+                "store lost",
+                now,
+                prefix=prefix,
+                heard_s_ago=round(now - self.heard_at[prefix], 2),
+                cause=str(exc),
+            )
+        self.is_connected[prefix] = False
+
+    def _ask_peers(self) -> None:
+        """Takes what peers know of the store's contents."""
+        view = self._members.view(self._clock())
+        members = sorted(
+            view.members,
+            key=lambda m: (m.zone != view.own.zone, self._rng.random()),
+        )
+        for member in members[:PEERS_ASKED]:
+            try:
+                reply = self._members.request(
+                    member.incarnation,
+                    PEER_KIND,
+                    {"version": self._holder.version},
+                    PEER_TIMEOUT_S,
+                )
+                self._take_peer(reply, member.name)
+            except (
+                membership.PeerUnreachableError,
+                KeyError,
+                TypeError,
+                ValueError,
+            ) as exc:
+                self._events.belief(
+                    "peer gave no fleet",
+                    self._clock(),
+                    peer=member.name,
+                    cause=repr(exc),
+                )
+
+    def _take_peer(self, reply: dict, peer: str) -> None:
+        now = self._clock()
+        if reply["document"]:
+            self._offer(reply["document"], f"peer {peer}", now)
+        for body in reply["servers"]:
+            entry = fleet.BackendEntry(*body)
+            self._roster.put(entry, f"peer {peer}", now)
+        for name, revision in reply["removed"]:
+            self._roster.remove(name, revision, f"peer {peer}", now)
+        self._on_change(now)
+
+    def _serve_peer(self, sender: str, body: dict) -> dict:
+        del sender
+        is_newer = self._holder.version > body["version"]
+        return {
+            "document": self._holder.document if is_newer else b"",
+            "servers": [
+                [
+                    entry.name,
+                    entry.service,
+                    entry.address,
+                    entry.zone,
+                    entry.slots,
+                    entry.is_draining,
+                    entry.started_ms,
+                    entry.revision,
+                ]
+                for entry in self._roster.entries()
+            ],
+            "removed": self._roster.removals(),
+        }
+
+    def _expire_always(self) -> None:
+        while True:
+            eventlet.sleep(EXPIRE_S)
+            now = self._clock()
+            before = self._roster.generation
+            self._roster.expire(now)
+            if self._roster.generation != before:
+                self._on_change(now)
--- /dev/null
+++ b/savoryspar/gateway/gathering.py
@@ -0,0 +1,351 @@
+"""Runs the calls of stage pools for all entry VMs of a zone.
+
+For each pool and zone one VM gathers. It keeps one queue, and one green thread
+for each server that takes the next call from the queue as soon as the server
+is free.
+"""
+
+from collections.abc import Callable, Sequence
+
+import eventlet
+from eventlet import event
+
+from savoryspar import backends, fleet, log, platform, stages
+from savoryspar.gateway import model
+
+MAX_TRIES = 3
+"""Calls in which the pieces of a group may fail before it fails."""
+CALL_TIMEOUT_FACTOR = 6.0
+"""Longest wait for a call as a factor of its expected time."""
+MIN_CALL_TIMEOUT_S = 1.5
+FIRST_BACKOFF_S = 0.3
+MAX_BACKOFF_S = 4.0
+"""Pause of a server after failed calls, doubled from one to the next."""
+FULL_PAUSE_S = 0.05
+"""Pause after a server said that it is full: another VM calls it too."""
+IDLE_S = 5.0
+"""Time without pieces after which a server's green thread ends."""
+FREE_DELAY_S = 0.06
+"""Time for which freed results are collected into one call."""
+FREE_TIMEOUT_S = 1.0
+
+Done = Callable[[stages.Group, "stages.Failure | None"], None]
+
+
+class _Server:
+    """One server of the pool and the memory that its results take."""
+
+    __slots__ = (
+        "backoff_s",
+        "entry",
+        "expires",
+        "freed",
+        "is_running",
+        "sizes",
+    )
+
+    def __init__(self, entry: fleet.BackendEntry):
+        self.entry = entry
+        self.backoff_s = 0.0
+        self.is_running = False
+        self.sizes: dict[str, int] = {}
+        self.expires: dict[str, float] = {}
+        self.freed: list[str] = []
+
+    @property
+    def key(self) -> tuple[str, str]:
+        return (self.entry.name, self.entry.address)
+
+    def used_bytes(self, now: float) -> int:
+        """Returns the memory of results that nobody freed yet."""
+        for handle in [h for h, at in self.expires.items() if at <= now]:
+            del self.expires[handle]
+            del self.sizes[handle]
+        return sum(self.sizes.values())
+
+
+class Gatherer:
+    """The queue of one pool in one zone and the calls made from it."""
+
+    __slots__ = (
+        "_connections",
+        "_done",
+        "_entries",
+        "_events",
+        "_servers",
+        "_wakeups",
+        "_clock",
+        "pieces",
+        "calls",
+        "queue",
+    )
+
+    def __init__(
+        self,
+        pool: fleet.StagePool,
+        entries: Callable[[], Sequence[fleet.BackendEntry]],
+        connections: backends.Connections,
+        events: log.EventLog,
+        clock: model.Clock,
+    ):
+        self.queue = stages.new_batch_queue(pool)
+        self._entries = entries
+        self._connections = connections
+        self._events = events
+        self._clock = clock
+        self._servers: dict[str, _Server] = {}
+        self._done: dict[stages.Group, Done] = {}
+        self._wakeups: list[event.Event] = []
+        self.calls = 0
+        self.pieces = 0
+
+    def submit(
+        self, group: stages.Group, done: Done, now: float
+    ) -> tuple[float | None, float]:
+        """Takes a group unless it cannot be done in time.
+
+        Args:
+            group: The pieces.
+            done: Called when all have results, or with the failure.
+            now: Monotonic time in seconds.
+
+        Returns:
+            When to come back if it was refused, else None, and the predicted
+            time until it is done.
+        """
+        servers = self._refresh()
+        wait_s = self.queue.wait_s(group, len(servers))
+        if not servers:
+            return 1.0, wait_s
+        refused_s = self.queue.refusal_s(group, len(servers), now)
+        if refused_s is None:
+            self.queue.add(group)
+            self._done[group] = done
+            self._wake()
+        return refused_s, wait_s
+
+    def cancel(self, request_id: str) -> None:
+        """Drops the pieces of a request; those in a call are freed later."""
+        self.queue.cancel(request_id)
+        for group in [g for g in self._done if g.request_id == request_id]:
+            del self._done[group]
+            self.free(group.handles())
+
+    def free(self, handles: Sequence[str]) -> list[str]:
+        """Frees results; returns those that no server here made."""
+        unknown = []
+        for handle in handles:
+            server = next(
+                (s for s in self._servers.values() if handle in s.sizes), None
+            )
+            if server is None:
+                unknown.append(handle)
+                continue
+            del server.sizes[handle]
+            del server.expires[handle]
+            if not server.freed:
+                eventlet.spawn_after(FREE_DELAY_S, self._free, server)
+            server.freed.append(handle)
+        self._wake()
+        return unknown
+
+    def _refresh(self) -> list[fleet.BackendEntry]:
+        entries = [*self._entries()]
+        names = {entry.name for entry in entries}
+        for name in [*self._servers.keys() - names]:
+            if not self._servers[name].is_running:
+                del self._servers[name]
+        for entry in entries:
+            server = self._servers.get(entry.name)
+            if server is None:
+                server = self._servers[entry.name] = _Server(entry)
+            if not server.is_running:
+                server.is_running = True
+                eventlet.spawn(self._work, server)
+        return entries
+
+    def _wake(self) -> None:
+        wakeups, self._wakeups = self._wakeups, []
+        for wakeup in wakeups:
+            wakeup.send(None)
+
+    def _work(self, server: _Server) -> None:
+        idle_since = self._clock()
+        try:
+            while True:
+                now = self._clock()
+                for group in self.queue.expire(now):
+                    self._finish(group, stages.Failure.LATE)
+                if server.entry.name not in {e.name for e in self._entries()}:
+                    return
+                room = self.queue.pool.room_bytes - server.used_bytes(now)
+                call = self.queue.next_call(now, room)
+                if call:
+                    self._run(server, call, now)
+                    idle_since = self._clock()
+                    continue
+                if now - idle_since > IDLE_S and not len(self.queue):
+                    return
+                wakeup = event.Event()
+                self._wakeups.append(wakeup)
+                with eventlet.Timeout(1.0, False):
+                    wakeup.wait()
+        finally:
+            server.is_running = False
+
+    def _run(
+        self,
+        server: _Server,
+        call: list[tuple[stages.Group, stages.Piece]],
+        now: float,
+    ) -> None:
+        pieces = [piece for _, piece in call]
+        expected_s = self.queue.call_s(len(pieces))
+        timeout_s = max(MIN_CALL_TIMEOUT_S, CALL_TIMEOUT_FACTOR * expected_s)
+        self.calls += 1
+        self.pieces += len(pieces)
+        self._events.decision(
+            "stage call",
+            now,
+            ",".join(sorted({piece.request_id for piece in pieces})),
+            server=server.entry.name,
+            pool=server.entry.service,
+            pieces=len(pieces),
+            waiting=len(self.queue),
+        )
+        try:
+            answer = self._connections.send(
+                server.key,
+                "POST",
+                platform.STAGE_RUN_PATH,
+                platform.encode_stage_headers(server.entry.name),
+                platform.encode_run(pieces, now),
+                timeout_s,
+                may_repeat=True,
+            )
+            body = answer.read_all(now + timeout_s, self._clock)
+            if answer.facts.has_not_run:
+                self._return(call, counts=False)
+                eventlet.sleep(FULL_PAUSE_S)
+                return
+            results = platform.decode_results(body, len(pieces))
+        except (backends.BackendError, fleet.DocumentError) as exc:
+            self._fail(server, call, exc)
+            return
+        server.backoff_s = 0.0
+        self._take(server, call, results)
+
+    def _take(
+        self,
+        server: _Server,
+        call: list[tuple[stages.Group, stages.Piece]],
+        results: Sequence[str | stages.Failure],
+    ) -> None:
+        now = self._clock()
+        expires_at = now + self.queue.pool.result_ttl_s
+        again = []
+        for (group, piece), result in zip(call, results, strict=True):
+            if isinstance(result, str):
+                server.sizes[result] = group.result_bytes
+                server.expires[result] = expires_at
+                group.results[piece.number] = result
+                if group not in self._done:
+                    self.free([result])
+                elif group.is_done:
+                    self._finish(group, None)
+            elif result in (stages.Failure.NO_ROOM, stages.Failure.FAILED):
+                again.append((group, piece))
+            else:
+                self._finish(group, result)
+        if again:
+            self._return(again, counts=True)
+
+    def _fail(
+        self,
+        server: _Server,
+        call: list[tuple[stages.Group, stages.Piece]],
+        exc: Exception,
+    ) -> None:
+        server.backoff_s = min(
+            MAX_BACKOFF_S, max(FIRST_BACKOFF_S, 2.0 * server.backoff_s)
+        )
+        self._events.belief(
+            "stage server failed",
+            self._clock(),
+            server=server.entry.name,
+            pool=server.entry.service,
+            pause_s=server.backoff_s,
+            cause=str(exc),
+        )
+        self._return(call, counts=True)
+        eventlet.sleep(server.backoff_s)
+
+    def _return(
+        self,
+        call: list[tuple[stages.Group, stages.Piece]],
+        counts: bool,
+    ) -> None:
+        """Puts pieces without a result back into the queue."""
+        for group in {id(g): g for g, _ in call}.values():
+            group.tries += counts
+            if group.tries >= MAX_TRIES:
+                self._finish(group, stages.Failure.FAILED)
+                continue
+            if group not in self._done:
+                continue
+            group.waiting[:0] = [p for g, p in call if g is group]
+            self.queue.add(group)
+        self._wake()
+
+    def _finish(
+        self, group: stages.Group, failure: stages.Failure | None
+    ) -> None:
+        done = self._done.pop(group, None)
+        if done is None:
+            return
+        if failure is not None:
+            self.cancel(group.request_id)
+            self.free(group.handles())
+        done(group, failure)
+
+    def _free(self, server: _Server) -> None:
+        handles, server.freed = server.freed, []
+        try:
+            answer = self._connections.send(
+                server.key,
+                "POST",
+                platform.STAGE_FREE_PATH,
+                platform.encode_stage_headers(server.entry.name),
+                platform.encode_free(handles),
+                FREE_TIMEOUT_S,
+                may_repeat=True,
+            )
+            answer.read_all(self._clock() + FREE_TIMEOUT_S, self._clock)
+        except backends.BackendError as exc:
+            # The server drops them itself after their time to live.
+            self._events.belief(
+                "results not freed",
+                self._clock(),
+                server=server.entry.name,
+                results=len(handles),
+                cause=str(exc),
+            )
+
+
+def new_gatherer(
+    pool: fleet.StagePool,
+    entries: Callable[[], Sequence[fleet.BackendEntry]],
+    connections: backends.Connections,
+    events: log.EventLog,
+    clock: model.Clock,
+) -> Gatherer:
+    """Returns a gatherer without pieces.
+
+    Args:
+        pool: How one server works.
+        entries: Returns the servers of the pool in the zone.
+        connections: Connections to backend servers.
+        events: Where calls are logged.
+        clock: Monotonic time in seconds.
+    """
+    return Gatherer(pool, entries, connections, events, clock)
--- /dev/null
+++ b/savoryspar/gateway/stage_work.py
@@ -0,0 +1,427 @@
+"""Gets the pieces of a request's stages made, here or at the gathering VM."""
+
+from collections.abc import Sequence
+from typing import Any
+
+import eventlet
+from eventlet import event
+
+from savoryspar import backends, fleet, log, membership, stages
+from savoryspar.gateway import gathering, model
+
+SUBMIT_KIND = "stage_submit"
+DONE_KIND = "stage_done"
+CANCEL_KIND = "stage_cancel"
+FREE_KIND = "stage_free"
+SUBMIT_TIMEOUT_S = 0.4
+"""Time for a peer to accept a group; a round trip between regions is 40 ms."""
+DONE_TIMEOUT_S = 1.0
+RESULT_FACTOR = 3.0
+"""Wait for the results as a factor of the predicted time, before the pieces
+are submitted elsewhere."""
+MIN_RESULT_S = 1.2
+MAX_SUBMITS = 3
+REMOTE_COST_S = 0.08
+"""Predicted wait by which another zone must be better than the own one: two
+round trips of 40 ms between regions, and results that have to cross."""
+WAIT_HALF_LIFE_S = 0.7
+"""Age at which half of a told wait is believed to have gone."""
+
+
+class StageError(Exception):
+    """A stage has no results.
+
+    Attributes:
+        failure: Why.
+        retry_after_s: When to come back, None when that is not known.
+    """
+
+    def __init__(
+        self, failure: stages.Failure, retry_after_s: float | None = None
+    ):
+        super().__init__(failure.value)
+        self.failure = failure
+        self.retry_after_s = retry_after_s
+
+
+class _Place:
+    """Where a group was submitted."""
+
+    __slots__ = ("incarnation", "pool", "zone")
+
+    def __init__(self, pool: str, zone: str, incarnation: str):
+        self.pool = pool
+        self.zone = zone
+        self.incarnation = incarnation
+
+
+class StageWork:
+    """Submits groups, gathers those of peers, and frees results."""
+
+    __slots__ = (
+        "_clock",
+        "_connections",
+        "_events",
+        "_gatherers",
+        "_holder",
+        "_made_by",
+        "_members",
+        "_roster",
+        "_waiting",
+        "_waits",
+    )
+
+    def __init__(
+        self,
+        holder: fleet.ConfigurationHolder,
+        roster: fleet.Roster,
+        members: membership.Membership,
+        connections: backends.Connections,
+        events: log.EventLog,
+        clock: model.Clock,
+    ):
+        self._holder = holder
+        self._roster = roster
+        self._members = members
+        self._connections = connections
+        self._events = events
+        self._clock = clock
+        self._gatherers: dict[tuple[str, str], gathering.Gatherer] = {}
+        self._waits: dict[tuple[str, str], tuple[float, float]] = {}
+        self._waiting: dict[tuple[str, int], event.Event] = {}
+        self._made_by: dict[str, _Place] = {}
+        members.handle(SUBMIT_KIND, self._serve_submit)
+        members.handle(DONE_KIND, self._serve_done)
+        members.handle(CANCEL_KIND, self._serve_cancel)
+        members.handle(FREE_KIND, self._serve_free)
+
+    def gatherers(self) -> dict[tuple[str, str], gathering.Gatherer]:
+        """Returns the queues that this VM gathers, by pool and zone."""
+        return self._gatherers
+
+    def run_chain(self, chain: stages.Chain, request_id: str) -> None:
+        """Runs all stages of a request, independent ones at the same time.
+
+        Raises:
+            StageError: A stage has no results.
+        """
+        started: frozenset[int] = frozenset()
+        results = eventlet.Queue()
+        threads = []
+        running = 0
+        try:
+            while not chain.is_done:
+                for number in chain.ready(started):
+                    started |= {number}
+                    group = chain.group(number)
+                    threads.append(
+                        eventlet.spawn(self._run_into, results, group)
+                    )
+                    running += 1
+                if not running:
+                    raise StageError(stages.Failure.FAILED)
+                number, outcome = results.get()
+                running -= 1
+                if isinstance(outcome, StageError):
+                    raise outcome
+                self.free(chain.finish(number, outcome))
+        except BaseException:
+            for thread in threads:
+                thread.kill()
+            self.free(chain.forget())
+            eventlet.spawn(self._cancel, request_id)
+            raise
+
+    def free(self, handles: Sequence[str]) -> None:
+        """Frees results that nobody needs any more."""
+        places: dict[int, tuple[_Place, list[str]]] = {}
+        for handle in handles:
+            place = self._made_by.pop(handle, None)
+            if place is not None:
+                places.setdefault(id(place), (place, []))[1].append(handle)
+        for place, found in places.values():
+            if place.incarnation == self._own():
+                self._free_here(place.pool, place.zone, found)
+            else:
+                eventlet.spawn(self._free_there, place, found)
+
+    def _run_into(self, results: eventlet.Queue, group: stages.Group) -> None:
+        try:
+            results.put((group.stage, self._run(group)))
+        except StageError as exc:
+            results.put((group.stage, exc))
+
+    def _run(self, group: stages.Group) -> list[str]:
+        excluded: frozenset[str] = frozenset()
+        full: frozenset[str] = frozenset()
+        refused: StageError | None = None
+        for _ in range(MAX_SUBMITS):
+            now = self._clock()
+            place = self._place(group, excluded, full, now)
+            if place is None:
+                break
+            try:
+                return self._run_at(place, group, now)
+            except membership.PeerUnreachableError as exc:
+                self._events.failure(
+                    "stage gatherer lost",
+                    self._clock(),
+                    group.request_id,
+                    stage=group.stage,
+                    pool=group.pool,
+                    zone=place.zone,
+                    cause=str(exc),
+                )
+                excluded |= {place.incarnation}
+            except StageError as exc:
+                if exc.failure is not stages.Failure.LATE:
+                    raise
+                refused = exc
+                full |= {place.zone}
+        raise refused or StageError(stages.Failure.FAILED, 1.0)
+
+    def _place(
+        self,
+        group: stages.Group,
+        excluded: frozenset[str],
+        full: frozenset[str],
+        now: float,
+    ) -> _Place | None:
+        view = self._members.view(now)
+        zones = {
+            entry.zone
+            for entry in self._roster.usable()
+            if entry.service == group.pool
+        } - full
+        if not zones:
+            return None
+        zone = min(
+            sorted(zones),
+            key=lambda z: self._wait_s(group.pool, z, view.own.zone, now),
+        )
+        member = stages.choose_gatherer(
+            group.pool, zone, (view.own, *view.members), excluded
+        )
+        if member is None:
+            member = view.own
+        return _Place(group.pool, zone, member.incarnation)
+
+    def _wait_s(self, pool: str, zone: str, own: str, now: float) -> float:
+        wait_s, at = self._waits.get((pool, zone), (0.0, now))
+        faded_s = wait_s * 0.5 ** ((now - at) / WAIT_HALF_LIFE_S)
+        return faded_s + (0.0 if zone == own else REMOTE_COST_S)
+
+    def _run_at(
+        self, place: _Place, group: stages.Group, now: float
+    ) -> list[str]:
+        waiting = event.Event()
+        key = (group.request_id, group.stage)
+        self._waiting[key] = waiting
+        try:
+            refused_s, wait_s = self._submit(place, group, now)
+            self._waits[place.pool, place.zone] = (wait_s, now)
+            self._events.decision(
+                "stage submitted" if refused_s is None else "stage refused",
+                now,
+                group.request_id,
+                stage=group.stage,
+                pool=group.pool,
+                zone=place.zone,
+                gatherer=place.incarnation,
+                pieces=group.pieces,
+                wait_s=round(wait_s, 3),
+                left_s=round(group.deadline_at - now, 3),
+            )
+            if refused_s is not None:
+                raise StageError(stages.Failure.LATE, refused_s)
+            limit_s = min(
+                max(MIN_RESULT_S, RESULT_FACTOR * wait_s),
+                group.deadline_at - now,
+            )
+            outcome = None
+            with eventlet.Timeout(max(0.0, limit_s), False):
+                outcome = waiting.wait()
+        finally:
+            self._waiting.pop(key, None)
+        if outcome is None:
+            raise membership.PeerUnreachableError(
+                f"no results from {place.incarnation} in {limit_s:.2f} s",
+                "the pieces are submitted to another entry VM",
+                has_sent=True,
+            )
+        handles, failure = outcome
+        if failure:
+            raise StageError(stages.Failure(failure))
+        for handle in handles:
+            self._made_by[handle] = place
+        return handles
+
+    def _submit(
+        self, place: _Place, group: stages.Group, now: float
+    ) -> tuple[float | None, float]:
+        if place.incarnation == self._own():
+            return self._gather(
+                place.zone, group, self._done_here, now
+            )
+        reply = self._members.request(
+            place.incarnation,
+            SUBMIT_KIND,
+            {"zone": place.zone, "group": group.to_body(now)},
+            SUBMIT_TIMEOUT_S,
+        )
+        return reply["refused_s"], reply["wait_s"]
+
+    def _gather(
+        self, zone: str, group: stages.Group, done: gathering.Done, now: float
+    ) -> tuple[float | None, float]:
+        current = self._holder.current
+        service = current and current.services.get(group.pool)
+        if not service or not service.stage_pool:
+            return 1.0, 1.0
+        gatherer = self._gatherers.get((group.pool, zone))
+        if gatherer is None:
+            gatherer = gathering.new_gatherer(
+                service.stage_pool,
+                lambda: self._entries(group.pool, zone),
+                self._connections,
+                self._events,
+                self._clock,
+            )
+            self._gatherers[group.pool, zone] = gatherer
+        return gatherer.submit(group, done, now)
+
+    def _entries(self, pool: str, zone: str) -> list[fleet.BackendEntry]:
+        return [
+            entry
+            for entry in self._roster.usable()
+            if entry.service == pool and entry.zone == zone
+        ]
+
+    def _done_here(
+        self, group: stages.Group, failure: stages.Failure | None
+    ) -> None:
+        waiting = self._waiting.pop((group.request_id, group.stage), None)
+        if waiting is not None:
+            waiting.send((group.handles(), failure.value if failure else ""))
+
+    def _serve_submit(self, sender: str, body: Any) -> dict[str, Any]:
+        now = self._clock()
+        group = stages.decode_group(body["group"], now)
+
+        zone = str(body["zone"])
+
+        def done(
+            group: stages.Group, failure: stages.Failure | None
+        ) -> None:
+            eventlet.spawn(self._tell_done, sender, zone, group, failure)
+
+        refused_s, wait_s = self._gather(zone, group, done, now)
+        return {"refused_s": refused_s, "wait_s": wait_s}
+
+    def _tell_done(
+        self,
+        sender: str,
+        zone: str,
+        group: stages.Group,
+        failure: stages.Failure | None,
+    ) -> None:
+        try:
+            reply = self._members.request(
+                sender,
+                DONE_KIND,
+                [
+                    group.request_id,
+                    group.stage,
+                    group.handles(),
+                    failure.value if failure else "",
+                ],
+                DONE_TIMEOUT_S,
+            )
+            if not reply["is_awaited"]:
+                self._free_here(group.pool, zone, group.handles())
+        except membership.PeerUnreachableError as exc:
+            self._free_here(group.pool, zone, group.handles())
+            self._events.failure(
+                "stage results not delivered",
+                self._clock(),
+                group.request_id,
+                stage=group.stage,
+                peer=sender,
+                cause=str(exc),
+            )
+
+    def _serve_done(self, sender: str, body: Any) -> dict[str, Any]:
+        del sender
+        request_id, stage, handles, failure = body
+        waiting = self._waiting.pop((request_id, stage), None)
+        if waiting is not None:
+            waiting.send(([str(h) for h in handles], str(failure)))
+        return {"is_awaited": waiting is not None}
+
+    def _cancel(self, request_id: str) -> None:
+        self._cancel_here(request_id)
+        # Pieces wait at the gatherers of the own zone, seldom elsewhere.
+        view = self._members.view(self._clock())
+        for member in view.members:
+            if member.zone != view.own.zone:
+                continue
+            try:
+                self._members.request(
+                    member.incarnation, CANCEL_KIND, request_id, DONE_TIMEOUT_S
+                )
+            except membership.PeerUnreachableError as exc:
+                self._events.failure(
+                    "stage not cancelled",
+                    self._clock(),
+                    request_id,
+                    peer=member.name,
+                    cause=str(exc),
+                )
+
+    def _serve_cancel(self, sender: str, body: Any) -> dict[str, Any]:
+        del sender
+        self._cancel_here(str(body))
+        return {}
+
+    def _cancel_here(self, request_id: str) -> None:
+        for gatherer in self._gatherers.values():
+            gatherer.cancel(request_id)
+
+    def _free_there(self, place: _Place, handles: list[str]) -> None:
+        try:
+            self._members.request(
+                place.incarnation,
+                FREE_KIND,
+                [place.pool, place.zone, handles],
+                DONE_TIMEOUT_S,
+            )
+        except membership.PeerUnreachableError:
+            # Another VM can free them as well: the calls name the results.
+            self._free_here(place.pool, place.zone, handles)
+
+    def _serve_free(self, sender: str, body: Any) -> dict[str, Any]:
+        del sender
+        pool, zone, handles = body
+        self._free_here(str(pool), str(zone), [str(h) for h in handles])
+        return {}
+
+    def _free_here(self, pool: str, zone: str, handles: list[str]) -> None:
+        gatherer = self._gatherers.get((pool, zone))
+        if gatherer is not None:
+            # Unknown results end with their time to live.
+            gatherer.free(handles)
+
+    def _own(self) -> str:
+        return self._members.view(self._clock()).own.incarnation
+
+
+def new_stage_work(
+    holder: fleet.ConfigurationHolder,
+    roster: fleet.Roster,
+    members: membership.Membership,
+    connections: backends.Connections,
+    events: log.EventLog,
+    clock: model.Clock,
+) -> StageWork:
+    """Returns the stage work of an entry VM; peers may submit at once."""
+    return StageWork(holder, roster, members, connections, events, clock)
--- /dev/null
+++ b/savoryspar/gateway/streams.py
@@ -0,0 +1,331 @@
+"""Runs a request's stages, then relays the event stream of a model engine."""
+
+from collections.abc import Callable
+
+from savoryspar import backends, fleet, log, platform, routing, stages
+from savoryspar.gateway import attempts, events, model, stage_work
+
+PREFILL_TOKENS_PER_S = 60000.0
+"""Prompt tokens that an engine reads a second, from its data sheet."""
+FIRST_EVENT_S = 0.1
+"""Time from the end of the prompt to the first event at a busy engine."""
+URGENCY_BASE = 2
+"""Urgency of the highest rank at an engine; 0 and 1 stay free."""
+MAX_URGENCY = 9
+DEFAULT_RETRY_S = 0.5
+
+Start = Callable[[str, list[tuple[str, str]]], Callable[[bytes], None]]
+"""Starts the answer to the caller and returns what writes its body."""
+
+
+class StreamForwarder:
+    """Forwards streams; construct it with ``new_stream_forwarder``."""
+
+    __slots__ = (
+        "_clock",
+        "_connections",
+        "_events",
+        "_holder",
+        "_router",
+        "_work",
+    )
+
+    def __init__(
+        self,
+        holder: fleet.ConfigurationHolder,
+        router: routing.Router,
+        work: stage_work.StageWork,
+        connections: backends.Connections,
+        event_log: log.EventLog,
+        clock: model.Clock,
+    ):
+        self._holder = holder
+        self._router = router
+        self._work = work
+        self._connections = connections
+        self._events = event_log
+        self._clock = clock
+
+    def run(self, job: model.Job, start: Start) -> model.Reply | None:
+        """Answers the caller.
+
+        Returns:
+            A failure of the engine to pass on, or None when the stream was
+            relayed to its end.
+
+        Raises:
+            GatewayError: There is no answer, and nothing was sent.
+            BrokenStreamError: The stream broke after its head was sent.
+        """
+        chain = self._new_chain(job)
+        try:
+            self._run_stages(job, chain)
+            return _Relay(self, job, chain, start).run()
+        finally:
+            self._work.free(chain.forget())
+
+    def _new_chain(self, job: model.Job) -> stages.Chain:
+        current = self._holder.current
+        pools = {
+            service.name: service.stage_pool
+            for service in current.services.values()
+            if service.stage_pool
+        }
+        engine_s = (
+            job.req.prompt_tokens / PREFILL_TOKENS_PER_S + FIRST_EVENT_S
+        )
+        return stages.new_chain(
+            job.req,
+            job.route,
+            pools,
+            job.rank,
+            job.objective_at - engine_s,
+            job.deadline_at - engine_s,
+        )
+
+    def _run_stages(self, job: model.Job, chain: stages.Chain) -> None:
+        try:
+            self._work.run_chain(chain, job.req.attempt_id)
+        except stage_work.StageError as exc:
+            raise model.refusal(
+                f"stage_{exc.failure.value}",
+                f"a stage has no results: {exc.failure.value}",
+                exc.retry_after_s or DEFAULT_RETRY_S,
+            ) from exc
+
+
+class _Relay:
+    """One stream, over one engine or several in turn."""
+
+    __slots__ = (
+        "_chain",
+        "_cutter",
+        "_forwarder",
+        "_is_started",
+        "_job",
+        "_start",
+        "_tries",
+        "_write",
+    )
+
+    def __init__(
+        self,
+        forwarder: StreamForwarder,
+        job: model.Job,
+        chain: stages.Chain,
+        start: Start,
+    ):
+        self._forwarder = forwarder
+        self._job = job
+        self._chain = chain
+        self._start = start
+        self._cutter = events.EventCutter(job.req.resume_after)
+        self._is_started = False
+        self._write: Callable[[bytes], None] = lambda data: None
+        self._tries = attempts.Attempts(
+            job, forwarder._router, forwarder._events
+        )
+
+    def run(self) -> model.Reply | None:
+        clock = self._forwarder._clock
+        while True:
+            choice = self._choose()
+            outcome, reply, has_not_run, cause = self._try(choice)
+            if outcome is routing.Outcome.OK:
+                return reply
+            now = clock()
+            if self._tries.may_go_on(choice, has_not_run, cause, now):
+                self._cutter.restart()
+                continue
+            if self._is_started:
+                raise model.BrokenStreamError(
+                    f"the stream ended after event {self._cutter.last_id}:"
+                    f" {cause}",
+                    "resume it with the number of the last event",
+                )
+            if reply is not None:
+                return reply
+            raise self._refusal(has_not_run, cause, now)
+
+    def _choose(self) -> routing.Choice:
+        try:
+            return self._tries.choose(self._forwarder._clock())
+        except model.GatewayError as exc:
+            if self._is_started:
+                raise model.BrokenStreamError(str(exc), exc.remedy) from exc
+            if self._job.sends:
+                raise model.GatewayError(
+                    "502 Bad Gateway",
+                    "answer_lost",
+                    f"the stream was lost and cannot go on: {exc}",
+                    "send the request again",
+                ) from exc
+            raise
+
+    def _refusal(
+        self, has_not_run: bool, cause: str, now: float
+    ) -> model.GatewayError:
+        if has_not_run and not self._job.sends:
+            return model.refusal("engines_full", cause, DEFAULT_RETRY_S)
+        is_late = self._job.left_s(now) <= 0.0
+        return model.GatewayError(
+            "504 Gateway Timeout" if is_late else "502 Bad Gateway",
+            "timeout" if is_late else "answer_lost",
+            f"the stream was lost before its first event: {cause}",
+            "the request may have run",
+        )
+
+    def _try(
+        self, choice: routing.Choice
+    ) -> tuple[routing.Outcome, model.Reply | None, bool, str]:
+        """Relays from one engine; returns how that ended.
+
+        Returns:
+            The outcome, a failure to pass on, whether the request certainly
+            has not run, and the cause.
+        """
+        forwarder = self._forwarder
+        outcome = routing.Outcome.CANCELLED
+        answer = None
+        reply = None
+        has_not_run = False
+        cause = ""
+        try:
+            answer = self._send(choice)
+            if answer.facts.has_not_run:
+                outcome = routing.Outcome.REFUSED
+                reply, has_not_run = self._take_refusal(answer), True
+                cause = f"status {answer.status}"
+                if reply is not None:
+                    outcome = routing.Outcome.OK
+            elif answer.status != 200 or not answer.facts.has_digest:
+                self._tries.note_sent()
+                body = answer.read_all(
+                    self._job.deadline_at, forwarder._clock
+                )
+                outcome = routing.Outcome.FAILED
+                cause = f"status {answer.status}"
+                if answer.facts.has_digest:
+                    reply = self._reply(answer, body)
+            else:
+                self._tries.note_sent()
+                self._relay(choice, answer)
+                outcome = routing.Outcome.OK
+        except backends.CallRefusedError as exc:
+            outcome, has_not_run = routing.Outcome.UNREACHABLE, True
+            cause = str(exc)
+        except backends.CallUnknownError as exc:
+            outcome, cause = routing.Outcome.FAILED, str(exc)
+            if answer is None:
+                self._tries.note_sent()
+            if exc.is_crash:
+                outcome = routing.Outcome.CRASHED
+                self._tries.note_crash(choice, forwarder._clock())
+        finally:
+            if answer is not None and not answer.is_complete:
+                answer.close()
+            load = answer.facts.load if answer is not None else -1
+            forwarder._router.observe(
+                choice, outcome, load, forwarder._clock()
+            )
+        return outcome, reply, has_not_run, cause
+
+    def _send(self, choice: routing.Choice) -> backends.Answer:
+        forwarder, job = self._forwarder, self._job
+        now = forwarder._clock()
+        fields = platform.encode_backend_headers(
+            job.req,
+            backends.BackendSend(
+                choice.server.name,
+                job.left_s(now),
+                job.workspace,
+                min(MAX_URGENCY, URGENCY_BASE + 2 * job.rank),
+                self._chain.inputs(),
+                self._cutter.last_id,
+            ),
+        )
+        return forwarder._connections.send(
+            (choice.server.name, choice.server.address),
+            job.req.method,
+            job.req.target,
+            fields,
+            job.req.body,
+            job.left_s(now),
+            job.req.attempt_id,
+            job.route.may_repeat,
+        )
+
+    def _take_refusal(self, answer: backends.Answer) -> model.Reply | None:
+        forwarder = self._forwarder
+        body = answer.read_all(self._job.deadline_at, forwarder._clock)
+        if answer.facts.is_other_server:
+            forwarder._router.mark_leaving(answer.server, forwarder._clock())
+        if answer.status == 409:
+            # An input is gone: the stages run again within the deadline.
+            forwarder._work.free(self._chain.forget())
+            forwarder._run_stages(self._job, self._chain)
+        if answer.status == 400:
+            return self._reply(answer, body)
+        return None
+
+    def _reply(self, answer: backends.Answer, body: bytes) -> model.Reply:
+        return model.Reply(
+            f"{answer.status} {answer.reason}",
+            platform.answer_headers(answer.fields),
+            body,
+        )
+
+    def _relay(self, choice: routing.Choice, answer: backends.Answer) -> None:
+        forwarder, job = self._forwarder, self._job
+        while True:
+            data = answer.read_some(job.left_s(forwarder._clock()))
+            if not data:
+                break
+            whole = self._cutter.feed(data)
+            if not whole:
+                continue
+            if choice.first_at is None:
+                choice.first_at = forwarder._clock()
+                # The engine has fetched its inputs; another engine that the
+                # stream may go on at would need them again.
+                if not job.route.is_resumable:
+                    forwarder._work.free(self._chain.forget())
+            self._begin(answer)
+            self._write(whole)
+        self._begin(answer)
+        if self._cutter.rest:
+            self._write(self._cutter.rest)
+        self._write(b"")
+
+    def _begin(self, answer: backends.Answer) -> None:
+        """Starts the answer with the head of the first engine."""
+        if not self._is_started:
+            self._is_started = True
+            forwarder, job = self._forwarder, self._job
+            now = forwarder._clock()
+            forwarder._events.decision(
+                "first event",
+                now,
+                job.req.attempt_id,
+                server=answer.server,
+                after_s=round(now - job.received_at, 3),
+                objective_s=job.route.objective_s,
+            )
+            self._write = self._start(
+                f"{answer.status} {answer.reason}",
+                platform.answer_headers(answer.fields),
+            )
+
+
+def new_stream_forwarder(
+    holder: fleet.ConfigurationHolder,
+    router: routing.Router,
+    work: stage_work.StageWork,
+    connections: backends.Connections,
+    event_log: log.EventLog,
+    clock: model.Clock,
+) -> StreamForwarder:
+    """Returns a forwarder over the given parts."""
+    return StreamForwarder(
+        holder, router, work, connections, event_log, clock
+    )
--- a/savoryspar/http/server.py
+++ b/savoryspar/http/server.py
@@ -28,9 +28,11 @@
 
     Attributes:
         is_draining: Whether callers are asked to close their connections.
+        head_timeout_s: Longest time for all headers of a request.
     """
 
     is_draining = False
+    head_timeout_s = 10.0
 
 
 class Server:
@@ -46,12 +48,16 @@
         "address",
     )
 
-    def __init__(self, app: Callable, cfg: conf.Settings):
-        self._pool = eventlet.GreenPool(cfg.http.max_connections)
+    def __init__(
+        self,
+        app: Callable,
+        address: tuple[str, int],
+        max_connections: int,
+        read_timeout_s: float,
+    ):
+        self._pool = eventlet.GreenPool(max_connections)
         self._sock = eventlet.listen(
-            (cfg.entry.listen_address, cfg.entry.listen_port),
-            backlog=BACKLOG,
-            reuse_port=True,
+            address, backlog=BACKLOG, reuse_port=True
         )
         self._sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.address = self._sock.getsockname()
@@ -64,18 +70,29 @@
             self._sock,
             self.address,
             app,
-            protocol=protocol.new_protocol(cfg.http.read_timeout_s),
+            protocol=protocol.TimedProtocol,
             minimum_chunk_size=0,
-            keepalive=cfg.http.read_timeout_s,
+            keepalive=read_timeout_s,
             log_output=False,
-            socket_timeout=cfg.http.read_timeout_s,
+            socket_timeout=read_timeout_s,
             debug=False,
         )
+        self._wsgi.head_timeout_s = read_timeout_s
 
     def start(self) -> None:
         """Serves in a green thread."""
         self._thread = eventlet.spawn(self._accept)
 
+    @property
+    def connections(self) -> int:
+        """Open connections of callers."""
+        return len(self._connections)
+
+    def set_limits(self, head_timeout_s: float, idle_timeout_s: float) -> None:
+        """Sets how long callers may take for headers and stay idle."""
+        self._wsgi.head_timeout_s = head_timeout_s
+        self._wsgi.keepalive = idle_timeout_s
+
     def drain(self) -> None:
         """Asks callers from now on to close their connections."""
         self._wsgi.is_draining = True
@@ -143,4 +160,26 @@
 
 def new_server(app: Callable, cfg: conf.Settings) -> Server:
     """Returns a server that listens but does not serve yet."""
-    return Server(app, cfg)
+    return new_listener(
+        app,
+        (cfg.entry.listen_address, cfg.entry.listen_port),
+        cfg.http.max_connections,
+        cfg.http.read_timeout_s,
+    )
+
+
+def new_listener(
+    app: Callable,
+    address: tuple[str, int],
+    max_connections: int,
+    read_timeout_s: float,
+) -> Server:
+    """Returns a server at an address; it does not serve yet.
+
+    Args:
+        app: The WSGI application.
+        address: IP number and port.
+        max_connections: Connections served at a time.
+        read_timeout_s: Longest wait for a request and for each read of it.
+    """
+    return Server(app, address, max_connections, read_timeout_s)
--- a/savoryspar/log/__init__.py
+++ b/savoryspar/log/__init__.py
@@ -1,4 +1,5 @@
 """Log set-up and decision lines."""
 
 from savoryspar.log.decisions import Decision, DecisionLog, new_decision_log
+from savoryspar.log.events import EventLog, new_event_log
 from savoryspar.log.setup import PARTS, configure, new_handler, new_logger
--- a/savoryspar/membership/sheet_watch.py
+++ b/savoryspar/membership/sheet_watch.py
@@ -4,7 +4,7 @@
 
 import eventlet
 
-from savoryspar import log, platform, sheet
+from savoryspar import discovery, log, sheet
 from savoryspar.membership import exceptions, service, spread, topology
 
 WATCHERS_PER_ZONE = 2
@@ -44,7 +44,7 @@
         self,
         members: service.Membership,
         sheets: sheet.SheetHolder,
-        client: platform.ConfigClient,
+        client: discovery.ConfigClient,
         timeout_s: float,
         clock: Callable[[], float],
     ):
@@ -109,7 +109,7 @@
             self._note_duty(True)
             try:
                 self.read_once()
-            except platform.PlatformError as exc:
+            except discovery.PlatformError as exc:
                 self._note_failure(exc, self._clock())
                 eventlet.sleep(RETRY_S)
 
@@ -140,7 +140,7 @@
         is_refused = self._sheets.revision < revision
         self._refusals = self._refusals + 1 if is_refused else 0
 
-    def _note_failure(self, exc: platform.PlatformError, now: float) -> None:
+    def _note_failure(self, exc: discovery.PlatformError, now: float) -> None:
         if self._blind_until == float("-inf"):
             self._logger.warning(f"Configuration not read. {exc}")
         self._blind_until = now + BLIND_S
@@ -156,7 +156,7 @@
 def new_sheet_watch(
     members: service.Membership,
     sheets: sheet.SheetHolder,
-    client: platform.ConfigClient,
+    client: discovery.ConfigClient,
     timeout_s: float,
     clock: Callable[[], float],
 ) -> SheetWatch:
--- a/savoryspar/platform/__init__.py
+++ b/savoryspar/platform/__init__.py
@@ -1,5 +1,31 @@
-"""Read-only clients of the platform's services."""
+"""Translation between the users' platform and the product.
 
-from savoryspar.platform.config import ConfigClient, new_config_client
-from savoryspar.platform.exceptions import PlatformError
-from savoryspar.platform.vms import Vm, VmListClient, new_vm_list_client
+Wire names are decoded here once into the product's records. The package makes
+no decision and keeps no state but connections.
+"""
+
+from savoryspar.platform.documents import (
+    decode_backend_entry,
+    decode_configuration,
+)
+from savoryspar.platform.headers import (
+    READY_PATH,
+    answer_facts,
+    answer_headers,
+    decode_caller_request,
+    encode_backend_headers,
+    encode_stage_headers,
+)
+from savoryspar.platform.stage_calls import (
+    STAGE_FREE_PATH,
+    STAGE_RUN_PATH,
+    decode_results,
+    encode_free,
+    encode_run,
+)
+from savoryspar.platform.store import (
+    Item,
+    Snapshot,
+    StoreClient,
+    new_store_client,
+)
--- /dev/null
+++ b/savoryspar/platform/headers.py
@@ -0,0 +1,192 @@
+"""Header fields of callers' requests and of backend servers' answers."""
+
+from collections.abc import Iterable, Sequence
+
+from savoryspar import backends
+
+READY_PATH = "/-/readyz"
+
+ATTEMPT_ID = "Savoryspar-Attempt-Id"
+DEADLINE = "Savoryspar-Deadline-Ms"
+EXPECT_SERVER = "Savoryspar-Expect-Instance"
+INPUTS = "Savoryspar-Inputs"
+KEY = "Savoryspar-Key"
+LOAD = "Savoryspar-Load"
+MODEL = "Savoryspar-Model"
+NOT_RUN = "Savoryspar-Not-Run"
+PIECES = "Savoryspar-Pieces"
+PIECE_KEY = "Savoryspar-Piece-Key"
+PROMPT_PARTS = "Savoryspar-Prefix-Hash"
+SEAL = "Savoryspar-Seal"
+TOKENS = "Savoryspar-Token-Count"
+URGENCY = "Savoryspar-Request-Urgency"
+WORKSPACE = "Savoryspar-Tenant"
+RESUME_AFTER = "Last-Event-Id"
+
+HOP_BY_HOP = frozenset(
+    {
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "content-length",
+        "expect",
+    }
+)
+"""Fields of one connection, and those that the HTTP library sets itself."""
+
+SET_BY_SYSTEM = frozenset(
+    name.lower()
+    for name in (
+        DEADLINE,
+        EXPECT_SERVER,
+        "Savoryspar-Expect-Version",
+        INPUTS,
+        KEY,
+        URGENCY,
+        WORKSPACE,
+        RESUME_AFTER,
+        "Savoryspar-Hold",
+        "Savoryspar-Pin-Ms",
+        "Savoryspar-Kv-Backup",
+        "Kv-From",
+        "Kv-Fetch",
+        "Accept-Encoding",
+        # The presence of this field in a request would be the caller's word.
+        NOT_RUN,
+    )
+)
+"""Fields that a caller's request never passes on as they came."""
+
+
+def decode_caller_request(
+    method: str, target: str, fields: Sequence[tuple[str, str]], body: bytes
+) -> backends.CallerRequest:
+    """Decodes a request.
+
+    Raises:
+        BadRequestError: A field cannot be read.
+    """
+    found = {name.lower(): value.strip() for name, value in fields}
+    get = lambda name: found.get(name.lower(), "")  # noqa: E731
+    try:
+        deadline_ms = float(get(DEADLINE)) if get(DEADLINE) else None
+        prompt_tokens, output_tokens = _numbers(get(TOKENS), 2)
+        pieces = tuple(int(n) for n in get(PIECES).split(",") if n.strip())
+        parts = tuple(_part(text) for text in get(PROMPT_PARTS).split(",") if text)
+        resume_after = int(get(RESUME_AFTER)) if get(RESUME_AFTER) else None
+    except ValueError as exc:
+        raise backends.BadRequestError(
+            f"a header field of the request cannot be read: {exc}",
+            "send the fields in the documented form",
+        ) from exc
+    return backends.CallerRequest(
+        attempt_id=get(ATTEMPT_ID),
+        method=method,
+        target=target,
+        host=get("Host").rpartition(":")[0].lower()
+        if ":" in get("Host")
+        else get("Host").lower(),
+        fields=tuple(
+            (name, value)
+            for name, value in fields
+            if name.lower() not in HOP_BY_HOP | SET_BY_SYSTEM
+            and name.lower() not in _listed_in_connection(get("Connection"))
+        ),
+        body=body,
+        deadline_s=None if deadline_ms is None else deadline_ms / 1000.0,
+        key=get(KEY),
+        model=get(MODEL),
+        prompt_tokens=prompt_tokens,
+        output_tokens=output_tokens,
+        prompt_parts=parts,
+        pieces=pieces,
+        piece_key=get(PIECE_KEY),
+        resume_after=resume_after,
+    )
+
+
+def _listed_in_connection(value: str) -> frozenset[str]:
+    return frozenset(word.strip().lower() for word in value.split(","))
+
+
+def _numbers(text: str, count: int) -> tuple[int, ...]:
+    numbers = [int(word) for word in text.split(",") if word.strip()]
+    return tuple((numbers + [0] * count)[:count])
+
+
+def _part(text: str) -> backends.PromptPart:
+    identifier, _, tokens = text.strip().partition(":")
+    return backends.PromptPart(identifier, int(tokens))
+
+
+def encode_backend_headers(
+    req: backends.CallerRequest, send: backends.BackendSend
+) -> list[tuple[str, str]]:
+    """Returns the header fields of one send to a backend server."""
+    fields = [*req.fields]
+    fields.append((DEADLINE, str(max(1, int(send.timeout_s * 1000)))))
+    fields.append((EXPECT_SERVER, send.server))
+    if send.workspace:
+        fields.append((WORKSPACE, send.workspace))
+    if send.urgency is not None:
+        fields.append((URGENCY, str(send.urgency)))
+    if send.inputs:
+        fields.append((INPUTS, ",".join(send.inputs)))
+    if send.resume_after is not None:
+        fields.append((RESUME_AFTER, str(send.resume_after)))
+    return fields
+
+
+def encode_stage_headers(server: str) -> list[tuple[str, str]]:
+    """Returns the header fields of a call that runs or frees pieces."""
+    return [
+        ("Content-Type", "application/json"),
+        (EXPECT_SERVER, server),
+    ]
+
+
+def answer_facts(
+    status: int, fields: Iterable[tuple[str, str]]
+) -> backends.AnswerFacts:
+    """Returns what a backend server's answer says of the request."""
+    found = {name.lower(): value for name, value in fields}
+    load = found.get(LOAD.lower(), "").split(",")
+    return backends.AnswerFacts(
+        attempt_id=found.get(ATTEMPT_ID.lower(), ""),
+        # Status 421 alone says that another server has the address.
+        has_not_run=NOT_RUN.lower() in found or status == 421,
+        is_other_server=status == 421,
+        has_digest=SEAL.lower() in found,
+        is_encoded="content-encoding" in found,
+        is_closing="close" in found.get("connection", "").lower(),
+        idle_timeout_s=_idle_timeout(found.get("keep-alive", "")),
+        load=sum(int(n) for n in load[:2] if n.strip().isdigit())
+        if len(load) == 3
+        else -1,
+    )
+
+
+def _idle_timeout(text: str) -> float | None:
+    for word in text.split(","):
+        name, _, value = word.strip().partition("=")
+        if name.lower() == "timeout" and value.isdigit():
+            return float(value)
+    return None
+
+
+def answer_headers(
+    fields: Iterable[tuple[str, str]],
+) -> list[tuple[str, str]]:
+    """Returns the fields of a server's answer that go to the caller."""
+    return [
+        (name, value)
+        for name, value in fields
+        if name.lower() not in HOP_BY_HOP
+        and name.lower() not in (NOT_RUN.lower(), LOAD.lower())
+    ]
--- /dev/null
+++ b/savoryspar/platform/stage_calls.py
@@ -0,0 +1,72 @@
+"""Bodies of the calls that run pieces of stages and free their results."""
+
+from collections.abc import Sequence
+import json
+
+from savoryspar import fleet, stages
+
+STAGE_RUN_PATH = "/-/stage-run"
+STAGE_FREE_PATH = "/-/stage-free"
+
+REASONS = {
+    "late": stages.Failure.LATE,
+    "gone": stages.Failure.INPUT_GONE,
+    "room": stages.Failure.NO_ROOM,
+    "error": stages.Failure.FAILED,
+}
+
+
+def encode_run(pieces: Sequence[stages.Piece], now: float) -> bytes:
+    """Returns the body of a call that runs the pieces, in their order."""
+    return json.dumps(
+        {"entries": [_entry(piece, now) for piece in pieces]}
+    ).encode()
+
+
+def _entry(piece: stages.Piece, now: float) -> dict[str, object]:
+    entry: dict[str, object] = {
+        "id": piece.request_id,
+        "phase": piece.stage,
+        "segment": piece.number,
+        "left-ms": max(1, int((piece.deadline_at - now) * 1000)),
+    }
+    if piece.inputs:
+        entry["inputs"] = list(piece.inputs)
+    else:
+        entry["key"] = piece.key
+    return entry
+
+
+def decode_results(
+    body: bytes, count: int
+) -> list[str | stages.Failure]:
+    """Returns the result handle or the failure of each piece of a call.
+
+    Raises:
+        DocumentError: The answer has another form.
+    """
+    try:
+        entries = json.loads(body)["entries"]
+        results = [
+            entry["handle"]
+            if "handle" in entry
+            else REASONS.get(entry.get("reason"), stages.Failure.FAILED)
+            for entry in entries
+        ]
+    except (ValueError, KeyError, TypeError, AttributeError) as exc:
+        raise fleet.DocumentError(
+            f"the answer to a stage call cannot be decoded: {exc!r}",
+            "the pieces are run again on another server",
+        ) from exc
+    if len(results) != count:
+        raise fleet.DocumentError(
+            f"the answer to a stage call has {len(results)} results"
+            f" of {count} pieces",
+            "the pieces are run again on another server",
+        )
+    return results
+
+
+def encode_free(handles: Sequence[str]) -> bytes:
+    """Returns the body of a call that frees results."""
+    return json.dumps({"handles": [*handles]}).encode()
--- /dev/null
+++ b/savoryspar/platform/store.py
@@ -0,0 +1,203 @@
+"""Client of the platform's metadata store, which can be read and watched."""
+
+import base64
+from collections.abc import Iterator
+import http.client
+import json
+import socket
+from typing import Any
+from urllib import parse
+
+import urllib3
+from urllib3 import connection
+
+from savoryspar import fleet
+
+
+CONNECT_TIMEOUT_S = 1.0
+"""A store that is up accepts within some milliseconds."""
+READ_TIMEOUT_S = 2.0
+"""Longest wait for an answer that does not watch; usual answers take 4 ms."""
+WATCH_MARGIN_S = 2.0
+"""Added to the wait of a watch before its connection is taken for dead."""
+KEEPALIVE_OPTIONS = (
+    (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
+    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 2),
+    (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, 2500),
+)
+"""Notices within 3 s that a waiting watch's connection went silent."""
+
+
+class Item:
+    """A key with its value, or the removal of a key.
+
+    Attributes:
+        key: The key.
+        value: Its value, None when the key was removed.
+        revision: Revision of the change.
+    """
+
+    __slots__ = ("key", "revision", "value")
+
+    def __init__(self, key: str, value: bytes | None, revision: int):
+        self.key = key
+        self.value = value
+        self.revision = revision
+
+
+class Snapshot:
+    """Items as of a revision of the store."""
+
+    __slots__ = ("items", "revision")
+
+    def __init__(self, items: list[Item], revision: int):
+        self.items = items
+        self.revision = revision
+
+
+class StoreClient:
+    """Reads one store; each client has one connection at a time.
+
+    Attributes:
+        calls: Calls made since the start.
+    """
+
+    __slots__ = ("_conn", "_host", "_port", "calls")
+
+    def __init__(self, address: str):
+        self._host, _, port = address.rpartition(":")
+        self._port = int(port)
+        self._conn: connection.HTTPConnection | None = None
+        self.calls = 0
+
+    def get(self, key: str) -> Snapshot:
+        """Reads one key; the snapshot is empty when it does not exist.
+
+        Raises:
+            StoreError: The store is down or refused the call.
+        """
+        status, body = self._call(
+            "/-/kv-key", {"key": key}, READ_TIMEOUT_S, (200, 404)
+        )
+        if status == 404:
+            return Snapshot([], int(body.get("as-of", 0)))
+        return Snapshot([_item(body)], int(body["as-of"]))
+
+    def read_all(self, prefix: str) -> Snapshot:
+        """Reads every key that begins with the prefix, page by page.
+
+        The revision is that of the first page, so that a watch from there
+        brings every change made while the others were read.
+
+        Raises:
+            StoreError: As ``get``.
+        """
+        pages = [*self._pages(prefix)]
+        return Snapshot(
+            [_item(item) for page in pages for item in page["entries"]],
+            int(pages[0]["as-of"]),
+        )
+
+    def watch(self, prefix: str, after: int, wait_s: float) -> Snapshot:
+        """Waits for changes after a revision and returns them in order.
+
+        Raises:
+            HistoryGoneError: The changes are no longer kept.
+            StoreError: As ``get``.
+        """
+        query = {
+            "prefix": prefix,
+            "after": after,
+            "wait-ms": int(wait_s * 1000),
+        }
+        _, body = self._call(
+            "/-/kv-watch", query, wait_s + WATCH_MARGIN_S, (200,)
+        )
+        return Snapshot(
+            [_item(event) for event in body["events"]], int(body["as-of"])
+        )
+
+    def close(self) -> None:
+        """Closes the connection; the next call opens a new one."""
+        if self._conn is not None:
+            self._conn.close()
+            self._conn = None
+
+    def _pages(self, prefix: str) -> Iterator[dict[str, Any]]:
+        query: dict[str, Any] = {"prefix": prefix}
+        while True:
+            _, page = self._call("/-/kv-range", query, READ_TIMEOUT_S, (200,))
+            yield page
+            if not page["truncated"] or not page["entries"]:
+                return
+            query = {"prefix": prefix, "after": page["entries"][-1]["key"]}
+
+    def _call(
+        self,
+        path: str,
+        query: dict[str, Any],
+        timeout_s: float,
+        expected: tuple[int, ...],
+    ) -> tuple[int, dict[str, Any]]:
+        self.calls += 1
+        target = f"{path}?{parse.urlencode(query)}"
+        try:
+            status, data = self._exchange(target, timeout_s)
+            if status == 410:
+                raise fleet.HistoryGoneError(
+                    f"the store no longer has the changes of {target}",
+                    "read everything again",
+                )
+            if status not in expected:
+                raise fleet.StoreError(
+                    f"the store answered {status} to {path}",
+                    "wait before the next call",
+                )
+            return status, json.loads(data)
+        except (
+            OSError,
+            ValueError,
+            http.client.HTTPException,
+            urllib3.exceptions.HTTPError,
+        ) as exc:
+            self.close()
+            raise fleet.StoreError(
+                f"the store did not answer {path}: {exc!r}",
+                "what is known stays in force; check the store",
+            ) from exc
+
+    def _exchange(self, target: str, timeout_s: float) -> tuple[int, bytes]:
+        if self._conn is None:
+            self._conn = connection.HTTPConnection(
+                self._host,
+                self._port,
+                timeout=CONNECT_TIMEOUT_S,
+                socket_options=KEEPALIVE_OPTIONS,
+            )
+            self._conn.connect()
+        self._conn.timeout = timeout_s
+        self._conn.sock.settimeout(timeout_s)
+        self._conn.request("GET", target, preload_content=True)
+        resp = self._conn.getresponse()
+        if resp.headers.get("Connection", "").lower() == "close":
+            self.close()
+        return resp.status, resp.data
+
+
+def _item(body: dict[str, Any]) -> Item:
+    if body.get("deleted"):
+        return Item(body["key"], None, int(body["revision"]))
+    value = base64.b64decode(body["value"])
+    return Item(body["key"], value, int(body["revision"]))
+
+
+def new_store_client(address: str) -> StoreClient:
+    """Returns a client that connects with its first call.
+
+    Args:
+        address: ``IP:port`` of the store.
+    """
+    return StoreClient(address)
--- a/savoryspar/routing/__init__.py
+++ b/savoryspar/routing/__init__.py
@@ -1,5 +1,6 @@
 """Decides which backend server runs a stage."""
 
+from savoryspar.routing.affinity import MAX_BLOCKS
 from savoryspar.routing.exceptions import NoServerError
 from savoryspar.routing.model import Call, Choice, Outcome
 from savoryspar.routing.options import Options, new_options
--- a/savoryspar/routing/budgets.py
+++ b/savoryspar/routing/budgets.py
@@ -4,13 +4,11 @@
 class RetryBudget:
     """Each call earns a part of a retry, so retries stay a share of calls."""
 
-    __slots__ = ("_ratio", "_reserve", "_tokens")
+    __slots__ = ("_ceiling", "_ratio", "_tokens")
 
-    MAX_TOKENS = 20.0
-
-    def __init__(self, ratio: float, reserve: float):
+    def __init__(self, ratio: float, reserve: float, max_tokens: float = 20.0):
         self._ratio = ratio
-        self._reserve = reserve
+        self._ceiling = max(max_tokens, float(reserve))
         self._tokens = float(reserve)
 
     @property
@@ -20,8 +18,7 @@
 
     def earn(self) -> None:
         """Counts a first attempt."""
-        ceiling = max(self.MAX_TOKENS, float(self._reserve))
-        self._tokens = min(self._tokens + self._ratio, ceiling)
+        self._tokens = min(self._tokens + self._ratio, self._ceiling)
 
     def spend(self) -> None:
         """Counts a retry."""
--- a/savoryspar/routing/model.py
+++ b/savoryspar/routing/model.py
@@ -1,5 +1,6 @@
 """What the router is asked, what it chose and how the call ended."""
 
+from collections.abc import Sequence
 import enum
 from typing import Any
 
@@ -15,6 +16,7 @@
         pool: Pool that runs it.
         model: Model for an engine pool, else empty.
         prompt: Prompt text for prefix affinity, else empty.
+        blocks: Hashes of the prompt's blocks, where they are known already.
         excluded: Names of servers that already failed this stage.
         size_bytes: Bytes that the call and its answer are expected to take.
         is_idempotent: Whether the stage may be repeated.
@@ -22,6 +24,7 @@
     """
 
     __slots__ = (
+        "blocks",
         "excluded",
         "is_alone",
         "is_idempotent",
@@ -48,7 +51,9 @@
         size_bytes: int = 0,
         is_idempotent: bool = False,
         is_alone: bool = False,
+        blocks: Sequence[int] = (),
     ):
+        self.blocks = blocks
         self.request_id = request_id
         self.workspace = workspace
         self.rank = rank
--- a/savoryspar/routing/options.py
+++ b/savoryspar/routing/options.py
@@ -20,6 +20,7 @@
         max_ejected: Largest share of a pool that is ejected.
         retry_ratio: Retries for each call.
         retry_reserve: Retries before the first calls.
+        retry_max_tokens: Retries that may be saved up.
         has_suspects: Whether crash suspects are kept.
     """
 
@@ -38,6 +39,7 @@
         "region_bytes_per_s",
         "region_cost",
         "region_spill",
+        "retry_max_tokens",
         "retry_ratio",
         "retry_reserve",
         "subset_size",
@@ -66,6 +68,7 @@
         retry_ratio: float = 0.08,
         retry_reserve: int = 3,
         has_suspects: bool = True,
+        retry_max_tokens: float = 20.0,
     ):
         self.name = name
         self.region = region
@@ -85,6 +88,7 @@
         self.max_ejected = max_ejected
         self.retry_ratio = retry_ratio
         self.retry_reserve = retry_reserve
+        self.retry_max_tokens = retry_max_tokens
         self.has_suspects = has_suspects
 
 
--- a/savoryspar/routing/policies.py
+++ b/savoryspar/routing/policies.py
@@ -85,7 +85,7 @@
     call: model.Call,
     now: float,
 ) -> tuple[servers.ServerState, str]:
-    blocks = affinity.block_hashes(call.model, call.prompt)
+    blocks = call.blocks or affinity.block_hashes(call.model, call.prompt)
     benefits = _benefits(policy, candidates, blocks)
     costs = (0.0, policy.opts.zone_cost, policy.opts.region_cost)
     best, best_score = candidates[0], float("inf")
--- a/savoryspar/routing/pools.py
+++ b/savoryspar/routing/pools.py
@@ -18,7 +18,9 @@
 
     def __init__(self, opts: options.Options):
         self.states: dict[str, servers.ServerState] = {}
-        self.retries = budgets.RetryBudget(opts.retry_ratio, opts.retry_reserve)
+        self.retries = budgets.RetryBudget(
+            opts.retry_ratio, opts.retry_reserve, opts.retry_max_tokens
+        )
         self._opts = opts
         self._listed: object = None
 
--- a/savoryspar/sheet/reader.py
+++ b/savoryspar/sheet/reader.py
@@ -1,11 +1,11 @@
 """Reads a revision from the configuration service, by delta or whole."""
 
-from savoryspar import platform
+from savoryspar import discovery
 from savoryspar.sheet import delta, exceptions, holder, keys, model, offload
 
 
 def read_sheet(
-    client: platform.ConfigClient, current: model.Sheet | None
+    client: discovery.ConfigClient, current: model.Sheet | None
 ) -> model.Sheet | None:
     """Reads the newest revision.
 
@@ -53,7 +53,7 @@
 
 
 def _read_rows(
-    client: platform.ConfigClient, manifest: keys.Manifest, known: model.Rows
+    client: discovery.ConfigClient, manifest: keys.Manifest, known: model.Rows
 ) -> model.Rows:
     """Reads the buckets that differ and takes the others from known rows."""
     own = offload.run(len(known), keys.bucket_digests, known)
@@ -73,7 +73,7 @@
 
 
 def refresh(
-    client: platform.ConfigClient,
+    client: discovery.ConfigClient,
     sheets: holder.SheetHolder,
     revision: int,
     now: float,
--- /dev/null
+++ b/savoryspar/stages/batching.py
@@ -0,0 +1,150 @@
+"""The order in which pieces that wait for a stage pool enter its calls.
+
+A call costs a fixed time plus a time for each piece, so full calls serve
+several times more than calls of single pieces. One queue therefore takes the
+pieces of all entry VMs of a zone. Groups that can still meet their objective
+go first, by rank and then by objective; groups that cannot are served from
+what is left, before their deadline. Part of each call is kept for the groups
+that a strict order by rank would starve.
+"""
+
+from collections.abc import Iterable
+import math
+
+from savoryspar import fleet
+from savoryspar.stages import model
+
+FAIR_SHARE = 0.25
+"""Part of a call that goes by objective alone, whatever the rank."""
+ADMISSION_MARGIN = 1.0
+"""Predicted wait as a factor of the time left, from which a group is refused."""
+
+
+class BatchQueue:
+    """Groups that wait for the servers of one stage pool in one zone.
+
+    Attributes:
+        pool: How one server works.
+    """
+
+    __slots__ = ("_groups", "pool")
+
+    def __init__(self, pool: fleet.StagePool):
+        self.pool = pool
+        self._groups: dict[tuple[str, int], model.Group] = {}
+
+    def __len__(self) -> int:
+        return sum(len(group.waiting) for group in self._groups.values())
+
+    def add(self, group: model.Group) -> None:
+        """Takes a group; one that waits already is replaced."""
+        self._groups[group.request_id, group.stage] = group
+
+    def cancel(self, request_id: str) -> list[model.Group]:
+        """Removes and returns the groups of a request that nobody awaits."""
+        keys = [key for key in self._groups if key[0] == request_id]
+        return [self._groups.pop(key) for key in keys]
+
+    def expire(self, now: float) -> list[model.Group]:
+        """Removes and returns groups that cannot be done in time."""
+        shortest_s = self.pool.call_s + self.pool.piece_s
+        late = [
+            group
+            for group in self._groups.values()
+            if group.waiting and group.deadline_at < now + shortest_s
+        ]
+        for group in late:
+            del self._groups[group.request_id, group.stage]
+        return late
+
+    def wait_s(self, group: model.Group, servers: int) -> float:
+        """Predicts the time until a group would be done.
+
+        Args:
+            group: It may or may not be in the queue.
+            servers: Servers that work for the queue.
+        """
+        ahead = sum(
+            len(other.waiting)
+            for other in self._groups.values()
+            if other is not group and other.rank <= group.rank
+        )
+        calls = math.ceil(
+            (ahead + len(group.waiting)) / self.pool.batch / max(1, servers)
+        )
+        return calls * self.call_s(self.pool.batch)
+
+    def call_s(self, pieces: int) -> float:
+        """Returns the expected time of a call."""
+        return self.pool.call_s + pieces * self.pool.piece_s
+
+    def refusal_s(
+        self, group: model.Group, servers: int, now: float
+    ) -> float | None:
+        """Returns when to come back if the group cannot be done in time.
+
+        Returns:
+            Seconds until the queue is short enough, or None to accept it.
+        """
+        left_s = group.deadline_at - now
+        wait_s = self.wait_s(group, servers)
+        if wait_s <= left_s * ADMISSION_MARGIN:
+            return None
+        return wait_s - left_s
+
+    def next_call(
+        self, now: float, room_bytes: float
+    ) -> list[tuple[model.Group, model.Piece]]:
+        """Takes the pieces of the next call, at most one batch.
+
+        Args:
+            now: Monotonic time in seconds.
+            room_bytes: Memory for results that the server has left.
+        """
+        by_rank = sorted(
+            (g for g in self._groups.values() if g.waiting),
+            key=lambda g: self._urgency(g, now),
+        )
+        by_objective = sorted(
+            by_rank,
+            key=lambda g: (not self._is_in_time(g, now), g.objective_at),
+        )
+        kept = math.floor(self.pool.batch * FAIR_SHARE)
+        call: list[tuple[model.Group, model.Piece]] = []
+        room = _fill(call, by_rank, self.pool.batch - kept, room_bytes)
+        room = _fill(call, by_objective, self.pool.batch, room)
+        for group in {id(g): g for g, _ in call}.values():
+            if not group.waiting:
+                del self._groups[group.request_id, group.stage]
+        return call
+
+    def _urgency(self, group: model.Group, now: float) -> tuple:
+        return (
+            not self._is_in_time(group, now),
+            group.rank,
+            group.objective_at,
+        )
+
+    def _is_in_time(self, group: model.Group, now: float) -> bool:
+        return now + self.call_s(len(group.waiting)) <= group.objective_at
+
+
+def _fill(
+    call: list[tuple[model.Group, model.Piece]],
+    groups: Iterable[model.Group],
+    size: int,
+    room_bytes: float,
+) -> float:
+    """Moves pieces into a call up to a size; returns the room that is left."""
+    for group in groups:
+        while group.waiting and len(call) < size:
+            if group.result_bytes > room_bytes:
+                break
+            room_bytes -= group.result_bytes
+            call.append((group, group.waiting.pop(0)))
+    return room_bytes
+
+
+def new_batch_queue(pool: fleet.StagePool) -> BatchQueue:
+    """Returns an empty queue for a pool's servers of one zone."""
+    return BatchQueue(pool)
--- /dev/null
+++ b/savoryspar/stages/chain.py
@@ -0,0 +1,180 @@
+"""The stages of one request: what may start, by when, and what is left over."""
+
+from collections.abc import Mapping, Sequence
+
+from savoryspar import backends, fleet
+from savoryspar.stages import model
+
+CALL_ALLOWANCE = 1.3
+"""Expected time of a stage as a factor of a call with its pieces alone; the
+rest is the wait for the call before it and for the neighbours' pieces."""
+
+
+class Chain:
+    """Progress of a request's stages.
+
+    Attributes:
+        results: Handles by stage.
+    """
+
+    __slots__ = (
+        "_after_s",
+        "_deadline_at",
+        "_objective_at",
+        "_pools",
+        "_rank",
+        "_req",
+        "_stages",
+        "results",
+    )
+
+    def __init__(
+        self,
+        req: backends.CallerRequest,
+        stages: Sequence[fleet.Stage],
+        pools: Mapping[str, fleet.StagePool],
+        rank: int,
+        objective_at: float,
+        deadline_at: float,
+    ):
+        self._req = req
+        self._stages = stages
+        self._pools = pools
+        self._rank = rank
+        self._objective_at = objective_at
+        self._deadline_at = deadline_at
+        self.results: dict[int, list[str]] = {}
+        self._after_s: dict[int, float] = {}
+        for number in reversed(range(len(stages))):
+            self._after_s[number] = max(
+                (
+                    self._stage_s(later) + self._after_s[later]
+                    for later, stage in enumerate(stages)
+                    if number in stage.after
+                ),
+                default=0.0,
+            )
+
+    def pieces(self, number: int) -> int:
+        """Returns the number of pieces of a stage, 0 if it is left out."""
+        if number < len(self._req.pieces):
+            return self._req.pieces[number]
+        return 0
+
+    def total_s(self) -> float:
+        """Returns the expected time of all stages."""
+        return max(
+            (
+                self._stage_s(number) + self._after_s[number]
+                for number in range(len(self._stages))
+            ),
+            default=0.0,
+        )
+
+    def ready(self, started: frozenset[int]) -> list[int]:
+        """Returns the stages that may start now."""
+        return [
+            number
+            for number, stage in enumerate(self._stages)
+            if number not in started
+            and self.pieces(number)
+            and all(
+                earlier in self.results or not self.pieces(earlier)
+                for earlier in stage.after
+            )
+        ]
+
+    def group(self, number: int) -> model.Group:
+        """Returns the pieces of a stage whose inputs are there."""
+        stage = self._stages[number]
+        inputs = [
+            handle
+            for earlier in stage.after
+            for handle in self.results.get(earlier, ())
+        ]
+        return model.Group(
+            self._req.attempt_id,
+            stage.service,
+            number,
+            self.pieces(number),
+            self._req.piece_key,
+            inputs,
+            self._rank,
+            self._objective_at - self._after_s[number],
+            self._deadline_at - self._after_s[number],
+            stage.result_bytes,
+        )
+
+    def finish(self, number: int, handles: Sequence[str]) -> list[str]:
+        """Takes the results of a stage.
+
+        Returns:
+            Handles of earlier stages that no other stage needs any more.
+        """
+        self.results[number] = [*handles]
+        return [
+            handle
+            for earlier in self._stages[number].after
+            if self._is_used_up(earlier)
+            for handle in self.results.get(earlier, ())
+        ]
+
+    @property
+    def is_done(self) -> bool:
+        """Whether every stage has its results."""
+        return all(
+            number in self.results or not self.pieces(number)
+            for number in range(len(self._stages))
+        )
+
+    def inputs(self) -> list[str]:
+        """Returns the handles that the model engine fetches."""
+        used = {n for stage in self._stages for n in stage.after}
+        return [
+            handle
+            for number in range(len(self._stages))
+            if number not in used
+            for handle in self.results.get(number, ())
+        ]
+
+    def forget(self) -> list[str]:
+        """Drops all results, to run the stages again; returns their handles."""
+        handles = [h for found in self.results.values() for h in found]
+        self.results = {}
+        return handles
+
+    def _is_used_up(self, number: int) -> bool:
+        return all(
+            later in self.results or not self.pieces(later)
+            for later, stage in enumerate(self._stages)
+            if number in stage.after
+        )
+
+    def _stage_s(self, number: int) -> float:
+        pieces = self.pieces(number)
+        pool = self._pools.get(self._stages[number].service)
+        if not pieces or pool is None:
+            return 0.0
+        calls = -(-pieces // pool.batch)
+        return CALL_ALLOWANCE * (calls * pool.call_s + pieces * pool.piece_s)
+
+
+def new_chain(
+    req: backends.CallerRequest,
+    route: fleet.Route,
+    pools: Mapping[str, fleet.StagePool],
+    rank: int,
+    objective_at: float,
+    deadline_at: float,
+) -> Chain:
+    """Returns the stages of a request, none of them started.
+
+    Args:
+        req: The request; it tells the number of pieces of each stage.
+        route: Its route.
+        pools: Stage pools by name.
+        rank: 0 is the most urgent.
+        objective_at: When the stages should be done; monotonic seconds.
+        deadline_at: When they must be done.
+    """
+    return Chain(req, route.stages, pools, rank, objective_at, deadline_at)
--- /dev/null
+++ b/savoryspar/stages/gatherers.py
@@ -0,0 +1,42 @@
+"""Which entry VM gathers the pieces for a stage pool in a zone.
+
+Every VM derives the same gatherer from the live view, so no election is
+needed; while views differ, two VMs may gather, which costs fuller calls only.
+"""
+
+from collections.abc import Iterable, Sequence
+import hashlib
+
+from savoryspar import membership
+
+
+def choose_gatherer(
+    pool: str,
+    zone: str,
+    members: Iterable[membership.Member],
+    excluded: frozenset[str] = frozenset(),
+) -> membership.Member | None:
+    """Returns the member that gathers, or None when all are excluded.
+
+    Args:
+        pool: Stage pool.
+        zone: Availability zone of its servers.
+        members: Live members, the own process included.
+        excluded: Incarnations that did not answer.
+    """
+    usable = [
+        member
+        for member in members
+        if not member.is_leaving and member.incarnation not in excluded
+    ]
+    near: Sequence[membership.Member] = [m for m in usable if m.zone == zone]
+    return max(
+        near or usable,
+        key=lambda m: _weight(pool, m.incarnation),
+        default=None,
+    )
+
+
+def _weight(pool: str, incarnation: str) -> bytes:
+    text = f"{pool}/{incarnation}".encode()
+    return hashlib.blake2b(text, digest_size=8).digest()
--- /dev/null
+++ b/savoryspar/stages/model.py
@@ -0,0 +1,155 @@
+"""Pieces of stages and the groups in which they are submitted."""
+
+from collections.abc import Sequence
+import enum
+from typing import Any
+
+
+class Failure(enum.Enum):
+    """Why a piece has no result."""
+
+    LATE = "late"
+    INPUT_GONE = "input_gone"
+    NO_ROOM = "no_room"
+    FAILED = "failed"
+    CANCELLED = "cancelled"
+
+
+class Piece:
+    """One piece of a stage of a request.
+
+    Attributes:
+        request_id: Attempt that it belongs to.
+        stage: Number of the stage in the route.
+        number: Number of the piece in the stage.
+        key: What identifies its content, for stages without inputs.
+        inputs: Handles of the results that it takes.
+        deadline_at: After this time nobody waits for it; monotonic seconds.
+    """
+
+    __slots__ = (
+        "deadline_at",
+        "inputs",
+        "key",
+        "number",
+        "request_id",
+        "stage",
+    )
+
+    def __init__(
+        self,
+        request_id: str,
+        stage: int,
+        number: int,
+        key: str,
+        inputs: Sequence[str],
+        deadline_at: float,
+    ):
+        self.request_id = request_id
+        self.stage = stage
+        self.number = number
+        self.key = key
+        self.inputs = inputs
+        self.deadline_at = deadline_at
+
+
+class Group:
+    """All pieces of one stage of a request; useful only when all are done.
+
+    Attributes:
+        pool: Pool that runs the stage.
+        rank: 0 is the most urgent.
+        objective_at: When the results should be there for the request to
+            meet its objective; monotonic seconds.
+        result_bytes: Expected size of the result of one piece.
+        waiting: Pieces that are not in a call yet.
+        results: Handles by number of the piece.
+        tries: Calls that failed so far.
+    """
+
+    __slots__ = (
+        "deadline_at",
+        "inputs",
+        "key",
+        "objective_at",
+        "pieces",
+        "pool",
+        "rank",
+        "request_id",
+        "result_bytes",
+        "results",
+        "stage",
+        "tries",
+        "waiting",
+    )
+
+    def __init__(
+        self,
+        request_id: str,
+        pool: str,
+        stage: int,
+        pieces: int,
+        key: str,
+        inputs: Sequence[str],
+        rank: int,
+        objective_at: float,
+        deadline_at: float,
+        result_bytes: int,
+    ):
+        self.request_id = request_id
+        self.pool = pool
+        self.stage = stage
+        self.pieces = pieces
+        self.key = key
+        self.inputs = tuple(inputs)
+        self.rank = rank
+        self.objective_at = objective_at
+        self.deadline_at = deadline_at
+        self.result_bytes = result_bytes
+        self.tries = 0
+        self.results: dict[int, str] = {}
+        self.waiting = [
+            Piece(request_id, stage, number, key, self.inputs, deadline_at)
+            for number in range(pieces)
+        ]
+
+    @property
+    def is_done(self) -> bool:
+        """Whether every piece has a result."""
+        return len(self.results) == self.pieces
+
+    def handles(self) -> list[str]:
+        """Returns the results in the order of the pieces."""
+        return [self.results[number] for number in sorted(self.results)]
+
+    def to_body(self, now: float) -> list[Any]:
+        """Returns the group as it is sent to a peer, with times left."""
+        return [
+            self.request_id,
+            self.pool,
+            self.stage,
+            self.pieces,
+            self.key,
+            [*self.inputs],
+            self.rank,
+            self.objective_at - now,
+            self.deadline_at - now,
+            self.result_bytes,
+        ]
+
+
+def decode_group(body: Sequence[Any], now: float) -> Group:
+    """Returns a group that a peer sent.
+
+    Raises:
+        ValueError, TypeError: The body has another form.
+    """
+    (
+        request_id, pool, stage, pieces, key, inputs, rank,
+        objective_s, deadline_s, result_bytes,
+    ) = body
+    return Group(
+        str(request_id), str(pool), int(stage), int(pieces), str(key),
+        [str(handle) for handle in inputs], int(rank),
+        now + float(objective_s), now + float(deadline_s), int(result_bytes),
+    )
--- a/tests/platform/test_budget.py
+++ b/tests/discovery/test_budget.py
@@ -2,7 +2,7 @@
 
 import testtools
 
-from savoryspar.platform import budget
+from savoryspar.discovery import budget
 
 
 class CallBudgetTest(testtools.TestCase):
--- a/tests/platform/test_config.py
+++ b/tests/discovery/test_config.py
@@ -2,7 +2,7 @@
 
 import testtools
 
-from savoryspar import platform, sheet
+from savoryspar import discovery, sheet
 from savoryspar.bench import deployments
 from savoryspar.bench import fleet as fleet_lib
 
@@ -15,7 +15,7 @@
 
     def new_client(self, *options):
         process = self.fleet.start_platform(*options)
-        return platform.new_config_client(process.url, 100, 100)
+        return discovery.new_config_client(process.url, 100, 100)
 
     def test_watch_returns_a_newer_revision(self):
         """A change must reach a waiting reader."""
@@ -27,10 +27,10 @@
     def test_outage_and_missing_key_are_errors(self):
         """An outage must not be taken for an empty configuration."""
         client = self.new_client()
-        self.assertRaises(platform.PlatformError, client.get, "none")
+        self.assertRaises(discovery.PlatformError, client.get, "none")
         self.fleet.control(self.fleet.platform, {"is_down": True})
         self.assertRaises(
-            platform.PlatformError, client.get, sheet.MANIFEST_KEY
+            discovery.PlatformError, client.get, sheet.MANIFEST_KEY
         )
 
     def test_rate_limit_is_an_error(self):
@@ -39,5 +39,5 @@
         self.fleet.publish_sheet(deployments.GESTO.sheet_text(), revision=1)
         keys = [sheet.bucket_key(number) for number in range(10)]
         self.assertRaises(
-            platform.PlatformError, lambda: [client.get(key) for key in keys]
+            discovery.PlatformError, lambda: [client.get(key) for key in keys]
         )
--- a/tests/membership/test_sheet_watch.py
+++ b/tests/membership/test_sheet_watch.py
@@ -2,7 +2,7 @@
 
 import testtools
 
-from savoryspar import platform, sheet
+from savoryspar import discovery, sheet
 from savoryspar.membership import model, sheet_watch
 
 NAMES = [f"m{number}" for number in range(6)]
@@ -41,7 +41,7 @@
     def watch(self, after, timeout_s):
         self.calls.append(after)
         if self.revision is None:
-            raise platform.PlatformError("down", "wait")
+            raise discovery.PlatformError("down", "wait")
         return self.revision
 
     def get(self, key):
--- a/tools/binary_main.py
+++ b/tools/binary_main.py
@@ -13,7 +13,8 @@
 import zipfile
 
 ARCHIVE = sys.path[0]
-DEFAULT_DIR = "/dev/shm"
+DEFAULT_DIR = tempfile.gettempdir()
+"""Private to a process and kept in memory on the users' VMs."""
 
 
 def main() -> int:
--- a/tools/check_binary.py
+++ b/tools/check_binary.py
@@ -39,7 +39,7 @@
 
 def _check(fleet: fleet_lib.Fleet, binary: pathlib.Path) -> Iterator[str]:
     """Starts the file and yields each fault found."""
-    with tempfile.TemporaryDirectory(dir="/dev/shm") as extracted:
+    with tempfile.TemporaryDirectory(dir=_memory_folder()) as extracted:
         started_at = time.monotonic()
         popen = subprocess.Popen(
             [str(binary), "entry", "--config", fleet.directory / "plain.ini"],
@@ -97,6 +97,19 @@
     return max(holding, key=lambda mount: len(mount[0]))[1]
 
 
+def _memory_folder() -> str:
+    """Returns a writable folder that is kept in memory."""
+    mounts = [
+        line.split()[1:3]
+        for line in pathlib.Path("/proc/mounts").read_text().splitlines()
+    ]
+    return next(
+        folder
+        for folder, kind in mounts
+        if kind in MEMORY_FILE_SYSTEMS and os.access(folder, os.W_OK)
+    )
+
+
 def _path() -> str:
     """Returns a search path that starts with this Python's folder."""
     return f"{pathlib.Path(sys.executable).parent}:/usr/bin:/bin"
