--- a/savoryspar/backends/connections.py
+++ b/savoryspar/backends/connections.py
@@ -127,6 +127,9 @@
                 is_crash=True,
             )
         self.is_complete = True
+        # Reading to the end does not tell http.client that the body is done,
+        # and it would not send another request before.
+        self._resp.close()
         self._release(self)
         return b""
 
@@ -267,7 +270,8 @@
         attempt_id: str,
     ) -> Answer:
         sock = conn.sock
-        sock.settimeout(max(0.001, deadline_at - self._clock()))
+        # urllib3 sets the socket's timeout from this value with each request.
+        conn.timeout = max(0.001, deadline_at - self._clock())
         headers = urllib3.HTTPHeaderDict()
         for name, value in fields:
             headers.add(name, value)
