--- a/savoryspar/gateway/gathering.py
+++ b/savoryspar/gateway/gathering.py
@@ -25,8 +25,12 @@
 """Pause after a server said that it is full: another VM calls it too."""
 IDLE_S = 5.0
 """Time without pieces after which a server's green thread ends."""
-FREE_DELAY_S = 0.06
-"""Time for which freed results are collected into one call."""
+FREE_DELAY_S = 0.02
+"""Time for which freed results are collected into one call; their memory is
+what limits a pool with large results."""
+ROOM_GROWTH = 1.05
+"""Growth of the memory that a server is believed to have, with each call that
+it did not refuse for lack of memory."""
 FREE_TIMEOUT_S = 1.0
 
 Done = Callable[[stages.Group, "stages.Failure | None"], None]
@@ -41,11 +45,13 @@
         "expires",
         "freed",
         "is_running",
+        "room_bytes",
         "sizes",
     )
 
-    def __init__(self, entry: fleet.BackendEntry):
+    def __init__(self, entry: fleet.BackendEntry, room_bytes: float):
         self.entry = entry
+        self.room_bytes = room_bytes
         self.backoff_s = 0.0
         self.is_running = False
         self.sizes: dict[str, int] = {}
@@ -59,10 +65,14 @@
     def used_bytes(self, now: float) -> int:
         """Returns the memory of results that nobody freed yet."""
         for handle in [h for h, at in self.expires.items() if at <= now]:
-            del self.expires[handle]
-            del self.sizes[handle]
+            self.drop(handle)
         return sum(self.sizes.values())
 
+    def drop(self, handle: str) -> None:
+        """Forgets a result that takes no memory any more."""
+        self.expires.pop(handle, None)
+        self.sizes.pop(handle, None)
+
 
 class Gatherer:
     """The queue of one pool in one zone and the calls made from it."""
@@ -141,12 +151,9 @@
             if server is None:
                 unknown.append(handle)
                 continue
-            del server.sizes[handle]
-            del server.expires[handle]
             if not server.freed:
                 eventlet.spawn_after(FREE_DELAY_S, self._free, server)
             server.freed.append(handle)
-        self._wake()
         return unknown
 
     def _refresh(self) -> list[fleet.BackendEntry]:
@@ -158,7 +165,8 @@
         for entry in entries:
             server = self._servers.get(entry.name)
             if server is None:
-                server = self._servers[entry.name] = _Server(entry)
+                server = _Server(entry, self.queue.pool.room_bytes)
+                self._servers[entry.name] = server
             if not server.is_running:
                 server.is_running = True
                 eventlet.spawn(self._work, server)
@@ -178,7 +186,7 @@
                     self._finish(group, stages.Failure.LATE)
                 if server.entry.name not in {e.name for e in self._entries()}:
                     return
-                room = self.queue.pool.room_bytes - server.used_bytes(now)
+                room = server.room_bytes - server.used_bytes(now)
                 call = self.queue.next_call(now, room)
                 if call:
                     self._run(server, call, now)
@@ -243,7 +251,8 @@
     ) -> None:
         now = self._clock()
         expires_at = now + self.queue.pool.result_ttl_s
-        again = []
+        failed = []
+        refused = []
         for (group, piece), result in zip(call, results, strict=True):
             if isinstance(result, str):
                 server.sizes[result] = group.result_bytes
@@ -253,12 +262,33 @@
                     self.free([result])
                 elif group.is_done:
                     self._finish(group, None)
-            elif result in (stages.Failure.NO_ROOM, stages.Failure.FAILED):
-                again.append((group, piece))
+            elif result is stages.Failure.NO_ROOM:
+                refused.append((group, piece))
+            elif result is stages.Failure.FAILED:
+                failed.append((group, piece))
             else:
                 self._finish(group, result)
-        if again:
-            self._return(again, counts=True)
+        if refused:
+            self._note_room(server, len(refused), now)
+            self._return(refused, counts=False)
+        else:
+            server.room_bytes = min(
+                self.queue.pool.room_bytes, server.room_bytes * ROOM_GROWTH
+            )
+        if failed:
+            self._return(failed, counts=True)
+
+    def _note_room(self, server: _Server, refused: int, now: float) -> None:
+        """Learns that a server has less memory than was believed."""
+        server.room_bytes = float(server.used_bytes(now))
+        self._events.belief(
+            "stage server has no room",
+            now,
+            server=server.entry.name,
+            refused=refused,
+            results=len(server.sizes),
+            used_mb=round(server.room_bytes / 1e6, 2),
+        )
 
     def _fail(
         self,
@@ -321,6 +351,9 @@
                 may_repeat=True,
             )
             answer.read_all(self._clock() + FREE_TIMEOUT_S, self._clock)
+            for handle in handles:
+                server.drop(handle)
+            self._wake()
         except backends.BackendError as exc:
             # The server drops them itself after their time to live.
             self._events.belief(
--- a/savoryspar/gateway/stage_work.py
+++ b/savoryspar/gateway/stage_work.py
@@ -113,9 +113,14 @@
             while not chain.is_done:
                 for number in chain.ready(started):
                     started |= {number}
-                    group = chain.group(number)
                     threads.append(
-                        eventlet.spawn(self._run_into, results, group)
+                        eventlet.spawn_after(
+                            chain.delay_s(number),
+                            self._run_into,
+                            results,
+                            chain,
+                            number,
+                        )
                     )
                     running += 1
                 if not running:
@@ -127,6 +132,7 @@
                 self.free(chain.finish(number, outcome))
         except BaseException:
             for thread in threads:
+                thread.cancel()
                 thread.kill()
             self.free(chain.forget())
             eventlet.spawn(self._cancel, request_id)
@@ -145,11 +151,13 @@
             else:
                 eventlet.spawn(self._free_there, place, found)
 
-    def _run_into(self, results: eventlet.Queue, group: stages.Group) -> None:
+    def _run_into(
+        self, results: eventlet.Queue, chain: stages.Chain, number: int
+    ) -> None:
         try:
-            results.put((group.stage, self._run(group)))
+            results.put((number, self._run(chain.group(number))))
         except StageError as exc:
-            results.put((group.stage, exc))
+            results.put((number, exc))
 
     def _run(self, group: stages.Group) -> list[str]:
         excluded: frozenset[str] = frozenset()
@@ -303,6 +311,9 @@
         waiting = self._waiting.pop((group.request_id, group.stage), None)
         if waiting is not None:
             waiting.send((group.handles(), failure.value if failure else ""))
+            return
+        for gatherer in self._gatherers.values():
+            gatherer.free(group.handles())
 
     def _serve_submit(self, sender: str, body: Any) -> dict[str, Any]:
         now = self._clock()
--- a/savoryspar/gateway/streams.py
+++ b/savoryspar/gateway/streams.py
@@ -192,6 +192,13 @@
         cause = ""
         try:
             answer = self._send(choice)
+            forwarder._events.decision(
+                "answer head",
+                forwarder._clock(),
+                self._job.req.attempt_id,
+                server=answer.server,
+                status=answer.status,
+            )
             if answer.facts.has_not_run:
                 outcome = routing.Outcome.REFUSED
                 reply, has_not_run = self._take_refusal(answer), True
--- a/savoryspar/stages/chain.py
+++ b/savoryspar/stages/chain.py
@@ -9,6 +9,11 @@
 """Expected time of a stage as a factor of a call with its pieces alone; the
 rest is the wait for the call before it and for the neighbours' pieces."""
 
+LARGE_RESULT_BYTES = 500_000
+"""Results of about this size fill a server's memory before its time."""
+SAFETY = 1.6
+"""Time kept for a delayed stage, as a factor of its expected time."""
+
 
 class Chain:
     """Progress of a request's stages.
@@ -84,6 +89,25 @@
             )
         ]
 
+    def delay_s(self, number: int) -> float:
+        """Returns how long a stage whose inputs are there may wait.
+
+        Results take memory at the server that made them until the last stage
+        is done, so a large result that is needed late is made late.
+        """
+        if self._stages[number].result_bytes < LARGE_RESULT_BYTES:
+            return 0.0
+        own_s = self._stage_s(number) + self._after_s[number]
+        longest_s = max(
+            (
+                self._stage_s(other) + self._after_s[other]
+                for other in range(len(self._stages))
+                if other not in self.results
+            ),
+            default=0.0,
+        )
+        return max(0.0, longest_s - SAFETY * own_s)
+
     def group(self, number: int) -> model.Group:
         """Returns the pieces of a stage whose inputs are there."""
         stage = self._stages[number]
