Ask the gatherer before pieces are submitted elsewhere

Cause: an asker gave the gatherer up after a predicted time, so two VMs called one stage server, and results that nobody awaited filled its memory.

--- a/savoryspar/gateway/gathering.py
+++ b/savoryspar/gateway/gathering.py
@@ -13,6 +13,8 @@
 from savoryspar import backends, fleet, log, platform, stages
 from savoryspar.gateway import model
 
+MIN_ROOM_SHARE = 0.5
+"""Smallest share of its memory that a server is believed to have."""
 MAX_TRIES = 3
 """Calls in which the pieces of a group may fail before it fails."""
 CALL_TIMEOUT_FACTOR = 6.0
@@ -44,6 +46,7 @@
         "entry",
         "expires",
         "freed",
+        "made_at",
         "is_running",
         "room_bytes",
         "sizes",
@@ -56,6 +59,7 @@
         self.is_running = False
         self.sizes: dict[str, int] = {}
         self.expires: dict[str, float] = {}
+        self.made_at: dict[str, float] = {}
         self.freed: list[str] = []
 
     @property
@@ -72,6 +76,7 @@
         """Forgets a result that takes no memory any more."""
         self.expires.pop(handle, None)
         self.sizes.pop(handle, None)
+        self.made_at.pop(handle, None)
 
 
 class Gatherer:
@@ -134,6 +139,17 @@
             self._wake()
         return refused_s, wait_s
 
+    def wait_s(self, request_id: str, stage: int) -> float | None:
+        """Predicts when a group is done; None when it is not known here."""
+        return next(
+            (
+                self.queue.wait_s(group, len(self._servers))
+                for group in self._done
+                if (group.request_id, group.stage) == (request_id, stage)
+            ),
+            None,
+        )
+
     def cancel(self, request_id: str) -> None:
         """Drops the pieces of a request; those in a call are freed later."""
         self.queue.cancel(request_id)
@@ -241,13 +257,14 @@
             self._fail(server, call, exc)
             return
         server.backoff_s = 0.0
-        self._take(server, call, results)
+        self._take(server, call, results, now)
 
     def _take(
         self,
         server: _Server,
         call: list[tuple[stages.Group, stages.Piece]],
         results: Sequence[str | stages.Failure],
+        began_at: float,
     ) -> None:
         now = self._clock()
         expires_at = now + self.queue.pool.result_ttl_s
@@ -257,6 +274,7 @@
             if isinstance(result, str):
                 server.sizes[result] = group.result_bytes
                 server.expires[result] = expires_at
+                server.made_at[result] = began_at
                 group.results[piece.number] = result
                 if group not in self._done:
                     self.free([result])
@@ -280,7 +298,10 @@
 
     def _note_room(self, server: _Server, refused: int, now: float) -> None:
         """Learns that a server has less memory than was believed."""
-        server.room_bytes = float(server.used_bytes(now))
+        server.room_bytes = max(
+            float(server.used_bytes(now)),
+            MIN_ROOM_SHARE * self.queue.pool.room_bytes,
+        )
         self._events.belief(
             "stage server has no room",
             now,
@@ -351,7 +372,12 @@
                 may_repeat=True,
             )
             answer.read_all(self._clock() + FREE_TIMEOUT_S, self._clock)
+            now = self._clock()
             for handle in handles:
+                if handle in server.made_at:
+                    self.queue.note_hold(
+                        server.sizes[handle], now - server.made_at[handle]
+                    )
                 server.drop(handle)
             self._wake()
         except backends.BackendError as exc:
--- a/savoryspar/gateway/stage_work.py
+++ b/savoryspar/gateway/stage_work.py
@@ -16,10 +16,11 @@
 SUBMIT_TIMEOUT_S = 0.4
 """Time for a peer to accept a group; a round trip between regions is 40 ms."""
 DONE_TIMEOUT_S = 1.0
-RESULT_FACTOR = 3.0
-"""Wait for the results as a factor of the predicted time, before the pieces
-are submitted elsewhere."""
-MIN_RESULT_S = 1.2
+POLL_KIND = "stage_poll"
+RESULT_FACTOR = 1.5
+"""Wait for the results as a factor of the predicted time, before the gatherer
+is asked whether it still has the pieces."""
+MIN_RESULT_S = 0.6
 MAX_SUBMITS = 3
 REMOTE_COST_S = 0.08
 """Predicted wait by which another zone must be better than the own one: two
@@ -92,6 +93,7 @@
         self._made_by: dict[str, _Place] = {}
         members.handle(SUBMIT_KIND, self._serve_submit)
         members.handle(DONE_KIND, self._serve_done)
+        members.handle(POLL_KIND, self._serve_poll)
         members.handle(CANCEL_KIND, self._serve_cancel)
         members.handle(FREE_KIND, self._serve_free)
 
@@ -242,21 +244,9 @@
             )
             if refused_s is not None:
                 raise StageError(stages.Failure.LATE, refused_s)
-            limit_s = min(
-                max(MIN_RESULT_S, RESULT_FACTOR * wait_s),
-                group.deadline_at - now,
-            )
-            outcome = None
-            with eventlet.Timeout(max(0.0, limit_s), False):
-                outcome = waiting.wait()
+            outcome = self._await(waiting, place, group, wait_s)
         finally:
             self._waiting.pop(key, None)
-        if outcome is None:
-            raise membership.PeerUnreachableError(
-                f"no results from {place.incarnation} in {limit_s:.2f} s",
-                "the pieces are submitted to another entry VM",
-                has_sent=True,
-            )
         handles, failure = outcome
         if failure:
             raise StageError(stages.Failure(failure))
@@ -264,6 +254,59 @@
             self._made_by[handle] = place
         return handles
 
+    def _await(
+        self,
+        waiting: event.Event,
+        place: _Place,
+        group: stages.Group,
+        wait_s: float,
+    ) -> tuple[list[str], str]:
+        """Waits for the results while the gatherer has the pieces.
+
+        Raises:
+            PeerUnreachableError: It does not answer, or lost the pieces.
+            StageError: The deadline has passed.
+        """
+        while True:
+            left_s = group.deadline_at - self._clock()
+            if left_s <= 0.0:
+                raise StageError(stages.Failure.LATE, wait_s)
+            limit_s = min(max(MIN_RESULT_S, RESULT_FACTOR * wait_s), left_s)
+            with eventlet.Timeout(limit_s, False):
+                return waiting.wait()
+            told_s = self._poll(place, group)
+            if told_s is None and not waiting.ready():
+                raise membership.PeerUnreachableError(
+                    f"{place.incarnation} does not have the pieces any more",
+                    "they are submitted to another entry VM",
+                    has_sent=True,
+                )
+            wait_s = told_s or 0.0
+
+    def _poll(self, place: _Place, group: stages.Group) -> float | None:
+        if place.incarnation == self._own():
+            return self._wait_here(
+                place.pool, place.zone, group.request_id, group.stage
+            )
+        reply = self._members.request(
+            place.incarnation,
+            POLL_KIND,
+            [place.pool, place.zone, group.request_id, group.stage],
+            SUBMIT_TIMEOUT_S,
+        )
+        return reply["wait_s"]
+
+    def _wait_here(
+        self, pool: str, zone: str, request_id: str, stage: int
+    ) -> float | None:
+        gatherer = self._gatherers.get((pool, zone))
+        return gatherer and gatherer.wait_s(request_id, stage)
+
+    def _serve_poll(self, sender: str, body: Any) -> dict[str, Any]:
+        del sender
+        pool, zone, request_id, stage = body
+        return {"wait_s": self._wait_here(pool, zone, request_id, stage)}
+
     def _submit(
         self, place: _Place, group: stages.Group, now: float
     ) -> tuple[float | None, float]:
--- a/savoryspar/stages/batching.py
+++ b/savoryspar/stages/batching.py
@@ -19,6 +19,12 @@
 ADMISSION_MARGIN = 1.0
 """Predicted wait as a factor of the time left, from which a group is refused."""
 
+HOLD_WEIGHT = 0.1
+"""Weight of the newest result in the mean time for which results are kept."""
+FIRST_HOLD_S = 0.8
+"""Time for which a result is kept, before any was freed: a call of 0.3 s and
+the time until an engine has read a long prompt."""
+
 
 class BatchQueue:
     """Groups that wait for the servers of one stage pool in one zone.
@@ -27,10 +33,11 @@
         pool: How one server works.
     """
 
-    __slots__ = ("_groups", "pool")
+    __slots__ = ("_groups", "_hold_s", "pool")
 
     def __init__(self, pool: fleet.StagePool):
         self.pool = pool
+        self._hold_s = FIRST_HOLD_S
         self._groups: dict[tuple[str, int], model.Group] = {}
 
     def __len__(self) -> int:
@@ -64,15 +71,25 @@
             group: It may or may not be in the queue.
             servers: Servers that work for the queue.
         """
-        ahead = sum(
-            len(other.waiting)
+        ahead = [
+            other
             for other in self._groups.values()
             if other is not group and other.rank <= group.rank
+        ]
+        pieces = len(group.waiting) + sum(len(o.waiting) for o in ahead)
+        calls = math.ceil(pieces / self.pool.batch / max(1, servers))
+        busy_s = calls * self.call_s(self.pool.batch)
+        # Results that wait to be fetched fill the servers' memory.
+        stored = group.result_bytes * len(group.waiting) + sum(
+            other.result_bytes * len(other.waiting) for other in ahead
         )
-        calls = math.ceil(
-            (ahead + len(group.waiting)) / self.pool.batch / max(1, servers)
-        )
-        return calls * self.call_s(self.pool.batch)
+        room = self.pool.room_bytes * max(1, servers)
+        return max(busy_s, stored / room * self._hold_s)
+
+    def note_hold(self, size_bytes: int, hold_s: float) -> None:
+        """Learns for how long the memory of a result was in use."""
+        if size_bytes * self.pool.batch > self.pool.room_bytes / 4:
+            self._hold_s += HOLD_WEIGHT * (hold_s - self._hold_s)
 
     def call_s(self, pieces: int) -> float:
         """Returns the expected time of a call."""
