Place requests on engines by one VM a zone

Cause: each VM saw a ninth of an engine's prompts, so prompts queued at busy engines (time to first event up to 0.97 s at p90 after a choice, 0.3 s in the middle) and shared parts were read in every zone. Change: one VM a zone, the same for all, places requests on the zone's engines; the policy minimises the expected time to the first event; stages run near the engine that has the prompt's shared parts.

--- a/savoryspar/gateway/attempts.py
+++ b/savoryspar/gateway/attempts.py
@@ -8,36 +8,52 @@
 import hashlib
 
 from savoryspar import backends, log, routing
-from savoryspar.gateway import model
+from savoryspar.gateway import model, placing
 
 MAX_REFUSALS = 3
 """Servers that may refuse a request before the caller is told to come back."""
-TOKENS_A_BLOCK = 512
-"""Granularity of prefix affinity, in tokens."""
 FINGERPRINT_BYTES = 16
 
 
 class Attempts:
     """The servers tried for one request."""
 
-    __slots__ = ("_blocks", "_events", "_excluded", "_job", "_refused", "_router")
+    __slots__ = (
+        "_blocks",
+        "_events",
+        "_excluded",
+        "_job",
+        "_placing",
+        "_refused",
+        "_router",
+    )
 
     def __init__(
         self,
         job: model.Job,
         router: routing.Router,
+        placing_: placing.Placing,
         events: log.EventLog,
     ):
         self._job = job
         self._router = router
+        self._placing = placing_
         self._events = events
         self._excluded: frozenset[str] = frozenset()
         self._refused = 0
         self._blocks = prompt_blocks(job.req)
 
-    def choose(self, now: float) -> routing.Choice:
+    def preferred_zone(self, now: float) -> str:
+        """Returns the zone in which the request would be placed now."""
+        return self._placing.preferred_zone(self._call(), now)
+
+    def choose(self, now: float, zone: str = "") -> placing.Placement:
         """Chooses a server.
 
+        Args:
+            now: Monotonic time in seconds.
+            zone: Zone to prefer, empty for any.
+
         Raises:
             GatewayError: No server can take the request; it has not run.
         """
@@ -50,20 +66,8 @@
                 "the request crashed the backend servers that ran it",
                 "change the request before it is sent again",
             )
-        call = routing.Call(
-            job.req.attempt_id,
-            job.workspace,
-            str(job.rank),
-            job.route.name,
-            job.pool,
-            job.req.model,
-            "",
-            self._excluded,
-            is_idempotent=job.route.may_repeat,
-            blocks=self._blocks,
-        )
         try:
-            choice = self._router.choose(call, now)
+            placement = self._placing.place(self._call(), zone, now)
         except routing.NoServerError as exc:
             raise model.refusal(
                 "no_server", str(exc), max(0.2, exc.retry_after_s)
@@ -72,16 +76,35 @@
             "server chosen",
             now,
             job.req.attempt_id,
-            server=choice.server.name,
+            server=placement.server.name,
             pool=job.pool,
-            zone=choice.server.zone,
+            zone=placement.server.zone,
+            near=zone,
+            prefix=f"{self._blocks[0]:x}" if self._blocks else "",
+            shared_tokens=len(self._blocks) * routing.BLOCK_TOKENS,
+            placer=placement.placer,
+            reason=placement.reason,
             tried=len(self._excluded),
-            in_flight=choice.state.in_flight,
-            load=round(choice.state.load(now), 1),
             version=job.version,
             left_s=round(job.left_s(now), 3),
         )
-        return choice
+        return placement
+
+    def _call(self) -> routing.Call:
+        job = self._job
+        return routing.Call(
+            job.req.attempt_id,
+            job.workspace,
+            str(job.rank),
+            job.route.name,
+            job.pool,
+            job.req.model,
+            "",
+            self._excluded,
+            is_idempotent=job.route.may_repeat,
+            blocks=self._blocks,
+            prompt_tokens=job.req.prompt_tokens,
+        )
 
     def note_sent(self) -> None:
         """Counts a server that may run the request."""
@@ -89,7 +112,7 @@
 
     def may_go_on(
         self,
-        choice: routing.Choice,
+        placement: placing.Placement,
         has_not_run: bool,
         cause: str,
         now: float,
@@ -97,13 +120,13 @@
         """Tells whether another server may be tried, and takes the budget.
 
         Args:
-            choice: The server that failed.
+            placement: The server that failed.
             has_not_run: Whether the request certainly did not run there.
             cause: Why it failed.
             now: Monotonic time in seconds.
         """
         job = self._job
-        self._excluded |= {choice.server.name}
+        self._excluded |= {placement.server.name}
         if has_not_run:
             self._refused += 1
             is_allowed = self._refused <= MAX_REFUSALS
@@ -115,7 +138,7 @@
             "another server" if is_allowed and has_budget else "no more tries",
             now,
             job.req.attempt_id,
-            server=choice.server.name,
+            server=placement.server.name,
             has_not_run=has_not_run,
             is_allowed=is_allowed,
             has_budget=has_budget,
@@ -127,10 +150,10 @@
             self._router.spend_retry(job.pool, now)
         return is_allowed and has_budget
 
-    def note_crash(self, choice: routing.Choice, now: float) -> None:
+    def note_crash(self, placement: placing.Placement, now: float) -> None:
         """Remembers that a server's connection died under the request."""
         self._router.suspects.record_crash(
-            self._job.fingerprint, choice.server.name, now, was_alone=True
+            self._job.fingerprint, placement.server.name, now, was_alone=True
         )
 
 
@@ -147,7 +170,7 @@
             digest + part.identifier.encode(), digest_size=8
         ).digest()
         number = int.from_bytes(digest, "big")
-        count = max(1, round(part.tokens / TOKENS_A_BLOCK))
+        count = max(1, round(part.tokens / routing.BLOCK_TOKENS))
         blocks += [number ^ index for index in range(count)]
     return tuple(blocks[: routing.MAX_BLOCKS])
 
--- a/savoryspar/gateway/node.py
+++ b/savoryspar/gateway/node.py
@@ -22,6 +22,7 @@
     app,
     counters,
     fleet_watch,
+    placing,
     plain,
     stage_work,
     streams,
@@ -44,6 +45,9 @@
 CROSS_REGION_COST = 0.9
 """Utilization by which a server of the own region must be worse before one of
 another region is used."""
+PREFIX_BLOCKS = 4000
+"""Blocks of 512 tokens that the engines of a zone hold in all; three engines
+with memory for 600,000 tokens each, most of it for cached parts."""
 RETRY_SHARE = 0.4
 """Part of the fleet's retry budget that the VMs use, since they split it
 without a message and callers reach them unevenly."""
@@ -61,6 +65,7 @@
         "_holder",
         "_members",
         "_metrics",
+        "_placing",
         "_roster",
         "_router",
         "_server",
@@ -82,6 +87,9 @@
         self._connections = backends.new_connections(
             platform.answer_facts, clock
         )
+        self._placing = placing.new_fleet_placing(
+            self._router, self._roster, self._members, self._events, clock
+        )
         self._work = stage_work.new_stage_work(
             self._holder,
             self._roster,
@@ -108,6 +116,7 @@
             streams.new_stream_forwarder(
                 self._holder,
                 self._router,
+                self._placing,
                 self._work,
                 self._connections,
                 self._events,
@@ -366,6 +375,8 @@
             name=section.name,
             region=section.region,
             zone=section.zone,
+            policy="timed",
+            prefix_entries=PREFIX_BLOCKS,
             limit="fixed",
             initial_limit=64,
             region_cost=CROSS_REGION_COST,
--- /dev/null
+++ b/savoryspar/gateway/placing.py
@@ -0,0 +1,361 @@
+"""Places requests on backend servers with the knowledge of a whole zone.
+
+Prompts that wait at an engine, and the parts that it has cached, decide how
+soon an answer begins. One entry VM of each zone, the same for all, places the
+requests of all VMs on the zone's engines, so its router knows both. When it
+does not answer in time, the own router places the request with what it knows.
+"""
+
+from collections.abc import Callable
+import itertools
+from typing import Any
+
+import eventlet
+
+from savoryspar import backends, fleet, log, membership, routing, stages
+from savoryspar.gateway import model
+
+PLACE_KIND = "place"
+FIRST_KIND = "placed_first"
+FINISH_KIND = "placed_finish"
+PLACE_TIMEOUT_S = 0.25
+"""Time for a placer's reply; a round trip between regions is 40 ms."""
+NOTE_TIMEOUT_S = 1.0
+REMOTE_COST_S = 0.08
+"""Time by which the answer must begin sooner in another zone: a round trip of
+40 ms for the request and one for its stages."""
+HOME_HIT = 0.7
+"""Chance that a prompt's home zone still has its shared parts cached."""
+MIN_HOME_TOKENS = 6000
+"""Shared tokens from which the home zone is worth a longer way: reading them
+again takes 100 ms."""
+TOLD_HALF_LIFE_S = 0.3
+"""Age at which half of a told wait is believed to have gone."""
+FORGET_S = 60.0
+"""Time after which a placement whose end was not told is dropped."""
+AWAY_S = 1.0
+"""Time for which a placer that did not answer is not asked."""
+
+
+class Placement:
+    """A server for one send of a request.
+
+    Attributes:
+        server: The server.
+        placer: Incarnation of the VM that chose it, empty for the own one.
+        reason: Why it was chosen.
+        first_at: When the answer began, None before.
+    """
+
+    __slots__ = (
+        "_choice",
+        "_notify",
+        "_router",
+        "first_at",
+        "placer",
+        "reason",
+        "server",
+    )
+
+    def __init__(
+        self,
+        server: backends.Server,
+        placer: str,
+        reason: str,
+        router: routing.Router,
+        choice: routing.Choice | None,
+        notify: Callable[[str, list], None] | None,
+    ):
+        self.server = server
+        self.placer = placer
+        self.reason = reason
+        self.first_at: float | None = None
+        self._router = router
+        self._choice = choice
+        self._notify = notify
+
+    def note_first(self, now: float) -> None:
+        """Notes that the answer began."""
+        self.first_at = now
+        if self._choice is not None:
+            self._router.note_first(self._choice, now)
+        else:
+            self._notify(FIRST_KIND, [])
+
+    def finish(self, outcome: routing.Outcome, load: int, now: float) -> None:
+        """Notes how the send ended."""
+        if self._choice is not None:
+            self._router.observe(self._choice, outcome, load, now)
+        else:
+            self._notify(FINISH_KIND, [outcome.value, load])
+
+
+class LocalPlacing:
+    """Places with the own router alone."""
+
+    __slots__ = ("_router",)
+
+    def __init__(self, router: routing.Router):
+        self._router = router
+
+    def preferred_zone(self, call: routing.Call, now: float) -> str:
+        """Returns no zone."""
+        del call, now
+        return ""
+
+    def place(self, call: routing.Call, zone: str, now: float) -> Placement:
+        """Chooses a server.
+
+        Raises:
+            NoServerError: No server can take the call.
+        """
+        del zone
+        return _place_here(self._router, call, now)
+
+
+class FleetPlacing:
+    """Asks the placer of a zone."""
+
+    __slots__ = (
+        "_away",
+        "_clock",
+        "_events",
+        "_members",
+        "_numbers",
+        "_placed",
+        "_roster",
+        "_router",
+        "_told",
+    )
+
+    def __init__(
+        self,
+        router: routing.Router,
+        roster: fleet.Roster,
+        members: membership.Membership,
+        events: log.EventLog,
+        clock: model.Clock,
+    ):
+        self._router = router
+        self._roster = roster
+        self._members = members
+        self._events = events
+        self._clock = clock
+        self._numbers = itertools.count(1)
+        self._placed: dict[tuple[str, int], routing.Choice] = {}
+        self._told: dict[tuple[str, str], tuple[float, float]] = {}
+        self._away: dict[str, float] = {}
+        members.handle(PLACE_KIND, self._serve_place)
+        members.handle(FIRST_KIND, self._serve_first)
+        members.handle(FINISH_KIND, self._serve_finish)
+
+    def preferred_zone(self, call: routing.Call, now: float) -> str:
+        """Returns the zone whose engines would begin the answer first."""
+        own = self._members.view(now).own.zone
+        zones = self._zones(call.pool)
+        if not zones:
+            return own
+        home = self._home(call, zones)
+        return min(zones, key=lambda z: self._cost_s(call, z, own, home, now))
+
+    def place(self, call: routing.Call, zone: str, now: float) -> Placement:
+        """Chooses a server, in the given zone if it has one to offer.
+
+        Raises:
+            NoServerError: No server can take the call.
+        """
+        self._router.note_call(call.pool)
+        own = self._members.view(now).own.zone
+        zones = sorted(
+            self._zones(call.pool),
+            key=lambda z: (z != zone, self._cost_s(call, z, own, "", now)),
+        )
+        for candidate in zones[:2]:
+            call.zone = candidate
+            try:
+                return self._place_in(candidate, call, self._clock())
+            except routing.NoServerError as exc:
+                self._events.failure(
+                    "zone has no server",
+                    self._clock(),
+                    call.request_id,
+                    zone=candidate,
+                    cause=str(exc),
+                )
+        call.zone = ""
+        return _place_here(self._router, call, self._clock())
+
+    def _zones(self, pool: str) -> list[str]:
+        return sorted(
+            {e.zone for e in self._roster.usable() if e.service == pool}
+        )
+
+    def _home(self, call: routing.Call, zones: list[str]) -> str:
+        if len(call.blocks) * routing.BLOCK_TOKENS < MIN_HOME_TOKENS:
+            return ""
+        return max(
+            zones, key=lambda z: stages.rendezvous(z, str(call.blocks[0]))
+        )
+
+    def _cost_s(
+        self, call: routing.Call, zone: str, own: str, home: str, now: float
+    ) -> float:
+        wait_s, at = self._told.get((call.pool, zone), (0.0, now))
+        cost_s = wait_s * 0.5 ** ((now - at) / TOLD_HALF_LIFE_S)
+        if zone != own:
+            cost_s += REMOTE_COST_S
+        if zone == home:
+            shared = len(call.blocks) * routing.BLOCK_TOKENS
+            cost_s -= HOME_HIT * shared / routing.PREFILL_TOKENS_PER_S
+        return cost_s
+
+    def _place_in(
+        self, zone: str, call: routing.Call, now: float
+    ) -> Placement:
+        view = self._members.view(now)
+        away = frozenset(n for n, until in self._away.items() if until > now)
+        placer = stages.choose_gatherer(
+            call.pool, zone, (view.own, *view.members), away
+        )
+        if placer is None or placer.incarnation == view.own.incarnation:
+            return _place_here(self._router, call, now)
+        body = [
+            call.pool,
+            zone,
+            call.request_id,
+            call.workspace,
+            call.rank,
+            call.stage,
+            call.model,
+            [*call.blocks],
+            call.prompt_tokens,
+            sorted(call.excluded),
+        ]
+        try:
+            reply = self._members.request(
+                placer.incarnation, PLACE_KIND, body, PLACE_TIMEOUT_S
+            )
+        except membership.PeerUnreachableError as exc:
+            self._away[placer.incarnation] = now + AWAY_S
+            self._events.failure(
+                "placer lost", now, call.request_id, zone=zone, cause=str(exc)
+            )
+            return _place_here(self._router, call, self._clock())
+        if reply["refused_s"] is not None:
+            raise routing.NoServerError(
+                call.pool, reply["reason"], reply["refused_s"]
+            )
+        self._told[call.pool, zone] = (reply["pending_s"], now)
+        name, address, region = reply["server"]
+        number = reply["number"]
+
+        def notify(kind: str, words: list) -> None:
+            eventlet.spawn(
+                self._notify, placer.incarnation, kind, [number, *words]
+            )
+
+        return Placement(
+            backends.Server(name, address, region, zone, call.pool),
+            placer.incarnation,
+            reply["reason"],
+            self._router,
+            None,
+            notify,
+        )
+
+    def _notify(self, incarnation: str, kind: str, body: list) -> None:
+        try:
+            self._members.request(incarnation, kind, body, NOTE_TIMEOUT_S)
+        except membership.PeerUnreachableError as exc:
+            # The placer drops the placement after its time.
+            self._events.belief(
+                "placer not told", self._clock(), kind=kind, cause=str(exc)
+            )
+
+    def _serve_place(self, sender: str, body: Any) -> dict[str, Any]:
+        now = self._clock()
+        self._forget_old(now)
+        (
+            pool, zone, request_id, workspace, rank, stage, model_name,
+            blocks, prompt_tokens, excluded,
+        ) = body
+        call = routing.Call(
+            request_id,
+            workspace,
+            rank,
+            stage,
+            pool,
+            model_name,
+            "",
+            frozenset(excluded),
+            blocks=tuple(blocks),
+            prompt_tokens=prompt_tokens,
+            zone=zone,
+        )
+        try:
+            choice = self._router.choose(call, now)
+        except routing.NoServerError as exc:
+            return {"refused_s": exc.retry_after_s, "reason": str(exc)}
+        number = next(self._numbers)
+        self._placed[sender, number] = choice
+        return {
+            "refused_s": None,
+            "reason": choice.reason,
+            "number": number,
+            "pending_s": choice.state.pending_s,
+            "server": [
+                choice.server.name,
+                choice.server.address,
+                choice.server.region,
+            ],
+        }
+
+    def _serve_first(self, sender: str, body: Any) -> dict[str, Any]:
+        choice = self._placed.get((sender, body[0]))
+        if choice is not None:
+            self._router.note_first(choice, self._clock())
+        return {}
+
+    def _serve_finish(self, sender: str, body: Any) -> dict[str, Any]:
+        number, outcome, load = body
+        choice = self._placed.pop((sender, number), None)
+        if choice is not None:
+            self._router.observe(
+                choice, routing.Outcome(outcome), load, self._clock()
+            )
+        return {}
+
+    def _forget_old(self, now: float) -> None:
+        old = itertools.takewhile(
+            lambda item: now - item[1].chosen_at > FORGET_S,
+            [*self._placed.items()],
+        )
+        for key, choice in old:
+            del self._placed[key]
+            self._router.observe(choice, routing.Outcome.CANCELLED, -1, now)
+
+
+Placing = LocalPlacing | FleetPlacing
+
+
+def _place_here(
+    router: routing.Router, call: routing.Call, now: float
+) -> Placement:
+    choice = router.choose(call, now)
+    return Placement(choice.server, "", choice.reason, router, choice, None)
+
+
+def new_local_placing(router: routing.Router) -> LocalPlacing:
+    """Returns a placing that asks nobody."""
+    return LocalPlacing(router)
+
+
+def new_fleet_placing(
+    router: routing.Router,
+    roster: fleet.Roster,
+    members: membership.Membership,
+    events: log.EventLog,
+    clock: model.Clock,
+) -> FleetPlacing:
+    """Returns a placing that asks placers; peers may ask this VM at once."""
+    return FleetPlacing(router, roster, members, events, clock)
--- a/savoryspar/gateway/plain.py
+++ b/savoryspar/gateway/plain.py
@@ -1,13 +1,13 @@
 """Forwards requests whose answer is one body."""
 
 from savoryspar import backends, log, platform, routing
-from savoryspar.gateway import attempts, model
+from savoryspar.gateway import attempts, model, placing
 
 
 class PlainForwarder:
     """Sends a request to a server and returns its whole answer."""
 
-    __slots__ = ("_clock", "_connections", "_events", "_router")
+    __slots__ = ("_clock", "_connections", "_events", "_placing", "_router")
 
     def __init__(
         self,
@@ -17,6 +17,7 @@
         clock: model.Clock,
     ):
         self._router = router
+        self._placing = placing.new_local_placing(router)
         self._connections = connections
         self._events = events
         self._clock = clock
@@ -27,13 +28,15 @@
         Raises:
             GatewayError: There is none.
         """
-        tries = attempts.Attempts(job, self._router, self._events)
+        tries = attempts.Attempts(
+            job, self._router, self._placing, self._events
+        )
         while True:
-            choice = tries.choose(self._clock())
+            placement = tries.choose(self._clock())
             outcome = routing.Outcome.CANCELLED
             load = -1
             try:
-                answer, body = self._send(job, choice)
+                answer, body = self._send(job, placement)
                 load = answer.facts.load
                 reply, outcome, has_not_run = self._judge(job, answer, body)
                 cause = f"status {answer.status}"
@@ -46,13 +49,13 @@
                 outcome = routing.Outcome.FAILED
                 if exc.is_crash:
                     outcome = routing.Outcome.CRASHED
-                    tries.note_crash(choice, self._clock())
+                    tries.note_crash(placement, self._clock())
             finally:
-                self._router.observe(choice, outcome, load, self._clock())
+                placement.finish(outcome, load, self._clock())
             if reply is not None and outcome is routing.Outcome.OK:
                 return reply
             now = self._clock()
-            if tries.may_go_on(choice, has_not_run, cause, now):
+            if tries.may_go_on(placement, has_not_run, cause, now):
                 continue
             if reply is not None:
                 return reply
@@ -61,11 +64,11 @@
             raise _lost(job, cause, now)
 
     def _send(
-        self, job: model.Job, choice: routing.Choice
+        self, job: model.Job, placement: placing.Placement
     ) -> tuple[backends.Answer, bytes]:
         now = self._clock()
         req = job.req
-        server = choice.server
+        server = placement.server
         fields = platform.encode_backend_headers(
             req,
             backends.BackendSend(
--- a/savoryspar/gateway/stage_work.py
+++ b/savoryspar/gateway/stage_work.py
@@ -1,5 +1,6 @@
 """Gets the pieces of a request's stages made, here or at the gathering VM."""
 
+import collections
 from collections.abc import Sequence
 from typing import Any
 
@@ -101,9 +102,16 @@
         """Returns the queues that this VM gathers, by pool and zone."""
         return self._gatherers
 
-    def run_chain(self, chain: stages.Chain, request_id: str) -> None:
+    def run_chain(
+        self, chain: stages.Chain, request_id: str, near: str
+    ) -> None:
         """Runs all stages of a request, independent ones at the same time.
 
+        Args:
+            chain: The stages.
+            request_id: Attempt that they belong to.
+            near: Availability zone in which the results will be needed.
+
         Raises:
             StageError: A stage has no results.
         """
@@ -122,6 +130,7 @@
                             results,
                             chain,
                             number,
+                            near,
                         )
                     )
                     running += 1
@@ -154,20 +163,33 @@
                 eventlet.spawn(self._free_there, place, found)
 
     def _run_into(
-        self, results: eventlet.Queue, chain: stages.Chain, number: int
+        self,
+        results: eventlet.Queue,
+        chain: stages.Chain,
+        number: int,
+        near: str,
     ) -> None:
         try:
-            results.put((number, self._run(chain.group(number))))
+            results.put((number, self._run(chain.group(number), near)))
         except StageError as exc:
             results.put((number, exc))
 
-    def _run(self, group: stages.Group) -> list[str]:
+    def zone_of(self, handles: Sequence[str], default: str) -> str:
+        """Returns the zone in which most of the results lie."""
+        zones = collections.Counter(
+            self._made_by[handle].zone
+            for handle in handles
+            if handle in self._made_by
+        )
+        return max(sorted(zones), key=zones.get, default=default)
+
+    def _run(self, group: stages.Group, near: str) -> list[str]:
         excluded: frozenset[str] = frozenset()
         full: frozenset[str] = frozenset()
         refused: StageError | None = None
         for _ in range(MAX_SUBMITS):
             now = self._clock()
-            place = self._place(group, excluded, full, now)
+            place = self._place(group, near, excluded, full, now)
             if place is None:
                 break
             try:
@@ -193,6 +215,7 @@
     def _place(
         self,
         group: stages.Group,
+        near: str,
         excluded: frozenset[str],
         full: frozenset[str],
         now: float,
@@ -207,7 +230,7 @@
             return None
         zone = min(
             sorted(zones),
-            key=lambda z: self._wait_s(group.pool, z, view.own.zone, now),
+            key=lambda z: self._wait_s(group.pool, z, near, now),
         )
         member = stages.choose_gatherer(
             group.pool, zone, (view.own, *view.members), excluded
@@ -216,10 +239,10 @@
             member = view.own
         return _Place(group.pool, zone, member.incarnation)
 
-    def _wait_s(self, pool: str, zone: str, own: str, now: float) -> float:
+    def _wait_s(self, pool: str, zone: str, near: str, now: float) -> float:
         wait_s, at = self._waits.get((pool, zone), (0.0, now))
         faded_s = wait_s * 0.5 ** ((now - at) / WAIT_HALF_LIFE_S)
-        return faded_s + (0.0 if zone == own else REMOTE_COST_S)
+        return faded_s + (0.0 if zone == near else REMOTE_COST_S)
 
     def _run_at(
         self, place: _Place, group: stages.Group, now: float
--- a/savoryspar/gateway/streams.py
+++ b/savoryspar/gateway/streams.py
@@ -3,10 +3,8 @@
 from collections.abc import Callable
 
 from savoryspar import backends, fleet, log, platform, routing, stages
-from savoryspar.gateway import attempts, events, model, stage_work
+from savoryspar.gateway import attempts, events, model, placing, stage_work
 
-PREFILL_TOKENS_PER_S = 60000.0
-"""Prompt tokens that an engine reads a second, from its data sheet."""
 FIRST_EVENT_S = 0.1
 """Time from the end of the prompt to the first event at a busy engine."""
 URGENCY_BASE = 2
@@ -26,6 +24,7 @@
         "_connections",
         "_events",
         "_holder",
+        "_placing",
         "_router",
         "_work",
     )
@@ -34,6 +33,7 @@
         self,
         holder: fleet.ConfigurationHolder,
         router: routing.Router,
+        placing_: placing.Placing,
         work: stage_work.StageWork,
         connections: backends.Connections,
         event_log: log.EventLog,
@@ -41,6 +41,7 @@
     ):
         self._holder = holder
         self._router = router
+        self._placing = placing_
         self._work = work
         self._connections = connections
         self._events = event_log
@@ -59,7 +60,6 @@
         """
         chain = self._new_chain(job)
         try:
-            self._run_stages(job, chain)
             return _Relay(self, job, chain, start).run()
         finally:
             self._work.free(chain.forget())
@@ -72,7 +72,7 @@
             if service.stage_pool
         }
         engine_s = (
-            job.req.prompt_tokens / PREFILL_TOKENS_PER_S + FIRST_EVENT_S
+            job.req.prompt_tokens / routing.PREFILL_TOKENS_PER_S + FIRST_EVENT_S
         )
         return stages.new_chain(
             job.req,
@@ -83,9 +83,11 @@
             job.deadline_at - engine_s,
         )
 
-    def _run_stages(self, job: model.Job, chain: stages.Chain) -> None:
+    def _run_stages(
+        self, job: model.Job, chain: stages.Chain, near: str
+    ) -> None:
         try:
-            self._work.run_chain(chain, job.req.attempt_id)
+            self._work.run_chain(chain, job.req.attempt_id, near)
         except stage_work.StageError as exc:
             raise model.refusal(
                 f"stage_{exc.failure.value}",
@@ -106,6 +108,7 @@
         "_start",
         "_tries",
         "_write",
+        "_zone",
     )
 
     def __init__(
@@ -123,18 +126,20 @@
         self._is_started = False
         self._write: Callable[[bytes], None] = lambda data: None
         self._tries = attempts.Attempts(
-            job, forwarder._router, forwarder._events
+            job, forwarder._router, forwarder._placing, forwarder._events
         )
+        self._zone = self._tries.preferred_zone(forwarder._clock())
 
     def run(self) -> model.Reply | None:
         clock = self._forwarder._clock
+        self._run_stages()
         while True:
-            choice = self._choose()
-            outcome, reply, has_not_run, cause = self._try(choice)
+            placement = self._choose()
+            outcome, reply, has_not_run, cause = self._try(placement)
             if outcome is routing.Outcome.OK:
                 return reply
             now = clock()
-            if self._tries.may_go_on(choice, has_not_run, cause, now):
+            if self._tries.may_go_on(placement, has_not_run, cause, now):
                 self._cutter.restart()
                 continue
             if self._is_started:
@@ -147,9 +152,14 @@
                 return reply
             raise self._refusal(has_not_run, cause, now)
 
-    def _choose(self) -> routing.Choice:
+    def _run_stages(self) -> None:
+        forwarder, chain = self._forwarder, self._chain
+        forwarder._run_stages(self._job, chain, self._zone)
+        self._zone = forwarder._work.zone_of(chain.inputs(), self._zone)
+
+    def _choose(self) -> placing.Placement:
         try:
-            return self._tries.choose(self._forwarder._clock())
+            return self._tries.choose(self._forwarder._clock(), self._zone)
         except model.GatewayError as exc:
             if self._is_started:
                 raise model.BrokenStreamError(str(exc), exc.remedy) from exc
@@ -176,7 +186,7 @@
         )
 
     def _try(
-        self, choice: routing.Choice
+        self, placement: placing.Placement
     ) -> tuple[routing.Outcome, model.Reply | None, bool, str]:
         """Relays from one engine; returns how that ended.
 
@@ -191,7 +201,7 @@
         has_not_run = False
         cause = ""
         try:
-            answer = self._send(choice)
+            answer = self._send(placement)
             forwarder._events.decision(
                 "answer head",
                 forwarder._clock(),
@@ -216,7 +226,7 @@
                     reply = self._reply(answer, body)
             else:
                 self._tries.note_sent()
-                self._relay(choice, answer)
+                self._relay(placement, answer)
                 outcome = routing.Outcome.OK
         except backends.CallRefusedError as exc:
             outcome, has_not_run = routing.Outcome.UNREACHABLE, True
@@ -227,23 +237,21 @@
                 self._tries.note_sent()
             if exc.is_crash:
                 outcome = routing.Outcome.CRASHED
-                self._tries.note_crash(choice, forwarder._clock())
+                self._tries.note_crash(placement, forwarder._clock())
         finally:
             if answer is not None and not answer.is_complete:
                 answer.close()
             load = answer.facts.load if answer is not None else -1
-            forwarder._router.observe(
-                choice, outcome, load, forwarder._clock()
-            )
+            placement.finish(outcome, load, forwarder._clock())
         return outcome, reply, has_not_run, cause
 
-    def _send(self, choice: routing.Choice) -> backends.Answer:
+    def _send(self, placement: placing.Placement) -> backends.Answer:
         forwarder, job = self._forwarder, self._job
         now = forwarder._clock()
         fields = platform.encode_backend_headers(
             job.req,
             backends.BackendSend(
-                choice.server.name,
+                placement.server.name,
                 job.left_s(now),
                 job.workspace,
                 min(MAX_URGENCY, URGENCY_BASE + 2 * job.rank),
@@ -252,7 +260,7 @@
             ),
         )
         return forwarder._connections.send(
-            (choice.server.name, choice.server.address),
+            (placement.server.name, placement.server.address),
             job.req.method,
             job.req.target,
             fields,
@@ -270,7 +278,7 @@
         if answer.status == 409:
             # An input is gone: the stages run again within the deadline.
             forwarder._work.free(self._chain.forget())
-            forwarder._run_stages(self._job, self._chain)
+            self._run_stages()
         if answer.status == 400:
             return self._reply(answer, body)
         return None
@@ -282,7 +290,7 @@
             body,
         )
 
-    def _relay(self, choice: routing.Choice, answer: backends.Answer) -> None:
+    def _relay(self, placement: placing.Placement, answer: backends.Answer) -> None:
         forwarder, job = self._forwarder, self._job
         while True:
             data = answer.read_some(job.left_s(forwarder._clock()))
@@ -291,8 +299,8 @@
             whole = self._cutter.feed(data)
             if not whole:
                 continue
-            if choice.first_at is None:
-                choice.first_at = forwarder._clock()
+            if placement.first_at is None:
+                placement.note_first(forwarder._clock())
                 # The engine has fetched its inputs; another engine that the
                 # stream may go on at would need them again.
                 if not job.route.is_resumable:
@@ -327,6 +335,7 @@
 def new_stream_forwarder(
     holder: fleet.ConfigurationHolder,
     router: routing.Router,
+    placing_: placing.Placing,
     work: stage_work.StageWork,
     connections: backends.Connections,
     event_log: log.EventLog,
@@ -334,5 +343,5 @@
 ) -> StreamForwarder:
     """Returns a forwarder over the given parts."""
     return StreamForwarder(
-        holder, router, work, connections, event_log, clock
+        holder, router, placing_, work, connections, event_log, clock
     )
--- a/savoryspar/routing/model.py
+++ b/savoryspar/routing/model.py
@@ -17,6 +17,8 @@
         model: Model for an engine pool, else empty.
         prompt: Prompt text for prefix affinity, else empty.
         blocks: Hashes of the prompt's blocks, where they are known already.
+        prompt_tokens: Length of the prompt, 0 when it is not known.
+        zone: Availability zone whose servers alone may take it, or empty.
         excluded: Names of servers that already failed this stage.
         size_bytes: Bytes that the call and its answer are expected to take.
         is_idempotent: Whether the stage may be repeated.
@@ -31,11 +33,13 @@
         "model",
         "pool",
         "prompt",
+        "prompt_tokens",
         "rank",
         "request_id",
         "size_bytes",
         "stage",
         "workspace",
+        "zone",
     )
 
     def __init__(
@@ -52,8 +56,12 @@
         is_idempotent: bool = False,
         is_alone: bool = False,
         blocks: Sequence[int] = (),
+        prompt_tokens: int = 0,
+        zone: str = "",
     ):
         self.blocks = blocks
+        self.prompt_tokens = prompt_tokens
+        self.zone = zone
         self.request_id = request_id
         self.workspace = workspace
         self.rank = rank
@@ -75,6 +83,9 @@
         call: The call it was chosen for.
         chosen_at: Monotonic time in seconds.
         first_at: When the answer began, None while or when that is not known.
+        prefill_s: Expected time to read the prompt, 0 when it is not known.
+        expected_s: Expected time until the answer begins, 0 when not known.
+        reason: Why it was chosen.
         is_probe: Whether the call probes a server that was taken out.
         state: What the router knows of the server; only for the router.
     """
@@ -82,8 +93,11 @@
     __slots__ = (
         "call",
         "chosen_at",
+        "expected_s",
         "first_at",
         "is_probe",
+        "prefill_s",
+        "reason",
         "server",
         "state",
     )
@@ -102,6 +116,9 @@
         self.chosen_at = chosen_at
         self.is_probe = is_probe
         self.first_at: float | None = None
+        self.prefill_s = 0.0
+        self.reason = ""
+        self.expected_s = 0.0
 
 
 class Outcome(enum.Enum):
--- a/savoryspar/routing/policies.py
+++ b/savoryspar/routing/policies.py
@@ -13,6 +13,17 @@
 """Odd constant of multiplicative hashing (2^64 divided by the golden ratio)."""
 JITTER = 0.02
 """Random part of a score, so that processes with equal reports differ."""
+PREFILL_TOKENS_PER_S = 61200.0
+"""Prompt tokens that an engine reads a second (the engines' data sheet)."""
+BLOCK_TOKENS = 512
+"""Prompt tokens that stand behind the hash of one block."""
+RUNNING_S = 0.002
+"""Delay of a prompt by each request that produces tokens beside it."""
+DISTANCE_S = (0.0, 0.002, 0.04)
+"""Round trip to a server of the own zone, region and of another region."""
+HOME_SHARE = 0.3
+"""Part of a prompt's time by which its home is preferred while no server has
+it: the next requests with the same beginning then find it there."""
 FULL_BENEFIT_BLOCKS = 4
 """Blocks from which a held prompt brings the whole benefit."""
 
@@ -43,7 +54,23 @@
         self.turns = itertools.count()
 
 
-Policy = Scored | LeastInFlight | RoundRobin
+class Timed:
+    """The server at which the answer is expected to begin first.
+
+    The expectation is the time to read the prompts that wait there, and the
+    own prompt less what the server has cached. It holds as far as this process
+    chooses for all callers of the servers.
+    """
+
+    __slots__ = ("index", "opts", "rng")
+
+    def __init__(self, opts: options.Options, seed: int):
+        self.opts = opts
+        self.index = affinity.new_prefix_index(opts.prefix_entries)
+        self.rng = random.Random(seed)
+
+
+Policy = Scored | Timed | LeastInFlight | RoundRobin
 
 
 @functools.singledispatch
@@ -130,6 +157,81 @@
     return benefits
 
 
+@pick.register
+def _(
+    policy: Timed,
+    candidates: Sequence[servers.ServerState],
+    call: model.Call,
+    now: float,
+) -> tuple[servers.ServerState, str]:
+    matched, depth = policy.index.match(call.blocks)
+    home = _home(candidates, call.blocks[0]) if call.blocks else ""
+    best, best_score = candidates[0], float("inf")
+    for state in candidates:
+        name = state.server.name
+        score = (
+            expected_s(state, call, matched.get(name, 0.0))
+            + DISTANCE_S[state.tier]
+            + policy.rng.random() * RUNNING_S
+        )
+        if not depth and name == home:
+            score -= HOME_SHARE * prefill_s(call, 0.0)
+        if score < best_score:
+            best, best_score = state, score
+    return best, (
+        f"timed score={best_score:.3f} pending_s={best.pending_s:.3f}"
+        f" running={best.in_flight}"
+        f" cached={matched.get(best.server.name, 0.0):.0f}/{len(call.blocks)}"
+    )
+
+
+def expected_s(
+    state: servers.ServerState, call: model.Call, matched: float
+) -> float:
+    """Returns the expected time until the answer begins, in seconds."""
+    return (
+        state.pending_s
+        + state.in_flight * RUNNING_S
+        + prefill_s(call, matched)
+    )
+
+
+def prefill_s(call: model.Call, matched: float) -> float:
+    """Returns the time to read a prompt of which some blocks are cached."""
+    tokens = max(0.0, call.prompt_tokens - matched * BLOCK_TOKENS)
+    return tokens / PREFILL_TOKENS_PER_S
+
+
+def _home(candidates: Sequence[servers.ServerState], block: int) -> str:
+    """Returns the server that every process prefers for a new prompt."""
+    return max(
+        candidates, key=lambda s: (((block ^ s.salt) * MIXER) & MASK) >> 32
+    ).server.name
+
+
+@functools.singledispatch
+def cached_blocks(policy: Policy, server: str, call: model.Call) -> float:
+    """Returns the leading blocks of a prompt that a server holds."""
+    return 0.0
+
+
+@cached_blocks.register
+def _(policy: Timed, server: str, call: model.Call) -> float:
+    return policy.index.match(call.blocks)[0].get(server, 0.0)
+
+
+@functools.singledispatch
+def note_choice(
+    policy: Policy, server: str, call: model.Call, now: float
+) -> None:
+    """Learns that a server will hold the call's prompt."""
+
+
+@note_choice.register
+def _(policy: Timed, server: str, call: model.Call, now: float) -> None:
+    policy.index.learn(call.blocks, server, now)
+
+
 @functools.singledispatch
 def take_cache_events(
     policy: Policy, server: str, report: backends.CacheReport, now: float
@@ -152,8 +254,9 @@
     """Forgets what a server held, because its process is another one."""
 
 
-@forget_server.register
-def _(policy: Scored, server: str, now: float) -> None:
+@forget_server.register(Scored)
+@forget_server.register(Timed)
+def _(policy: Scored | Timed, server: str, now: float) -> None:
     policy.index.clear(server, now)
 
 
@@ -163,4 +266,6 @@
         return RoundRobin()
     if opts.policy == "least_in_flight":
         return LeastInFlight()
+    if opts.policy == "timed":
+        return Timed(opts, seed)
     return Scored(opts, seed)
--- a/savoryspar/routing/router.py
+++ b/savoryspar/routing/router.py
@@ -21,6 +21,10 @@
     {model.Outcome.REFUSED, model.Outcome.FAILED, model.Outcome.CRASHED}
 )
 
+TYPICAL_S = 0.1
+"""Time until a stream begins besides the prompts to read: a network round trip
+between regions and a few steps of the engine."""
+
 
 class Router:
     """Chooses servers; construct it with ``new_router``.
@@ -131,7 +135,11 @@
         Raises:
             NoServerError: No server can take the call.
         """
-        states = self._live(call.pool, call.excluded)
+        states = [
+            state
+            for state in self._live(call.pool, call.excluded)
+            if call.zone in ("", state.server.zone)
+        ]
         probed = selection.probe(states, call, now)
         if probed is not None:
             state, reason, count = probed, "probe", 1
@@ -144,7 +152,9 @@
             found = selection.candidates(states, call, self._bytes_across, now)
             count = len(found)
             state, reason = policies.pick(self._policy, found, call, now)
-        self._start(state, call, now)
+        choice = model.Choice(state.server, call, now, probed is not None, state)
+        choice.reason = reason
+        self._start(choice, now)
         self._decisions.record(
             log.Decision(
                 "routing",
@@ -157,7 +167,13 @@
                 reason,
             )
         )
-        return model.Choice(state.server, call, now, probed is not None, state)
+        return choice
+
+    def note_first(self, choice: model.Choice, now: float) -> None:
+        """Learns that an answer began: its prompt is read."""
+        if choice.first_at is None:
+            choice.first_at = now
+            choice.state.pending_s -= choice.prefill_s
 
     def take_load(self, choice: model.Choice, load: int, now: float) -> None:
         """Takes the load that a server reported while a call goes on."""
@@ -189,11 +205,13 @@
         """Learns how a call ended and the load that the server reported."""
         state = choice.state
         state.in_flight -= 1
+        if choice.first_at is None:
+            state.pending_s -= choice.prefill_s
         if choice.call.is_alone:
             state.is_alone = False
         self.take_load(choice, load, now)
         began_at = now if choice.first_at is None else choice.first_at
-        latency_s = began_at - choice.chosen_at
+        latency_s = _comparable(began_at - choice.chosen_at, choice)
         if outcome is model.Outcome.OK:
             state.limit.sample(latency_s, state.in_flight + 1)
             state.health.record(True, latency_s, now)
@@ -208,6 +226,10 @@
             state.limit.take_refusal()
         self._judge(choice.call.pool, state, now)
 
+    def note_call(self, pool: str) -> None:
+        """Counts a first call, which earns a part of a retry."""
+        self._pool(pool).retries.earn()
+
     def may_retry(self, pool: str, now: float) -> bool:
         """Tells whether the pool's retry budget allows a retry."""
         del now
@@ -236,12 +258,19 @@
             for name, pool in self._pools.items()
         }
 
-    def _start(
-        self, state: servers.ServerState, call: model.Call, now: float
-    ) -> None:
+    def _start(self, choice: model.Choice, now: float) -> None:
+        state, call = choice.state, choice.call
+        if call.prompt_tokens:
+            cached = policies.cached_blocks(
+                self._policy, state.server.name, call
+            )
+            choice.expected_s = policies.expected_s(state, call, cached)
+            choice.prefill_s = policies.prefill_s(call, cached)
+        policies.note_choice(self._policy, state.server.name, call, now)
+        state.pending_s += choice.prefill_s
         state.in_flight += 1
         if not call.excluded:
-            self._pool(call.pool).retries.earn()
+            self.note_call(call.pool)
         if state.tier is servers.Tier.ELSEWHERE:
             self._bytes_across.spend(call.size_bytes, now)
 
@@ -273,6 +302,13 @@
         return pool
 
 
+def _comparable(latency_s: float, choice: model.Choice) -> float:
+    """Returns a latency that can be compared between prompts of any length."""
+    if not choice.expected_s:
+        return latency_s
+    return latency_s * TYPICAL_S / (choice.expected_s + TYPICAL_S)
+
+
 def new_router(
     decisions: log.DecisionLog, opts: options.Options | None = None
 ) -> Router:
--- a/savoryspar/routing/servers.py
+++ b/savoryspar/routing/servers.py
@@ -34,6 +34,7 @@
         limit: Concurrency limit.
         health: How its calls ended.
         salt: Rendezvous weight, the same in every process.
+        pending_s: Time to read the prompts of calls whose answer has not begun.
         is_alone: Whether a call runs there that must run alone.
         drained_until: Until when it gets no work because such a call waits.
     """
@@ -46,6 +47,7 @@
         "in_flight",
         "is_alone",
         "limit",
+        "pending_s",
         "salt",
         "server",
         "tier",
@@ -59,6 +61,7 @@
         self.limit = limit
         self.health = outliers.Health()
         self.in_flight = 0
+        self.pending_s = 0.0
         self.is_alone = False
         self.drained_until = 0.0
         self.salt = subsets.weight("", server.name)
--- a/savoryspar/stages/gatherers.py
+++ b/savoryspar/stages/gatherers.py
@@ -32,11 +32,12 @@
     near: Sequence[membership.Member] = [m for m in usable if m.zone == zone]
     return max(
         near or usable,
-        key=lambda m: _weight(pool, m.incarnation),
+        key=lambda m: rendezvous(m.incarnation, pool),
         default=None,
     )
 
 
-def _weight(pool: str, incarnation: str) -> bytes:
-    text = f"{pool}/{incarnation}".encode()
+def rendezvous(candidate: str, key: str) -> bytes:
+    """Returns the weight of a candidate; the highest one is chosen."""
+    text = f"{key}/{candidate}".encode()
     return hashlib.blake2b(text, digest_size=8).digest()
