Give up pieces that cannot be in time for the caller

Change: pieces have the caller's patience as their deadline; the queue predicts the wait of each group by its place and gives hopeless ones up at once.

--- a/savoryspar/gateway/gathering.py
+++ b/savoryspar/gateway/gathering.py
@@ -129,7 +129,7 @@
             time until it is done.
         """
         servers = self._refresh()
-        wait_s = self.queue.wait_s(group, len(servers))
+        wait_s = self.queue.wait_s(group, len(servers), now)
         if not servers:
             return 1.0, wait_s
         refused_s = self.queue.refusal_s(group, len(servers), now)
@@ -143,7 +143,7 @@
         """Predicts when a group is done; None when it is not known here."""
         return next(
             (
-                self.queue.wait_s(group, len(self._servers))
+                self.queue.wait_s(group, len(self._servers), self._clock())
                 for group in self._done
                 if (group.request_id, group.stage) == (request_id, stage)
             ),
@@ -198,7 +198,7 @@
         try:
             while True:
                 now = self._clock()
-                for group in self.queue.expire(now):
+                for group in self.queue.expire(now, len(self._servers)):
                     self._finish(group, stages.Failure.LATE)
                 if server.entry.name not in {e.name for e in self._entries()}:
                     return
--- a/savoryspar/gateway/model.py
+++ b/savoryspar/gateway/model.py
@@ -4,6 +4,12 @@
 
 from savoryspar import backends, errors, fleet
 
+MIN_PATIENCE_S = 2.0
+PATIENCE_OBJECTIVES = 4.0
+PATIENCE_GAPS = 8.0
+"""Callers abandon a stream after the longest of these: a gap in seconds, as a
+factor of the objective and of the longest pause (the callers' protocol)."""
+
 
 class Job:
     """A caller's request with its route and its times.
@@ -15,6 +21,7 @@
         workspace: Name of the caller's workspace, empty without one.
         rank: 0 is the most urgent; the workspace's goes before the route's.
         received_at, objective_at, deadline_at: Monotonic seconds.
+        patience_at: When the caller leaves if a stream has not begun.
         version: Version of the configuration that decides.
         fingerprint: The same for requests that run the same work.
         sends: Backend servers that may have run it so far.
@@ -24,6 +31,7 @@
         "deadline_at",
         "fingerprint",
         "objective_at",
+        "patience_at",
         "pool",
         "rank",
         "received_at",
@@ -58,12 +66,26 @@
         self.version = version
         self.fingerprint = fingerprint
         self.sends = 0
+        self.patience_at = deadline_at
+        if route.kind is fleet.RouteKind.STREAM:
+            self.patience_at = min(
+                deadline_at, received_at + patience_s(route)
+            )
 
     def left_s(self, now: float) -> float:
         """Returns the time left."""
         return self.deadline_at - now
 
 
+def patience_s(route: fleet.Route) -> float:
+    """Returns the gap after which a caller abandons a stream of a route."""
+    return max(
+        MIN_PATIENCE_S,
+        PATIENCE_OBJECTIVES * route.objective_s,
+        PATIENCE_GAPS * route.gap_objective_s,
+    )
+
+
 class Reply:
     """A whole answer to the caller."""
 
--- a/savoryspar/gateway/placing.py
+++ b/savoryspar/gateway/placing.py
@@ -194,7 +194,7 @@
         if len(call.blocks) * routing.BLOCK_TOKENS < MIN_HOME_TOKENS:
             return ""
         return max(
-            zones, key=lambda z: stages.rendezvous(z, str(call.blocks[0]))
+            zones, key=lambda z: stages.rendezvous(z, str(call.blocks[-1]))
         )
 
     def _cost_s(
@@ -302,7 +302,7 @@
             "refused_s": None,
             "reason": choice.reason,
             "number": number,
-            "pending_s": choice.state.pending_s,
+            "pending_s": self._router.least_pending_s(pool, zone),
             "server": [
                 choice.server.name,
                 choice.server.address,
--- a/savoryspar/gateway/streams.py
+++ b/savoryspar/gateway/streams.py
@@ -80,7 +80,7 @@
             pools,
             job.rank,
             job.objective_at - engine_s,
-            job.deadline_at - engine_s,
+            job.patience_at - engine_s,
         )
 
     def _run_stages(
--- a/savoryspar/routing/policies.py
+++ b/savoryspar/routing/policies.py
@@ -165,7 +165,7 @@
     now: float,
 ) -> tuple[servers.ServerState, str]:
     matched, depth = policy.index.match(call.blocks)
-    home = _home(candidates, call.blocks[0]) if call.blocks else ""
+    home = _home(candidates, call.blocks[-1]) if call.blocks else ""
     best, best_score = candidates[0], float("inf")
     for state in candidates:
         name = state.server.name
@@ -174,8 +174,9 @@
             + DISTANCE_S[state.tier]
             + policy.rng.random() * RUNNING_S
         )
-        if not depth and name == home:
-            score -= HOME_SHARE * prefill_s(call, 0.0)
+        if name == home:
+            missing = (len(call.blocks) - depth) * BLOCK_TOKENS
+            score -= HOME_SHARE * missing / PREFILL_TOKENS_PER_S
         if score < best_score:
             best, best_score = state, score
     return best, (
--- a/savoryspar/routing/router.py
+++ b/savoryspar/routing/router.py
@@ -125,6 +125,17 @@
             return far
         return near + min(far, int(near * self._opts.region_spill))
 
+    def least_pending_s(self, pool: str, zone: str) -> float:
+        """Returns the shortest time to read prompts that wait in a zone."""
+        return min(
+            (
+                state.pending_s
+                for state in self._live(pool, frozenset())
+                if state.server.zone == zone and not state.health.is_out
+            ),
+            default=0.0,
+        )
+
     def servers_of(self, pool: str) -> list[backends.Server]:
         """Returns the servers of a pool that this process uses."""
         return [state.server for state in self._live(pool, frozenset())]
--- a/savoryspar/stages/batching.py
+++ b/savoryspar/stages/batching.py
@@ -8,7 +8,7 @@
 that a strict order by rank would starve.
 """
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 import math
 
 from savoryspar import fleet
@@ -16,8 +16,6 @@
 
 FAIR_SHARE = 0.25
 """Part of a call that goes by objective alone, whatever the rank."""
-ADMISSION_MARGIN = 1.0
-"""Predicted wait as a factor of the time left, from which a group is refused."""
 
 HOLD_WEIGHT = 0.1
 """Weight of the newest result in the mean time for which results are kept."""
@@ -52,39 +50,56 @@
         keys = [key for key in self._groups if key[0] == request_id]
         return [self._groups.pop(key) for key in keys]
 
-    def expire(self, now: float) -> list[model.Group]:
-        """Removes and returns groups that cannot be done in time."""
-        shortest_s = self.pool.call_s + self.pool.piece_s
+    def expire(self, now: float, servers: int) -> list[model.Group]:
+        """Removes and returns groups that cannot be done in time.
+
+        Args:
+            now: Monotonic time in seconds.
+            servers: Servers that work for the queue.
+        """
         late = [
             group
-            for group in self._groups.values()
-            if group.waiting and group.deadline_at < now + shortest_s
+            for group, wait_s in self._waits(self._groups.values(), servers, now)
+            if group.waiting and group.deadline_at < now + wait_s
         ]
         for group in late:
             del self._groups[group.request_id, group.stage]
         return late
 
-    def wait_s(self, group: model.Group, servers: int) -> float:
+    def wait_s(self, group: model.Group, servers: int, now: float) -> float:
         """Predicts the time until a group would be done.
 
         Args:
             group: It may or may not be in the queue.
             servers: Servers that work for the queue.
+            now: Monotonic time in seconds.
         """
-        ahead = [
-            other
-            for other in self._groups.values()
-            if other is not group and other.rank <= group.rank
-        ]
-        pieces = len(group.waiting) + sum(len(o.waiting) for o in ahead)
-        calls = math.ceil(pieces / self.pool.batch / max(1, servers))
-        busy_s = calls * self.call_s(self.pool.batch)
-        # Results that wait to be fetched fill the servers' memory.
-        stored = group.result_bytes * len(group.waiting) + sum(
-            other.result_bytes * len(other.waiting) for other in ahead
+        groups = {**self._groups, (group.request_id, group.stage): group}
+        return next(
+            wait_s
+            for other, wait_s in self._waits(groups.values(), servers, now)
+            if other is group
         )
-        room = self.pool.room_bytes * max(1, servers)
-        return max(busy_s, stored / room * self._hold_s)
+
+    def _waits(
+        self, groups: Iterable[model.Group], servers: int, now: float
+    ) -> Iterator[tuple[model.Group, float]]:
+        """Yields groups in their order with the predicted time of each.
+
+        Results that wait to be fetched fill the servers' memory, so the time
+        for which they are kept limits a pool as much as its calls do.
+        """
+        servers = max(1, servers)
+        pieces, stored_bytes = 0, 0.0
+        room_bytes = self.pool.room_bytes * servers
+        for group in sorted(groups, key=lambda g: self._urgency(g, now)):
+            pieces += len(group.waiting)
+            stored_bytes += group.result_bytes * len(group.waiting)
+            calls, rest = divmod(pieces, self.pool.batch * servers)
+            busy_s = calls * self.call_s(self.pool.batch) + self.call_s(
+                math.ceil(rest / servers)
+            )
+            yield group, max(busy_s, stored_bytes / room_bytes * self._hold_s)
 
     def note_hold(self, size_bytes: int, hold_s: float) -> None:
         """Learns for how long the memory of a result was in use."""
@@ -104,10 +119,8 @@
             Seconds until the queue is short enough, or None to accept it.
         """
         left_s = group.deadline_at - now
-        wait_s = self.wait_s(group, servers)
-        if wait_s <= left_s * ADMISSION_MARGIN:
-            return None
-        return wait_s - left_s
+        wait_s = self.wait_s(group, servers, now)
+        return None if wait_s <= left_s else wait_s - left_s
 
     def next_call(
         self, now: float, room_bytes: float
