Weigh reading a part again by what it costs those who come after

Cause: shared parts were read again at idle engines although another one had them; that saved the one request some waiting and cost the next ones more.

--- a/savoryspar/gateway/gathering.py
+++ b/savoryspar/gateway/gathering.py
@@ -236,6 +236,7 @@
             pool=server.entry.service,
             pieces=len(pieces),
             waiting=len(self.queue),
+            hold_s=round(self.queue.hold_s, 3),
         )
         try:
             answer = self._connections.send(
--- a/savoryspar/gateway/placing.py
+++ b/savoryspar/gateway/placing.py
@@ -24,8 +24,9 @@
 REMOTE_COST_S = 0.08
 """Time by which the answer must begin sooner in another zone: a round trip of
 40 ms for the request and one for its stages."""
-HOME_HIT = 0.7
-"""Chance that a prompt's home zone still has its shared parts cached."""
+HOME_WEIGHT = 1.3
+"""Weight of the time that cached parts save: reading them again also delays
+whoever comes after, but the home zone may have lost them."""
 MIN_HOME_TOKENS = 6000
 """Shared tokens from which the home zone is worth a longer way: reading them
 again takes 100 ms."""
@@ -206,7 +207,7 @@
             cost_s += REMOTE_COST_S
         if zone == home:
             shared = len(call.blocks) * routing.BLOCK_TOKENS
-            cost_s -= HOME_HIT * shared / routing.PREFILL_TOKENS_PER_S
+            cost_s -= HOME_WEIGHT * shared / routing.PREFILL_TOKENS_PER_S
         return cost_s
 
     def _place_in(
--- a/savoryspar/routing/policies.py
+++ b/savoryspar/routing/policies.py
@@ -21,6 +21,9 @@
 """Delay of a prompt by each request that produces tokens beside it."""
 DISTANCE_S = (0.0, 0.002, 0.04)
 """Round trip to a server of the own zone, region and of another region."""
+READ_WEIGHT = 1.5
+"""Weight of the own prompt's time: reading a part again also delays whoever
+comes after."""
 HOME_SHARE = 0.3
 """Part of a prompt's time by which its home is preferred while no server has
 it: the next requests with the same beginning then find it there."""
@@ -171,6 +174,7 @@
         name = state.server.name
         score = (
             expected_s(state, call, matched.get(name, 0.0))
+            + (READ_WEIGHT - 1.0) * prefill_s(call, matched.get(name, 0.0))
             + DISTANCE_S[state.tier]
             + policy.rng.random() * RUNNING_S
         )
--- a/savoryspar/stages/batching.py
+++ b/savoryspar/stages/batching.py
@@ -29,13 +29,14 @@
 
     Attributes:
         pool: How one server works.
+        hold_s: Mean time for which the memory of a large result is in use.
     """
 
-    __slots__ = ("_groups", "_hold_s", "pool")
+    __slots__ = ("_groups", "hold_s", "pool")
 
     def __init__(self, pool: fleet.StagePool):
         self.pool = pool
-        self._hold_s = FIRST_HOLD_S
+        self.hold_s = FIRST_HOLD_S
         self._groups: dict[tuple[str, int], model.Group] = {}
 
     def __len__(self) -> int:
@@ -99,12 +100,12 @@
             busy_s = calls * self.call_s(self.pool.batch) + self.call_s(
                 math.ceil(rest / servers)
             )
-            yield group, max(busy_s, stored_bytes / room_bytes * self._hold_s)
+            yield group, max(busy_s, stored_bytes / room_bytes * self.hold_s)
 
     def note_hold(self, size_bytes: int, hold_s: float) -> None:
         """Learns for how long the memory of a result was in use."""
         if size_bytes * self.pool.batch > self.pool.room_bytes / 4:
-            self._hold_s += HOLD_WEIGHT * (hold_s - self._hold_s)
+            self.hold_s += HOLD_WEIGHT * (hold_s - self.hold_s)
 
     def call_s(self, pieces: int) -> float:
         """Returns the expected time of a call."""
