Break a begun stream off when its stages cannot run again

Change: a failure after the head was sent closes the connection; full stage servers are asked again soon; chains whose told waits are too long are given up before their next stage.

--- a/savoryspar/gateway/app.py
+++ b/savoryspar/gateway/app.py
@@ -71,13 +71,14 @@
         self.running += 1
         sock = environ["eventlet.input"].get_socket()
         attempt_id, route = "", ""
+        head = _Head(start_response)
         try:
             req = self._read(environ)
             attempt_id = req.attempt_id
             with http.cancel_on_hangup(sock):
                 job = self._admit(req, received_at)
                 route = job.route.name
-                reply = self._run(job, start_response)
+                reply = self._run(job, head.start)
             if reply is None:
                 self._note(attempt_id, route, "stream complete", received_at)
                 return []
@@ -85,15 +86,11 @@
             start_response(reply.status, reply.fields)
             return [reply.body]
         except (model.GatewayError, backends.BadRequestError) as exc:
+            if head.is_sent:
+                return self._break_off(attempt_id, route, exc, received_at)
             return self._fail(exc, attempt_id, route, received_at, start_response)
         except model.BrokenStreamError as exc:
-            self._note_failure(
-                attempt_id, route, "stream_broken", str(exc), received_at
-            )
-            # The connection closes without the end of the body, so that the
-            # answer does not look complete.
-            wsgi.WSGI_LOCAL.already_handled = True
-            return []
+            return self._break_off(attempt_id, route, exc, received_at)
         except (http.CallerGoneError, OSError) as exc:
             self._note_failure(
                 attempt_id, route, "caller_gone", repr(exc), received_at
@@ -103,6 +100,19 @@
         finally:
             self.running -= 1
 
+    def _break_off(
+        self, attempt_id: str, route: str, exc: Exception, received_at: float
+    ) -> Iterable[bytes]:
+        """Closes the connection without the end of the body.
+
+        An answer that ended early must not look complete.
+        """
+        self._note_failure(
+            attempt_id, route, "stream_broken", str(exc), received_at
+        )
+        wsgi.WSGI_LOCAL.already_handled = True
+        return []
+
     def _run(
         self, job: model.Job, start_response: StartResponse
     ) -> model.Reply | None:
@@ -258,6 +268,23 @@
         )
 
 
+class _Head:
+    """Knows whether the head of the answer was sent."""
+
+    __slots__ = ("_start_response", "is_sent")
+
+    def __init__(self, start_response: StartResponse):
+        self._start_response = start_response
+        self.is_sent = False
+
+    def start(
+        self, status: str, fields: list[tuple[str, str]]
+    ) -> Callable[[bytes], Any]:
+        """Starts the answer as ``start_response`` does."""
+        self.is_sent = True
+        return self._start_response(status, fields)
+
+
 def _read_body(environ: dict[str, Any], max_bytes: int) -> bytes:
     """Reads the whole body.
 
--- a/savoryspar/gateway/gathering.py
+++ b/savoryspar/gateway/gathering.py
@@ -13,8 +13,6 @@
 from savoryspar import backends, fleet, log, platform, stages
 from savoryspar.gateway import model
 
-MIN_ROOM_SHARE = 0.5
-"""Smallest share of its memory that a server is believed to have."""
 MAX_TRIES = 3
 """Calls in which the pieces of a group may fail before it fails."""
 CALL_TIMEOUT_FACTOR = 6.0
@@ -25,6 +23,32 @@
 """Pause of a server after failed calls, doubled from one to the next."""
 FULL_PAUSE_S = 0.05
 """Pause after a server said that it is full: another VM calls it too."""
+NO_SERVER_RETRY_S = 1.0
+"""When to come back while a pool has no server in the zone."""
+WAKE_S = 0.3
+"""Longest pause between two looks at the queue; memory may end by itself."""
+IDLE_S = 5.0
+"""Time without pieces after which a server's green thread ends."""
+FREE_DELAY_S = 0.02
+"""Time for which freed results are collected into one call; their memory is
+what limits a pool with large results."""
+FULL_ROOM_PAUSE_S = 0.05
+"""Pause of a server that refused all pieces of a call for lack of memory: it
+keeps results that another VM had ordered."""
+MAX_TRIES = 3
+"""Calls in which the pieces of a group may fail before it fails."""
+CALL_TIMEOUT_FACTOR = 6.0
+"""Longest wait for a call as a factor of its expected time."""
+MIN_CALL_TIMEOUT_S = 1.5
+FIRST_BACKOFF_S = 0.3
+MAX_BACKOFF_S = 4.0
+"""Pause of a server after failed calls, doubled from one to the next."""
+FULL_PAUSE_S = 0.05
+"""Pause after a server said that it is full: another VM calls it too."""
+NO_SERVER_RETRY_S = 1.0
+"""When to come back while a pool has no server in the zone."""
+WAKE_S = 0.3
+"""Longest pause between two looks at the queue; memory may end by itself."""
 IDLE_S = 5.0
 """Time without pieces after which a server's green thread ends."""
 FREE_DELAY_S = 0.02
@@ -38,6 +62,25 @@
 Done = Callable[[stages.Group, "stages.Failure | None"], None]
 
 
+class Offer:
+    """What a gatherer says to a group.
+
+    Attributes:
+        refused_s: When to come back if it was refused, else None.
+        wait_s: Predicted time until it is done.
+        fresh_wait_s: The same for a new group that is not late yet.
+    """
+
+    __slots__ = ("fresh_wait_s", "refused_s", "wait_s")
+
+    def __init__(
+        self, refused_s: float | None, wait_s: float, fresh_wait_s: float
+    ):
+        self.refused_s = refused_s
+        self.wait_s = wait_s
+        self.fresh_wait_s = fresh_wait_s
+
+
 class _Server:
     """One server of the pool and the memory that its results take."""
 
@@ -48,13 +91,11 @@
         "freed",
         "made_at",
         "is_running",
-        "room_bytes",
         "sizes",
     )
 
-    def __init__(self, entry: fleet.BackendEntry, room_bytes: float):
+    def __init__(self, entry: fleet.BackendEntry):
         self.entry = entry
-        self.room_bytes = room_bytes
         self.backoff_s = 0.0
         self.is_running = False
         self.sizes: dict[str, int] = {}
@@ -72,6 +113,10 @@
             self.drop(handle)
         return sum(self.sizes.values())
 
+    def room_bytes(self, pool: fleet.StagePool, now: float) -> float:
+        """Returns the memory that is believed to be free."""
+        return pool.room_bytes - self.used_bytes(now)
+
     def drop(self, handle: str) -> None:
         """Forgets a result that takes no memory any more."""
         self.expires.pop(handle, None)
@@ -116,28 +161,27 @@
 
     def submit(
         self, group: stages.Group, done: Done, now: float
-    ) -> tuple[float | None, float]:
+    ) -> Offer:
         """Takes a group unless it cannot be done in time.
 
         Args:
             group: The pieces.
             done: Called when all have results, or with the failure.
             now: Monotonic time in seconds.
-
-        Returns:
-            When to come back if it was refused, else None, and the predicted
-            time until it is done.
         """
-        servers = self._refresh()
-        wait_s = self.queue.wait_s(group, len(servers), now)
-        if not servers:
-            return 1.0, wait_s
-        refused_s = self.queue.refusal_s(group, len(servers), now)
-        if refused_s is None:
+        servers = len(self._refresh())
+        offer = Offer(
+            self.queue.refusal_s(group, servers, now)
+            if servers
+            else NO_SERVER_RETRY_S,
+            self.queue.wait_s(group, servers, now),
+            self.queue.fresh_wait_s(group, servers, now),
+        )
+        if offer.refused_s is None:
             self.queue.add(group)
             self._done[group] = done
             self._wake()
-        return refused_s, wait_s
+        return offer
 
     def wait_s(self, request_id: str, stage: int) -> float | None:
         """Predicts when a group is done; None when it is not known here."""
@@ -181,8 +225,7 @@
         for entry in entries:
             server = self._servers.get(entry.name)
             if server is None:
-                server = _Server(entry, self.queue.pool.room_bytes)
-                self._servers[entry.name] = server
+                server = self._servers[entry.name] = _Server(entry)
             if not server.is_running:
                 server.is_running = True
                 eventlet.spawn(self._work, server)
@@ -202,7 +245,7 @@
                     self._finish(group, stages.Failure.LATE)
                 if server.entry.name not in {e.name for e in self._entries()}:
                     return
-                room = server.room_bytes - server.used_bytes(now)
+                room = server.room_bytes(self.queue.pool, now)
                 call = self.queue.next_call(now, room)
                 if call:
                     self._run(server, call, now)
@@ -212,7 +255,7 @@
                     return
                 wakeup = event.Event()
                 self._wakeups.append(wakeup)
-                with eventlet.Timeout(1.0, False):
+                with eventlet.Timeout(WAKE_S, False):
                     wakeup.wait()
         finally:
             server.is_running = False
@@ -290,26 +333,20 @@
         if refused:
             self._note_room(server, len(refused), now)
             self._return(refused, counts=False)
-        else:
-            server.room_bytes = min(
-                self.queue.pool.room_bytes, server.room_bytes * ROOM_GROWTH
-            )
+            if len(refused) == len(call):
+                eventlet.sleep(FULL_ROOM_PAUSE_S)
         if failed:
             self._return(failed, counts=True)
 
     def _note_room(self, server: _Server, refused: int, now: float) -> None:
-        """Learns that a server has less memory than was believed."""
-        server.room_bytes = max(
-            float(server.used_bytes(now)),
-            MIN_ROOM_SHARE * self.queue.pool.room_bytes,
-        )
+        """Logs that a server has less memory than was believed."""
         self._events.belief(
             "stage server has no room",
             now,
             server=server.entry.name,
             refused=refused,
             results=len(server.sizes),
-            used_mb=round(server.room_bytes / 1e6, 2),
+            used_mb=round(server.used_bytes(now) / 1e6, 2),
         )
 
     def _fail(
--- a/savoryspar/gateway/stage_work.py
+++ b/savoryspar/gateway/stage_work.py
@@ -121,6 +121,7 @@
         running = 0
         try:
             while not chain.is_done:
+                self._check_hope(chain, started, near)
                 for number in chain.ready(started):
                     started |= {number}
                     threads.append(
@@ -174,6 +175,30 @@
         except StageError as exc:
             results.put((number, exc))
 
+    def _check_hope(
+        self, chain: stages.Chain, started: frozenset[int], near: str
+    ) -> None:
+        """Gives a request up when its further stages would come too late.
+
+        Raises:
+            StageError: The waits that were told last are too long.
+        """
+        now = self._clock()
+        expected_s = chain.expected_s(
+            lambda pool: self._told_wait_s(pool, near, now), started
+        )
+        left_s = chain.left_s(now)
+        if expected_s > left_s:
+            raise StageError(stages.Failure.LATE, expected_s - left_s)
+
+    def _told_wait_s(self, pool: str, near: str, now: float) -> float:
+        """Returns the shortest wait told lately for a pool, over all zones."""
+        zones = {e.zone for e in self._roster.usable() if e.service == pool}
+        return min(
+            (self._wait_s(pool, zone, near, now) for zone in zones),
+            default=0.0,
+        )
+
     def zone_of(self, handles: Sequence[str], default: str) -> str:
         """Returns the zone in which most of the results lie."""
         zones = collections.Counter(
@@ -251,10 +276,10 @@
         key = (group.request_id, group.stage)
         self._waiting[key] = waiting
         try:
-            refused_s, wait_s = self._submit(place, group, now)
-            self._waits[place.pool, place.zone] = (wait_s, now)
+            offer = self._submit(place, group, now)
+            self._waits[place.pool, place.zone] = (offer.fresh_wait_s, now)
             self._events.decision(
-                "stage submitted" if refused_s is None else "stage refused",
+                "stage refused" if offer.refused_s else "stage submitted",
                 now,
                 group.request_id,
                 stage=group.stage,
@@ -262,12 +287,13 @@
                 zone=place.zone,
                 gatherer=place.incarnation,
                 pieces=group.pieces,
-                wait_s=round(wait_s, 3),
+                wait_s=round(offer.wait_s, 3),
+                fresh_wait_s=round(offer.fresh_wait_s, 3),
                 left_s=round(group.deadline_at - now, 3),
             )
-            if refused_s is not None:
-                raise StageError(stages.Failure.LATE, refused_s)
-            outcome = self._await(waiting, place, group, wait_s)
+            if offer.refused_s is not None:
+                raise StageError(stages.Failure.LATE, offer.refused_s)
+            outcome = self._await(waiting, place, group, offer.wait_s)
         finally:
             self._waiting.pop(key, None)
         handles, failure = outcome
@@ -332,7 +358,7 @@
 
     def _submit(
         self, place: _Place, group: stages.Group, now: float
-    ) -> tuple[float | None, float]:
+    ) -> gathering.Offer:
         if place.incarnation == self._own():
             return self._gather(
                 place.zone, group, self._done_here, now
@@ -343,15 +369,18 @@
             {"zone": place.zone, "group": group.to_body(now)},
             SUBMIT_TIMEOUT_S,
         )
-        return reply["refused_s"], reply["wait_s"]
+        return gathering.Offer(
+            reply["refused_s"], reply["wait_s"], reply["fresh_wait_s"]
+        )
 
     def _gather(
         self, zone: str, group: stages.Group, done: gathering.Done, now: float
-    ) -> tuple[float | None, float]:
+    ) -> gathering.Offer:
         current = self._holder.current
         service = current and current.services.get(group.pool)
         if not service or not service.stage_pool:
-            return 1.0, 1.0
+            retry_s = gathering.NO_SERVER_RETRY_S
+            return gathering.Offer(retry_s, retry_s, retry_s)
         gatherer = self._gatherers.get((group.pool, zone))
         if gatherer is None:
             gatherer = gathering.new_gatherer(
@@ -392,8 +421,12 @@
         ) -> None:
             eventlet.spawn(self._tell_done, sender, zone, group, failure)
 
-        refused_s, wait_s = self._gather(zone, group, done, now)
-        return {"refused_s": refused_s, "wait_s": wait_s}
+        offer = self._gather(zone, group, done, now)
+        return {
+            "refused_s": offer.refused_s,
+            "wait_s": offer.wait_s,
+            "fresh_wait_s": offer.fresh_wait_s,
+        }
 
     def _tell_done(
         self,
--- a/savoryspar/stages/batching.py
+++ b/savoryspar/stages/batching.py
@@ -82,6 +82,24 @@
             if other is group
         )
 
+    def fresh_wait_s(
+        self, like: model.Group, servers: int, now: float
+    ) -> float:
+        """Predicts the wait of a new group of the same kind.
+
+        Unlike the group, which may be late, it would stand behind those only
+        that can still meet their objective.
+        """
+        ahead = [
+            group
+            for group in self._groups.values()
+            if group is not like
+            and group.rank <= like.rank
+            and self._is_in_time(group, now)
+        ]
+        waits = self._waits([*ahead, like], servers, now)
+        return max(wait_s for _, wait_s in waits)
+
     def _waits(
         self, groups: Iterable[model.Group], servers: int, now: float
     ) -> Iterator[tuple[model.Group, float]]:
--- a/savoryspar/stages/chain.py
+++ b/savoryspar/stages/chain.py
@@ -1,6 +1,6 @@
 """The stages of one request: what may start, by when, and what is left over."""
 
-from collections.abc import Mapping, Sequence
+from collections.abc import Callable, Mapping, Sequence
 
 from savoryspar import backends, fleet
 from savoryspar.stages import model
@@ -76,6 +76,29 @@
             default=0.0,
         )
 
+    def expected_s(
+        self, wait_s: Callable[[str], float], started: frozenset[int]
+    ) -> float:
+        """Returns the expected time of the stages that have not started.
+
+        Args:
+            wait_s: Returns the wait for a pool that was told last, in seconds.
+            started: Stages that run or are done.
+        """
+        ends: dict[int, float] = {}
+        for number, stage in enumerate(self._stages):
+            if number in started or not self.pieces(number):
+                continue
+            begins_s = max((ends.get(n, 0.0) for n in stage.after), default=0.0)
+            ends[number] = begins_s + max(
+                self._stage_s(number), wait_s(stage.service)
+            )
+        return max(ends.values(), default=0.0)
+
+    def left_s(self, now: float) -> float:
+        """Returns the time until the stages must be done."""
+        return self._deadline_at - now
+
     def ready(self, started: frozenset[int]) -> list[int]:
         """Returns the stages that may start now."""
         return [
