Take a reset at the end of a body without length for what it is

Change: the socket remembers resets. A stray answer's reader is kept, since it may hold the first bytes of the right one.

--- a/savoryspar/backends/connections.py
+++ b/savoryspar/backends/connections.py
@@ -10,6 +10,7 @@
 import http.client
 import socket
 
+from eventlet import greenio
 import urllib3
 from urllib3 import connection
 
@@ -51,6 +52,26 @@
 ReadFacts = Callable[[int, Iterable[tuple[str, str]]], requests.AnswerFacts]
 
 
+class ResetAwareSocket(greenio.GreenSocket):
+    """Remembers a reset, which the base class reports as a normal end.
+
+    A body without a length ends with its connection, and only an orderly end
+    makes it whole.
+    """
+
+    is_reset = False
+
+    def _recv_loop(self, recv_meth, empty_val, *args):
+        def receive(*words):
+            try:
+                return recv_meth(*words)
+            except ConnectionResetError:
+                self.is_reset = True
+                raise
+
+        return super()._recv_loop(receive, empty_val, *args)
+
+
 class Answer:
     """A server's answer whose head was read.
 
@@ -78,7 +99,7 @@
         self,
         server: str,
         conn: connection.HTTPConnection,
-        sock: socket.socket,
+        sock: ResetAwareSocket,
         resp: http.client.HTTPResponse,
         facts: requests.AnswerFacts,
         release: Callable[["Answer"], None],
@@ -116,12 +137,12 @@
             ) from exc
         if data:
             return data
-        if self._resp.length:
-            missing = self._resp.length
+        missing = self._resp.length
+        if missing or self._sock.is_reset:
             self.close()
             raise exceptions.CallUnknownError(
                 self.server,
-                f"the answer ended {missing} bytes early",
+                f"the answer ended early: {missing} bytes are missing",
                 "the caller gets no whole answer; check the server",
                 has_sent=True,
                 is_crash=True,
@@ -255,6 +276,8 @@
                 "check that the server runs",
                 has_sent=False,
             ) from exc
+        # A socket that eventlet has replaced keeps the real one in ``fd``.
+        conn.sock = ResetAwareSocket(getattr(conn.sock, "fd", conn.sock))
         self.opened += 1
         return conn
 
@@ -289,10 +312,7 @@
                 break
             self.stray_answers += 1
             is_shared = False
-            while resp.read1(READ_BYTES):
-                pass
-            resp = http.client.HTTPResponse(sock, method=method)
-            resp.begin()
+            resp = _next_answer(resp, sock, method)
         if attempt_id and facts.attempt_id not in ("", attempt_id):
             raise http.client.HTTPException(
                 f"the answer belongs to attempt {facts.attempt_id!r}"
@@ -337,6 +357,28 @@
         return None
 
 
+def _next_answer(
+    resp: http.client.HTTPResponse, sock: ResetAwareSocket, method: str
+) -> http.client.HTTPResponse:
+    """Skips an answer and returns the one behind it.
+
+    The reader of the skipped answer may hold the first bytes of the next one,
+    so it is kept.
+
+    Raises:
+        HTTPException: Where the skipped answer ends cannot be told.
+    """
+    if resp.chunked or resp.length is None:
+        raise http.client.HTTPException("a stray answer has no length")
+    while resp.length and resp.read1(READ_BYTES):
+        pass
+    answer = http.client.HTTPResponse(sock, method=method)
+    answer.fp.close()
+    answer.fp = resp.fp
+    answer.begin()
+    return answer
+
+
 def _is_quiet(conn: connection.HTTPConnection) -> bool:
     """Tells whether the connection is open and no stray bytes came."""
     if conn.sock is None:
--- /dev/null
+++ b/tests/backends/test_connections.py
@@ -0,0 +1,143 @@
+"""Tests of connections to backend servers against scripted sockets."""
+
+import socket
+import struct
+import time
+
+import eventlet
+import testtools
+
+from savoryspar import backends, platform
+
+HEAD = b"HTTP/1.1 200 OK\r\nSavoryspar-Attempt-Id: %s\r\nSavoryspar-Seal: x\r\n"
+
+
+class ScriptedServer:
+    """Answers each request on each connection with the next script step."""
+
+    def __init__(self, *steps):
+        self.requests = []
+        self.connections = 0
+        self._steps = list(steps)
+        self._sock = eventlet.listen(("127.0.0.1", 0))
+        self.address = "127.0.0.1:%d" % self._sock.getsockname()[1]
+        eventlet.spawn(self._accept)
+
+    def _accept(self):
+        while True:
+            conn, _ = self._sock.accept()
+            self.connections += 1
+            eventlet.spawn(self._serve, conn)
+
+    def _serve(self, conn):
+        while self._steps:
+            head = b""
+            while b"\r\n\r\n" not in head:
+                data = conn.recv(65536)
+                if not data:
+                    return
+                head += data
+            self.requests.append(head)
+            self._steps.pop(0)(conn)
+
+
+def send(data):
+    return lambda conn: conn.sendall(data)
+
+
+def send_and_reset(data):
+    def step(conn):
+        conn.sendall(data)
+        eventlet.sleep(0.05)
+        linger = struct.pack("ii", 1, 0)
+        conn.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        conn.close()
+
+    return step
+
+
+def send_and_end(data):
+    def step(conn):
+        conn.sendall(data)
+        conn.shutdown(socket.SHUT_RDWR)
+        conn.close()
+
+    return step
+
+
+def whole(attempt_id, body):
+    head = HEAD % attempt_id + b"Content-Length: %d\r\n\r\n" % len(body)
+    return head + body
+
+
+class ConnectionsTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.connections = backends.new_connections(
+            platform.answer_facts, time.monotonic
+        )
+
+    def ask(self, server, attempt_id="a", may_repeat=False):
+        answer = self.connections.send(
+            ("s", server.address),
+            "GET",
+            "/x%2f",
+            [("Savoryspar-Attempt-Id", attempt_id)],
+            b"",
+            2.0,
+            attempt_id,
+            may_repeat,
+        )
+        return answer.read_all(time.monotonic() + 2.0, time.monotonic)
+
+    def test_reset_of_a_body_without_length_is_no_end(self):
+        """Guards against half a body passed on as whole (hunt, trouble-2)."""
+        head = HEAD % b"a" + b"Connection: close\r\n\r\n"
+        server = ScriptedServer(send_and_reset(head + b"half"))
+        self.assertRaises(backends.CallUnknownError, self.ask, server)
+
+    def test_orderly_end_of_a_body_without_length_is_whole(self):
+        """Guards against the refusal of answers that end as they should."""
+        head = HEAD % b"a" + b"Connection: close\r\n\r\n"
+        server = ScriptedServer(send_and_end(head + b"whole"))
+        self.assertEqual(b"whole", self.ask(server))
+
+    def test_short_body_is_an_error(self):
+        """Guards against a truncated body passed on as whole."""
+        head = HEAD % b"a" + b"Content-Length: 9\r\n\r\n"
+        server = ScriptedServer(send_and_end(head + b"half"))
+        self.assertRaises(backends.CallUnknownError, self.ask, server)
+
+    def test_connection_is_reused_after_a_whole_answer(self):
+        """Guards against a connection opened for each request."""
+        server = ScriptedServer(
+            send(whole(b"a", b"1")), send(whole(b"b", b"2"))
+        )
+        self.assertEqual(b"1", self.ask(server, "a"))
+        self.assertEqual(b"2", self.ask(server, "b"))
+        self.assertEqual(1, server.connections)
+
+    def test_stray_answer_is_skipped(self):
+        """Guards against another request's late answer taken as one's own."""
+        server = ScriptedServer(
+            send(whole(b"a", b"1")),
+            send(whole(b"a", b"stray") + whole(b"b", b"2")),
+        )
+        self.ask(server, "a")
+        self.assertEqual(b"2", self.ask(server, "b"))
+        self.assertEqual(1, self.connections.stray_answers)
+
+    def test_target_is_sent_unchanged(self):
+        """Guards against a path whose escapes the client library rewrites."""
+        server = ScriptedServer(send(whole(b"a", b"1")))
+        self.ask(server)
+        self.assertIn(b"GET /x%2f HTTP/1.1\r\n", server.requests[0])
+
+    def test_refused_connection_has_not_run(self):
+        """Guards against an unknown end told for a request never sent."""
+        sock = socket.socket()
+        sock.bind(("127.0.0.1", 0))
+        server = ScriptedServer()
+        server.address = "127.0.0.1:%d" % sock.getsockname()[1]
+        self.assertRaises(backends.CallRefusedError, self.ask, server)
+        sock.close()
