Keep connections to backend servers open for reuse

Cause: the socket that remembers resets was wrapped around another one, whose end closed the descriptor, so each request opened a connection.

--- a/savoryspar/backends/connections.py
+++ b/savoryspar/backends/connections.py
@@ -260,24 +260,22 @@
         self, server: tuple[str, str], timeout_s: float
     ) -> connection.HTTPConnection:
         host, _, port = server[1].rpartition(":")
-        conn = connection.HTTPConnection(
-            host,
-            int(port),
-            timeout=timeout_s,
-            socket_options=SOCKET_OPTIONS,
-        )
+        conn = connection.HTTPConnection(host, int(port))
+        sock = ResetAwareSocket(socket.AF_INET, socket.SOCK_STREAM)
         try:
-            conn.connect()
+            for option in SOCKET_OPTIONS:
+                sock.setsockopt(*option)
+            sock.settimeout(timeout_s)
+            sock.connect((host, int(port)))
         except FAILURES as exc:
-            conn.close()
+            sock.close()
             raise exceptions.CallRefusedError(
                 server[0],
                 f"no connection to {server[1]}: {exc}",
                 "check that the server runs",
                 has_sent=False,
             ) from exc
-        # A socket that eventlet has replaced keeps the real one in ``fd``.
-        conn.sock = ResetAwareSocket(getattr(conn.sock, "fd", conn.sock))
+        conn.sock = sock
         self.opened += 1
         return conn
 
@@ -374,7 +372,7 @@
         pass
     answer = http.client.HTTPResponse(sock, method=method)
     answer.fp.close()
-    answer.fp = resp.fp
+    answer.fp, resp.fp = resp.fp, None
     answer.begin()
     return answer
 
--- /dev/null
+++ b/tests/backends/test_patched_connections.py
@@ -0,0 +1,44 @@
+"""Tests of connections in a process whose sockets eventlet has replaced."""
+
+import os
+import pathlib
+import subprocess
+import sys
+
+import testtools
+
+ROOT = pathlib.Path(__file__).resolve().parents[2]
+PROGRAM = """
+import eventlet
+eventlet.monkey_patch()
+import time
+from savoryspar import backends, platform
+from tests.backends import test_connections as scripted
+
+server = scripted.ScriptedServer(
+    *(scripted.send(scripted.whole(name, b"1")) for name in (b"a", b"b"))
+)
+client = backends.new_connections(platform.answer_facts, time.monotonic)
+for name in "ab":
+    answer = client.send(
+        ("s", server.address), "GET", "/", [], b"", 2.0, name, False
+    )
+    answer.read_all(time.monotonic() + 2.0, time.monotonic)
+print(server.connections)
+"""
+
+
+class PatchedConnectionsTest(testtools.TestCase):
+    def test_connection_is_reused(self):
+        """Guards against a connection for each request: the descriptor of a
+        socket that was wrapped anew was closed behind its back."""
+        run = subprocess.run(
+            [sys.executable, "-W", "ignore", "-c", PROGRAM],
+            cwd=ROOT,
+            env={**os.environ, "PYTHONPATH": str(ROOT)},
+            capture_output=True,
+            text=True,
+            timeout=30,
+            check=True,
+        )
+        self.assertEqual("1", run.stdout.strip())
