--- a/savoryspar/gateway/stage_work.py
+++ b/savoryspar/gateway/stage_work.py
@@ -1,7 +1,7 @@
 """Gets the pieces of a request's stages made, here or at the gathering VM."""
 
 import collections
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from typing import Any
 
 import eventlet
@@ -89,7 +89,7 @@
         self._events = events
         self._clock = clock
         self._gatherers: dict[tuple[str, str], gathering.Gatherer] = {}
-        self._waits: dict[tuple[str, str], tuple[float, float]] = {}
+        self._waits: dict[tuple[str, str, int], tuple[float, float]] = {}
         self._waiting: dict[tuple[str, int], event.Event] = {}
         self._made_by: dict[str, _Place] = {}
         members.handle(SUBMIT_KIND, self._serve_submit)
@@ -121,12 +121,17 @@
         running = 0
         try:
             while not chain.is_done:
-                self._check_hope(chain, started, near)
+                now = self._clock()
+
+                def told_s(pool: str, now: float = now) -> float:
+                    return self._told_wait_s(pool, chain.rank, near, now)
+
+                _check_hope(chain, started, told_s, now)
                 for number in chain.ready(started):
                     started |= {number}
                     threads.append(
                         eventlet.spawn_after(
-                            chain.delay_s(number),
+                            chain.delay_s(number, told_s),
                             self._run_into,
                             results,
                             chain,
@@ -175,27 +180,13 @@
         except StageError as exc:
             results.put((number, exc))
 
-    def _check_hope(
-        self, chain: stages.Chain, started: frozenset[int], near: str
-    ) -> None:
-        """Gives a request up when its further stages would come too late.
-
-        Raises:
-            StageError: The waits that were told last are too long.
-        """
-        now = self._clock()
-        expected_s = chain.expected_s(
-            lambda pool: self._told_wait_s(pool, near, now), started
-        )
-        left_s = chain.left_s(now)
-        if expected_s > left_s:
-            raise StageError(stages.Failure.LATE, expected_s - left_s)
-
-    def _told_wait_s(self, pool: str, near: str, now: float) -> float:
+    def _told_wait_s(
+        self, pool: str, rank: int, near: str, now: float
+    ) -> float:
         """Returns the shortest wait told lately for a pool, over all zones."""
         zones = {e.zone for e in self._roster.usable() if e.service == pool}
         return min(
-            (self._wait_s(pool, zone, near, now) for zone in zones),
+            (self._wait_s(pool, zone, rank, near, now) for zone in zones),
             default=0.0,
         )
 
@@ -255,7 +246,7 @@
             return None
         zone = min(
             sorted(zones),
-            key=lambda z: self._wait_s(group.pool, z, near, now),
+            key=lambda z: self._wait_s(group.pool, z, group.rank, near, now),
         )
         member = stages.choose_gatherer(
             group.pool, zone, (view.own, *view.members), excluded
@@ -264,8 +255,10 @@
             member = view.own
         return _Place(group.pool, zone, member.incarnation)
 
-    def _wait_s(self, pool: str, zone: str, near: str, now: float) -> float:
-        wait_s, at = self._waits.get((pool, zone), (0.0, now))
+    def _wait_s(
+        self, pool: str, zone: str, rank: int, near: str, now: float
+    ) -> float:
+        wait_s, at = self._waits.get((pool, zone, rank), (0.0, now))
         faded_s = wait_s * 0.5 ** ((now - at) / WAIT_HALF_LIFE_S)
         return faded_s + (0.0 if zone == near else REMOTE_COST_S)
 
@@ -277,7 +270,10 @@
         self._waiting[key] = waiting
         try:
             offer = self._submit(place, group, now)
-            self._waits[place.pool, place.zone] = (offer.fresh_wait_s, now)
+            self._waits[place.pool, place.zone, group.rank] = (
+                offer.fresh_wait_s,
+                now,
+            )
             self._events.decision(
                 "stage refused" if offer.refused_s else "stage submitted",
                 now,
@@ -525,6 +521,23 @@
         return self._members.view(self._clock()).own.incarnation
 
 
+def _check_hope(
+    chain: stages.Chain,
+    started: frozenset[int],
+    told_s: Callable[[str], float],
+    now: float,
+) -> None:
+    """Gives a request up when its further stages would come too late.
+
+    Raises:
+        StageError: The waits that were told last are too long.
+    """
+    expected_s = chain.expected_s(told_s, started)
+    left_s = chain.left_s(now)
+    if expected_s > left_s:
+        raise StageError(stages.Failure.LATE, expected_s - left_s)
+
+
 def new_stage_work(
     holder: fleet.ConfigurationHolder,
     roster: fleet.Roster,
--- a/savoryspar/stages/chain.py
+++ b/savoryspar/stages/chain.py
@@ -9,8 +9,6 @@
 """Expected time of a stage as a factor of a call with its pieces alone; the
 rest is the wait for the call before it and for the neighbours' pieces."""
 
-LARGE_RESULT_BYTES = 500_000
-"""Results of about this size fill a server's memory before its time."""
 SAFETY = 1.6
 """Time kept for a delayed stage, as a factor of its expected time."""
 
@@ -19,6 +17,7 @@
     """Progress of a request's stages.
 
     Attributes:
+        rank: 0 is the most urgent.
         results: Handles by stage.
     """
 
@@ -27,9 +26,9 @@
         "_deadline_at",
         "_objective_at",
         "_pools",
-        "_rank",
         "_req",
         "_stages",
+        "rank",
         "results",
     )
 
@@ -45,7 +44,7 @@
         self._req = req
         self._stages = stages
         self._pools = pools
-        self._rank = rank
+        self.rank = rank
         self._objective_at = objective_at
         self._deadline_at = deadline_at
         self.results: dict[int, list[str]] = {}
@@ -112,24 +111,39 @@
             )
         ]
 
-    def delay_s(self, number: int) -> float:
+    def delay_s(self, number: int, wait_s: Callable[[str], float]) -> float:
         """Returns how long a stage whose inputs are there may wait.
 
-        Results take memory at the server that made them until the last stage
-        is done, so a large result that is needed late is made late.
+        Branches that end together leave no results waiting for each other in
+        their servers' memory, and little work is lost when the slowest one
+        has no place.
+
+        Args:
+            number: The stage.
+            wait_s: Returns the wait for a pool that was told last, in seconds.
         """
-        if self._stages[number].result_bytes < LARGE_RESULT_BYTES:
+        paths = {
+            other: self._path_s(other, wait_s)
+            for other in range(len(self._stages))
+            if other not in self.results
+        }
+        longest_s = max(paths.values(), default=0.0)
+        return max(0.0, longest_s - SAFETY * paths[number])
+
+    def _path_s(self, number: int, wait_s: Callable[[str], float]) -> float:
+        """Returns the expected time from the start of a stage to the end."""
+        if not self.pieces(number):
             return 0.0
-        own_s = self._stage_s(number) + self._after_s[number]
-        longest_s = max(
+        later_s = max(
             (
-                self._stage_s(other) + self._after_s[other]
-                for other in range(len(self._stages))
-                if other not in self.results
+                self._path_s(later, wait_s)
+                for later, stage in enumerate(self._stages)
+                if number in stage.after
             ),
             default=0.0,
         )
-        return max(0.0, longest_s - SAFETY * own_s)
+        pool = self._stages[number].service
+        return max(self._stage_s(number), wait_s(pool)) + later_s
 
     def group(self, number: int) -> model.Group:
         """Returns the pieces of a stage whose inputs are there."""
@@ -146,7 +160,7 @@
             self.pieces(number),
             self._req.piece_key,
             inputs,
-            self._rank,
+            self.rank,
             self._objective_at - self._after_s[number],
             self._deadline_at - self._after_s[number],
             stage.result_bytes,
