Keep part of each call for the order by objective

Change: the fair part of a call is filled first; waits told to a rank are stretched by what higher ranks take, so hopeless requests are refused early.

--- a/savoryspar/stages/batching.py
+++ b/savoryspar/stages/batching.py
@@ -8,7 +8,8 @@
 that a strict order by rank would starve.
 """
 
-from collections.abc import Iterable, Iterator
+import collections
+from collections.abc import Iterable, Iterator, Sequence
 import math
 
 from savoryspar import fleet
@@ -19,6 +20,8 @@
 
 HOLD_WEIGHT = 0.1
 """Weight of the newest result in the mean time for which results are kept."""
+TAKEN_WEIGHT = 0.1
+"""Weight of the newest call in the part that each rank takes."""
 FIRST_HOLD_S = 0.8
 """Time for which a result is kept, before any was freed: a call of 0.3 s and
 the time until an engine has read a long prompt."""
@@ -32,11 +35,13 @@
         hold_s: Mean time for which the memory of a large result is in use.
     """
 
-    __slots__ = ("_groups", "hold_s", "pool")
+    __slots__ = ("_groups", "_taken", "hold_s", "pool")
 
     def __init__(self, pool: fleet.StagePool):
         self.pool = pool
         self.hold_s = FIRST_HOLD_S
+        # Part of contested calls that each rank took lately.
+        self._taken: dict[int, float] = {}
         self._groups: dict[tuple[str, int], model.Group] = {}
 
     def __len__(self) -> int:
@@ -118,7 +123,8 @@
             busy_s = calls * self.call_s(self.pool.batch) + self.call_s(
                 math.ceil(rest / servers)
             )
-            yield group, max(busy_s, stored_bytes / room_bytes * self.hold_s)
+            wait_s = max(busy_s, stored_bytes / room_bytes * self.hold_s)
+            yield group, wait_s * self._stretch(group.rank)
 
     def note_hold(self, size_bytes: int, hold_s: float) -> None:
         """Learns for how long the memory of a result was in use."""
@@ -160,13 +166,32 @@
         )
         kept = math.floor(self.pool.batch * FAIR_SHARE)
         call: list[tuple[model.Group, model.Piece]] = []
-        room = _fill(call, by_rank, self.pool.batch - kept, room_bytes)
-        room = _fill(call, by_objective, self.pool.batch, room)
+        room = _fill(call, by_objective, kept, room_bytes)
+        _fill(call, by_rank, self.pool.batch, room)
+        self._note_ranks(call)
         for group in {id(g): g for g, _ in call}.values():
             if not group.waiting:
                 del self._groups[group.request_id, group.stage]
         return call
 
+    def _note_ranks(
+        self, call: Sequence[tuple[model.Group, model.Piece]]
+    ) -> None:
+        """Learns which ranks take the calls while others wait."""
+        if not call:
+            return
+        is_contested = any(g.waiting for g in self._groups.values())
+        counts = collections.Counter(group.rank for group, _ in call)
+        for rank in self._taken.keys() | counts.keys():
+            part = counts[rank] / len(call) if is_contested else 0.0
+            known = self._taken.get(rank, 0.0)
+            self._taken[rank] = known + TAKEN_WEIGHT * (part - known)
+
+    def _stretch(self, rank: int) -> float:
+        """Returns the factor by which more urgent work delays a rank."""
+        taken = sum(part for r, part in self._taken.items() if r < rank)
+        return 1.0 / (1.0 - min(taken, 1.0 - FAIR_SHARE))
+
     def _urgency(self, group: model.Group, now: float) -> tuple:
         return (
             not self._is_in_time(group, now),
