--- a/savoryspar/backends/connections.py
+++ b/savoryspar/backends/connections.py
@@ -207,7 +207,10 @@
 
         Args:
             server: ID and address (``IP:port``) of the server.
-            method, target, fields, body: The request.
+            method: Method of the request.
+            target: Target, sent as it is.
+            fields: Header fields.
+            body: Whole body.
             timeout_s: Longest wait for the head.
             attempt_id: Attempt that the answer must name, if it names one.
             may_repeat: Whether the request may be sent again on a new
@@ -225,14 +228,23 @@
             conn = self._open(server, min(CONNECT_TIMEOUT_S, timeout_s))
         try:
             return self._exchange(
-                server, conn, method, target, fields, body, deadline_at,
+                server,
+                conn,
+                method,
+                target,
+                fields,
+                body,
+                deadline_at,
                 attempt_id,
             )
         except FAILURES as exc:
             conn.close()
             left_s = deadline_at - self._clock()
-            if is_reused and may_repeat and left_s > 0 and not isinstance(
-                exc, TimeoutError
+            if (
+                is_reused
+                and may_repeat
+                and left_s > 0
+                and not isinstance(exc, TimeoutError)
             ):
                 self._idle.pop(server, None)
                 return self.send(
@@ -299,9 +311,7 @@
         headers.setdefault("User-Agent", "savoryspar")
         # A server may answer before it has read a long body, and close.
         with contextlib.suppress(BrokenPipeError):
-            conn.request(
-                method, target, body=body or None, headers=headers
-            )
+            conn.request(method, target, body=body or None, headers=headers)
         resp = http.client.HTTPConnection.getresponse(conn)
         is_shared = True
         for _ in range(MAX_STRAY_ANSWERS):
--- a/savoryspar/cli/duties.py
+++ b/savoryspar/cli/duties.py
@@ -8,10 +8,10 @@
 from savoryspar import (
     backends,
     conf,
+    discovery,
     log,
     membership,
     placement,
-    discovery,
     routing,
     scheduling,
     sheet,
--- a/savoryspar/cli/node.py
+++ b/savoryspar/cli/node.py
@@ -9,12 +9,12 @@
 import savoryspar
 from savoryspar import (
     conf,
+    discovery,
     http,
     idempotency,
     log,
     membership,
     placement,
-    discovery,
     routing,
     scheduling,
     sheet,
--- a/savoryspar/cli/wiring.py
+++ b/savoryspar/cli/wiring.py
@@ -5,6 +5,7 @@
 from savoryspar import (
     backends,
     conf,
+    discovery,
     http,
     idempotency,
     log,
@@ -12,7 +13,6 @@
     metrics,
     pipelines,
     placement,
-    discovery,
     routing,
     scheduling,
     sheet,
--- a/savoryspar/fleet/__init__.py
+++ b/savoryspar/fleet/__init__.py
@@ -19,4 +19,3 @@
     Workspace,
 )
 from savoryspar.fleet.roster import Roster, new_roster
-
--- a/savoryspar/fleet/roster.py
+++ b/savoryspar/fleet/roster.py
@@ -141,7 +141,9 @@
 
     def removals(self) -> list[tuple[str, int]]:
         """Returns removed servers with the revision, to pass on to peers."""
-        return [(name, revision) for name, (revision, _) in self._removed.items()]
+        return [
+            (name, revision) for name, (revision, _) in self._removed.items()
+        ]
 
     def find(self, name: str) -> model.BackendEntry | None:
         """Returns the entry of a server."""
--- a/savoryspar/gateway/app.py
+++ b/savoryspar/gateway/app.py
@@ -1,8 +1,8 @@
 """The WSGI application for callers on the users' platform."""
 
 from collections.abc import Callable, Iterable
-import zlib
 from typing import Any
+import zlib
 
 from eventlet import wsgi
 
@@ -88,7 +88,9 @@
         except (model.GatewayError, backends.BadRequestError) as exc:
             if head.is_sent:
                 return self._break_off(attempt_id, route, exc, received_at)
-            return self._fail(exc, attempt_id, route, received_at, start_response)
+            return self._fail(
+                exc, attempt_id, route, received_at, start_response
+            )
         except model.BrokenStreamError as exc:
             return self._break_off(attempt_id, route, exc, received_at)
         except (http.CallerGoneError, OSError) as exc:
--- a/savoryspar/gateway/counters.py
+++ b/savoryspar/gateway/counters.py
@@ -44,9 +44,7 @@
         """Returns the metrics as text, and the headers that describe it."""
         for gauge, reader in self._readers:
             gauge.set({}, reader())
-        content, headers = aioprometheus.render(
-            self._registry, ["text/plain"]
-        )
+        content, headers = aioprometheus.render(self._registry, ["text/plain"])
         return content, list(headers.items())
 
 
--- a/savoryspar/gateway/fleet_watch.py
+++ b/savoryspar/gateway/fleet_watch.py
@@ -34,8 +34,8 @@
     """
 
     __slots__ = (
-        "_clock",
         "_clients",
+        "_clock",
         "_events",
         "_holder",
         "_members",
--- a/savoryspar/gateway/gathering.py
+++ b/savoryspar/gateway/gathering.py
@@ -89,8 +89,8 @@
         "entry",
         "expires",
         "freed",
-        "made_at",
         "is_running",
+        "made_at",
         "sizes",
     )
 
@@ -128,15 +128,15 @@
     """The queue of one pool in one zone and the calls made from it."""
 
     __slots__ = (
+        "_clock",
         "_connections",
         "_done",
         "_entries",
         "_events",
         "_servers",
         "_wakeups",
-        "_clock",
-        "pieces",
         "calls",
+        "pieces",
         "queue",
     )
 
@@ -159,9 +159,7 @@
         self.calls = 0
         self.pieces = 0
 
-    def submit(
-        self, group: stages.Group, done: Done, now: float
-    ) -> Offer:
+    def submit(self, group: stages.Group, done: Done, now: float) -> Offer:
         """Takes a group unless it cannot be done in time.
 
         Args:
--- a/savoryspar/gateway/model.py
+++ b/savoryspar/gateway/model.py
@@ -68,9 +68,7 @@
         self.sends = 0
         self.patience_at = deadline_at
         if route.kind is fleet.RouteKind.STREAM:
-            self.patience_at = min(
-                deadline_at, received_at + patience_s(route)
-            )
+            self.patience_at = min(deadline_at, received_at + patience_s(route))
 
     def left_s(self, now: float) -> float:
         """Returns the time left."""
@@ -91,9 +89,7 @@
 
     __slots__ = ("body", "fields", "status")
 
-    def __init__(
-        self, status: str, fields: list[tuple[str, str]], body: bytes
-    ):
+    def __init__(self, status: str, fields: list[tuple[str, str]], body: bytes):
         self.status = status
         self.fields = fields
         self.body = body
--- a/savoryspar/gateway/node.py
+++ b/savoryspar/gateway/node.py
@@ -169,9 +169,7 @@
         with eventlet.Timeout(max(0.0, ends_at - self._clock()), False):
             self._server.stop()
         self._members.stop(self._clock())
-        self._events.belief(
-            "stopped", self._clock(), cut_off=self._app.running
-        )
+        self._events.belief("stopped", self._clock(), cut_off=self._app.running)
 
     def missing(self) -> str:
         """Returns what the process lacks before it can serve, or ""."""
@@ -195,9 +193,7 @@
 
     def note_bad_settings(self, cause: str) -> None:
         """Logs that changed settings were refused."""
-        self._events.belief(
-            "settings refused", self._clock(), cause=cause
-        )
+        self._events.belief("settings refused", self._clock(), cause=cause)
 
     def status(self) -> dict[str, Any]:
         """Returns what operators see of this process."""
--- a/savoryspar/gateway/placing.py
+++ b/savoryspar/gateway/placing.py
@@ -210,9 +210,7 @@
             cost_s -= HOME_WEIGHT * shared / routing.PREFILL_TOKENS_PER_S
         return cost_s
 
-    def _place_in(
-        self, zone: str, call: routing.Call, now: float
-    ) -> Placement:
+    def _place_in(self, zone: str, call: routing.Call, now: float) -> Placement:
         view = self._members.view(now)
         away = frozenset(n for n, until in self._away.items() if until > now)
         placer = stages.choose_gatherer(
@@ -277,8 +275,16 @@
         now = self._clock()
         self._forget_old(now)
         (
-            pool, zone, request_id, workspace, rank, stage, model_name,
-            blocks, prompt_tokens, excluded,
+            pool,
+            zone,
+            request_id,
+            workspace,
+            rank,
+            stage,
+            model_name,
+            blocks,
+            prompt_tokens,
+            excluded,
         ) = body
         call = routing.Call(
             request_id,
--- a/savoryspar/gateway/stage_work.py
+++ b/savoryspar/gateway/stage_work.py
@@ -356,9 +356,7 @@
         self, place: _Place, group: stages.Group, now: float
     ) -> gathering.Offer:
         if place.incarnation == self._own():
-            return self._gather(
-                place.zone, group, self._done_here, now
-            )
+            return self._gather(place.zone, group, self._done_here, now)
         reply = self._members.request(
             place.incarnation,
             SUBMIT_KIND,
@@ -412,9 +410,7 @@
 
         zone = str(body["zone"])
 
-        def done(
-            group: stages.Group, failure: stages.Failure | None
-        ) -> None:
+        def done(group: stages.Group, failure: stages.Failure | None) -> None:
             eventlet.spawn(self._tell_done, sender, zone, group, failure)
 
         offer = self._gather(zone, group, done, now)
--- a/savoryspar/gateway/streams.py
+++ b/savoryspar/gateway/streams.py
@@ -217,9 +217,7 @@
                     outcome = routing.Outcome.OK
             elif answer.status != 200 or not answer.facts.has_digest:
                 self._tries.note_sent()
-                body = answer.read_all(
-                    self._job.deadline_at, forwarder._clock
-                )
+                body = answer.read_all(self._job.deadline_at, forwarder._clock)
                 outcome = routing.Outcome.FAILED
                 cause = f"status {answer.status}"
                 if answer.facts.has_digest:
@@ -290,7 +288,9 @@
             body,
         )
 
-    def _relay(self, placement: placing.Placement, answer: backends.Answer) -> None:
+    def _relay(
+        self, placement: placing.Placement, answer: backends.Answer
+    ) -> None:
         forwarder, job = self._forwarder, self._job
         while True:
             data = answer.read_some(job.left_s(forwarder._clock()))
--- a/savoryspar/http/protocol.py
+++ b/savoryspar/http/protocol.py
@@ -10,9 +10,7 @@
 FIELDS_KEY = "savoryspar.fields"
 """Environment key of the header fields, with their names as they came."""
 
-RESPONSE = (
-    "HTTP/1.1 {} {}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
-)
+RESPONSE = "HTTP/1.1 {} {}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
 
 
 class TimedProtocol(wsgi.HttpProtocol):
@@ -54,8 +52,7 @@
             or len(hosts) != 1
             or not all(text.strip().isdigit() for text in lengths)
             or not all(text.strip().lower() == "chunked" for text in encodings)
-            or self.request_version != "HTTP/1.1"
-            and bool(encodings)
+            or (self.request_version != "HTTP/1.1" and bool(encodings))
             or bool(self.headers.defects)
         )
 
--- a/savoryspar/http/server.py
+++ b/savoryspar/http/server.py
@@ -56,9 +56,7 @@
         read_timeout_s: float,
     ):
         self._pool = eventlet.GreenPool(max_connections)
-        self._sock = eventlet.listen(
-            address, backlog=BACKLOG, reuse_port=True
-        )
+        self._sock = eventlet.listen(address, backlog=BACKLOG, reuse_port=True)
         self._sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.address = self._sock.getsockname()
         self._thread: eventlet.greenthread.GreenThread | None = None
--- a/savoryspar/platform/headers.py
+++ b/savoryspar/platform/headers.py
@@ -78,7 +78,9 @@
         deadline_ms = float(get(DEADLINE)) if get(DEADLINE) else None
         prompt_tokens, output_tokens = _numbers(get(TOKENS), 2)
         pieces = tuple(int(n) for n in get(PIECES).split(",") if n.strip())
-        parts = tuple(_part(text) for text in get(PROMPT_PARTS).split(",") if text)
+        parts = tuple(
+            _part(text) for text in get(PROMPT_PARTS).split(",") if text
+        )
         resume_after = int(get(RESUME_AFTER)) if get(RESUME_AFTER) else None
     except ValueError as exc:
         raise backends.BadRequestError(
--- a/savoryspar/platform/stage_calls.py
+++ b/savoryspar/platform/stage_calls.py
@@ -37,9 +37,7 @@
     return entry
 
 
-def decode_results(
-    body: bytes, count: int
-) -> list[str | stages.Failure]:
+def decode_results(body: bytes, count: int) -> list[str | stages.Failure]:
     """Returns the result handle or the failure of each piece of a call.
 
     Raises:
--- a/savoryspar/platform/store.py
+++ b/savoryspar/platform/store.py
@@ -13,7 +13,6 @@
 
 from savoryspar import fleet
 
-
 CONNECT_TIMEOUT_S = 1.0
 """A store that is up accepts within some milliseconds."""
 READ_TIMEOUT_S = 2.0
--- a/savoryspar/routing/policies.py
+++ b/savoryspar/routing/policies.py
@@ -195,9 +195,7 @@
 ) -> float:
     """Returns the expected time until the answer begins, in seconds."""
     return (
-        state.pending_s
-        + state.in_flight * RUNNING_S
-        + prefill_s(call, matched)
+        state.pending_s + state.in_flight * RUNNING_S + prefill_s(call, matched)
     )
 
 
--- a/savoryspar/routing/router.py
+++ b/savoryspar/routing/router.py
@@ -163,7 +163,9 @@
             found = selection.candidates(states, call, self._bytes_across, now)
             count = len(found)
             state, reason = policies.pick(self._policy, found, call, now)
-        choice = model.Choice(state.server, call, now, probed is not None, state)
+        choice = model.Choice(
+            state.server, call, now, probed is not None, state
+        )
         choice.reason = reason
         self._start(choice, now)
         self._decisions.record(
--- a/savoryspar/stages/batching.py
+++ b/savoryspar/stages/batching.py
@@ -65,7 +65,9 @@
         """
         late = [
             group
-            for group, wait_s in self._waits(self._groups.values(), servers, now)
+            for group, wait_s in self._waits(
+                self._groups.values(), servers, now
+            )
             if group.waiting and group.deadline_at < now + wait_s
         ]
         for group in late:
--- a/savoryspar/stages/model.py
+++ b/savoryspar/stages/model.py
@@ -145,11 +145,26 @@
         ValueError, TypeError: The body has another form.
     """
     (
-        request_id, pool, stage, pieces, key, inputs, rank,
-        objective_s, deadline_s, result_bytes,
+        request_id,
+        pool,
+        stage,
+        pieces,
+        key,
+        inputs,
+        rank,
+        objective_s,
+        deadline_s,
+        result_bytes,
     ) = body
     return Group(
-        str(request_id), str(pool), int(stage), int(pieces), str(key),
-        [str(handle) for handle in inputs], int(rank),
-        now + float(objective_s), now + float(deadline_s), int(result_bytes),
+        str(request_id),
+        str(pool),
+        int(stage),
+        int(pieces),
+        str(key),
+        [str(handle) for handle in inputs],
+        int(rank),
+        now + float(objective_s),
+        now + float(deadline_s),
+        int(result_bytes),
     )
--- a/tests/backends/test_connections.py
+++ b/tests/backends/test_connections.py
@@ -20,7 +20,7 @@
         self.connections = 0
         self._steps = list(steps)
         self._sock = eventlet.listen(("127.0.0.1", 0))
-        self.address = "127.0.0.1:%d" % self._sock.getsockname()[1]
+        self.address = f"127.0.0.1:{self._sock.getsockname()[1]}"
         eventlet.spawn(self._accept)
 
     def _accept(self):
@@ -138,6 +138,6 @@
         sock = socket.socket()
         sock.bind(("127.0.0.1", 0))
         server = ScriptedServer()
-        server.address = "127.0.0.1:%d" % sock.getsockname()[1]
+        server.address = f"127.0.0.1:{sock.getsockname()[1]}"
         self.assertRaises(backends.CallRefusedError, self.ask, server)
         sock.close()
--- a/tests/backends/test_patched_connections.py
+++ b/tests/backends/test_patched_connections.py
@@ -30,8 +30,7 @@
 
 class PatchedConnectionsTest(testtools.TestCase):
     def test_connection_is_reused(self):
-        """Guards against a connection for each request: the descriptor of a
-        socket that was wrapped anew was closed behind its back."""
+        """Guards against a descriptor that is closed behind its socket."""
         run = subprocess.run(
             [sys.executable, "-W", "ignore", "-c", PROGRAM],
             cwd=ROOT,
--- /dev/null
+++ b/tests/platform/test_translation.py
@@ -0,0 +1,208 @@
+"""Tests of the translation between the platform's words and the product's."""
+
+import json
+
+import testtools
+
+from savoryspar import backends, fleet, platform, stages
+
+CONFIGURATION = {
+    "version": 7,
+    "routes": [
+        {
+            "name": "r1",
+            "host": "H.example",
+            "prefix": "/a/",
+            "route-kind": "stream",
+            "timeout-ms": 8000,
+            "goal-ms": 1200,
+            "gap-goal-ms": 300,
+            "priority": 1,
+            "attempts": 2,
+            "resumable": True,
+            "service": "e",
+            "phases": [{"service": "s", "after": [], "data": 3000000}],
+        }
+    ],
+    "services": [
+        {"name": "e", "max-conns": 370, "engine": {"slots": 64, "kv-cap": 9}},
+        {
+            "name": "s",
+            "max-conns": 9,
+            "segments": {
+                "slots": 1,
+                "queue": 2,
+                "batch": 7,
+                "call-ms": 150.0,
+                "item-ms": 18.0,
+                "room-mb": 36.75,
+                "handle-ttl-s": 4.0,
+            },
+        },
+    ],
+    "tenants": [{"name": "t", "api-keys": ["k1", "k2"], "priority": 1}],
+    "limits": {"idle-timeout-ms": 15000},
+}
+ENTRY = {
+    "service": "e",
+    "addr": "10.0.0.1:80",
+    "zone": "z",
+    "slots": 4,
+    "state": "ready",
+    "seq": 3,
+    "born": 1700000000000,
+}
+
+
+def decode_entry(**changes):
+    value = json.dumps({**ENTRY, **changes}).encode()
+    return platform.decode_backend_entry("i-1", value, 5)
+
+
+class DocumentsTest(testtools.TestCase):
+    def test_configuration_is_decoded_with_units(self):
+        """Guards against milliseconds read as seconds."""
+        current = platform.decode_configuration(
+            json.dumps(CONFIGURATION).encode()
+        )
+        route = current.find_route("h.example", "/a/x")
+        self.assertEqual(fleet.RouteKind.STREAM, route.kind)
+        self.assertEqual(
+            (8.0, 1.2, 0.3),
+            (route.timeout_s, route.objective_s, route.gap_objective_s),
+        )
+        self.assertEqual("t", current.find_workspace("k2").name)
+        self.assertIsNone(current.find_workspace("k3"))
+        self.assertEqual(0.15, current.services["s"].stage_pool.call_s)
+
+    def test_broken_configuration_is_refused_whole(self):
+        """Guards against half a configuration put in force."""
+        for document in (b"{", b"[]", b'{"version": 1}'):
+            self.assertRaises(
+                fleet.DocumentError, platform.decode_configuration, document
+            )
+
+    def test_entries_of_other_writers_name_no_server(self):
+        """Guards against a request sent where no server is."""
+        self.assertEqual("i-1", decode_entry().name)
+        for changes in (
+            {"addr": 5},
+            {"addr": "nowhere"},
+            {"state": "odd"},
+            {"service": None},
+            {"slots": "4"},
+            {"born": 1.5},
+        ):
+            self.assertRaises(fleet.DocumentError, decode_entry, **changes)
+        self.assertRaises(
+            fleet.DocumentError, platform.decode_backend_entry, "i", b"\xff", 1
+        )
+
+
+class HeadersTest(testtools.TestCase):
+    def decode(self, *fields):
+        return platform.decode_caller_request("POST", "/a/%2f", fields, b"")
+
+    def test_fields_of_the_system_never_pass(self):
+        """Guards against a caller that sets what only the system may set."""
+        req = self.decode(
+            ("Host", "h.example:80"),
+            ("Savoryspar-Attempt-Id", "a"),
+            ("Savoryspar-Tenant", "forged"),
+            ("Savoryspar-Key", "k"),
+            ("Savoryspar-Hold", "x"),
+            ("Savoryspar-Pin-Ms", "5"),
+            ("Savoryspar-Kv-Backup", "x"),
+            ("Kv-From", "x"),
+            ("Savoryspar-Request-Urgency", "0"),
+            ("Connection", "close, X-Local"),
+            ("X-Local", "1"),
+            ("X-Other", "2"),
+        )
+        self.assertEqual("h.example", req.host)
+        self.assertEqual(
+            {"Host", "Savoryspar-Attempt-Id", "X-Other"},
+            {name for name, _ in req.fields},
+        )
+        sent = dict(
+            platform.encode_backend_headers(
+                req,
+                backends.BackendSend("i-1", 1.5, "ws", 2, ("h1", "h2"), None),
+            )
+        )
+        self.assertEqual("ws", sent["Savoryspar-Tenant"])
+        self.assertEqual("1500", sent["Savoryspar-Deadline-Ms"])
+        self.assertEqual("i-1", sent["Savoryspar-Expect-Instance"])
+        self.assertEqual("h1,h2", sent["Savoryspar-Inputs"])
+        self.assertNotIn("Savoryspar-Key", sent)
+
+    def test_prompt_and_pieces_are_decoded(self):
+        """Guards against a prompt placed by the wrong parts."""
+        req = self.decode(
+            ("Savoryspar-Prefix-Hash", "ab:800,cd:410"),
+            ("Savoryspar-Token-Count", "1210,80"),
+            ("Savoryspar-Pieces", "0,1,8"),
+        )
+        self.assertEqual([800, 410], [p.tokens for p in req.prompt_parts])
+        self.assertEqual((1210, (0, 1, 8)), (req.prompt_tokens, req.pieces))
+
+    def test_unreadable_field_is_a_bad_request(self):
+        """Guards against a crash on a caller's malformed field."""
+        self.assertRaises(
+            backends.BadRequestError,
+            self.decode,
+            ("Savoryspar-Deadline-Ms", "soon"),
+        )
+
+    def test_only_marked_answers_have_not_run(self):
+        """Guards against a false promise that a request has not run."""
+        facts = platform.answer_facts
+        self.assertTrue(facts(503, [("Savoryspar-Not-Run", "1")]).has_not_run)
+        self.assertTrue(facts(421, []).has_not_run)
+        self.assertFalse(facts(503, []).has_not_run)
+        self.assertFalse(facts(429, []).has_not_run)
+
+    def test_load_and_idle_time_are_read(self):
+        """Guards against idle connections used after the server's timeout."""
+        facts = platform.answer_facts(
+            200,
+            [("Savoryspar-Load", "3,2,8"), ("Keep-Alive", "timeout=5, max=9")],
+        )
+        self.assertEqual((5, 5.0), (facts.load, facts.idle_timeout_s))
+
+
+class StageCallsTest(testtools.TestCase):
+    def test_pieces_are_sent_in_order_with_time_left(self):
+        """Guards against results handed to another request's piece."""
+        pieces = [
+            stages.Piece("r1", 0, 2, "key", (), 1.5),
+            stages.Piece("r2", 2, 0, "key", ("h",), 1.0),
+        ]
+        entries = json.loads(platform.encode_run(pieces, 1.0))["entries"]
+        self.assertEqual(
+            [("r1", 0, 2, 500), ("r2", 2, 0, 1)],
+            [
+                (e["id"], e["phase"], e["segment"], e["left-ms"])
+                for e in entries
+            ],
+        )
+        self.assertEqual("key", entries[0]["key"])
+        self.assertEqual(["h"], entries[1]["inputs"])
+        self.assertNotIn("key", entries[1])
+
+    def test_results_are_decoded(self):
+        """Guards against an unknown reason taken for a result."""
+        body = b'{"entries":[{"handle":"h"},{"reason":"gone"},{"reason":"x"}]}'
+        self.assertEqual(
+            ["h", stages.Failure.INPUT_GONE, stages.Failure.FAILED],
+            platform.decode_results(body, 3),
+        )
+
+    def test_wrong_number_of_results_is_refused(self):
+        """Guards against results that belong to other pieces."""
+        self.assertRaises(
+            fleet.DocumentError,
+            platform.decode_results,
+            b'{"entries":[{"handle":"h"}]}',
+            2,
+        )
--- /dev/null
+++ b/tests/stages/test_batching.py
@@ -0,0 +1,154 @@
+"""Tests of the order in which pieces enter the calls of a stage pool."""
+
+import testtools
+
+from savoryspar import fleet, stages
+
+POOL = fleet.StagePool(
+    slots=1,
+    queue=2,
+    batch=8,
+    call_s=0.15,
+    piece_s=0.016,
+    room_bytes=36e6,
+    result_ttl_s=4.0,
+)
+LARGE = 3_000_000
+SMALL = 8_000
+
+
+def group(
+    name, rank=0, pieces=1, objective_at=1.0, deadline_at=8.0, size=SMALL
+):
+    return stages.Group(
+        name, "pool", 0, pieces, "k", (), rank, objective_at, deadline_at, size
+    )
+
+
+def names(call):
+    return [piece.request_id for _, piece in call]
+
+
+class BatchingTest(testtools.TestCase):
+    def queue(self, *groups):
+        queue = stages.new_batch_queue(POOL)
+        for item in groups:
+            queue.add(item)
+        return queue
+
+    def test_pieces_of_many_requests_share_a_call(self):
+        """Pattern: steady load from many VMs, two pieces a request."""
+        queue = self.queue(*(group(f"r{n}", pieces=2) for n in range(4)))
+        self.assertEqual(8, len(queue.next_call(0.0, 36e6)))
+        self.assertEqual(0, len(queue))
+
+    def test_urgent_rank_goes_first(self):
+        """Pattern: a flood of the least urgent kind before urgent work."""
+        low = [group(f"low{n}", rank=2, objective_at=2.0) for n in range(30)]
+        queue = self.queue(*low, group("urgent", objective_at=2.5))
+        self.assertIn("urgent", names(queue.next_call(0.0, 36e6)))
+
+    def test_flood_of_the_urgent_rank_leaves_others_a_part(self):
+        """Pattern: a flood of the most urgent kind; others must not starve."""
+        flood = [group(f"u{n}", objective_at=1.5 + n / 100) for n in range(60)]
+        low = [group(f"low{n}", rank=2, objective_at=1.2) for n in range(4)]
+        queue = self.queue(*flood, *low)
+        call = names(queue.next_call(0.0, 36e6))
+        self.assertEqual(2, sum(name.startswith("low") for name in call))
+
+    def test_lower_ranks_keep_their_part_when_memory_limits_a_call(self):
+        """Pattern: large results of the urgent kind fill the memory.
+
+        Guards against notes whose other stages were done for nothing
+        (gesto-callado scale-1).
+        """
+        flood = [
+            group(f"u{n}", objective_at=1.5, size=LARGE) for n in range(20)
+        ]
+        low = group("low", rank=1, objective_at=1.2, size=LARGE)
+        queue = self.queue(*flood, low)
+        call = names(queue.next_call(0.0, 3 * LARGE))
+        self.assertEqual(3, len(call))
+        self.assertIn("low", call)
+
+    def test_late_groups_wait_for_those_that_can_be_in_time(self):
+        """Pattern: a burst left late work behind; new work comes in time."""
+        late = [group(f"l{n}", objective_at=0.1) for n in range(20)]
+        fresh = group("fresh", rank=2, objective_at=3.0)
+        queue = self.queue(*late, fresh)
+        self.assertEqual("fresh", names(queue.next_call(1.0, 36e6))[0])
+
+    def test_small_results_pass_large_ones_without_memory(self):
+        """Pattern: a pool whose memory is full of large results."""
+        queue = self.queue(
+            group("large", size=LARGE), group("small", rank=2, size=SMALL)
+        )
+        self.assertEqual(["small"], names(queue.next_call(0.0, 1e6)))
+
+    def test_hopeless_group_is_refused_at_once(self):
+        """Guards against work held until its caller leaves."""
+        queue = self.queue(*(group(f"r{n}", pieces=8) for n in range(40)))
+        late = group("late", pieces=8, deadline_at=2.0)
+        refused_s = queue.refusal_s(late, 1, 0.0)
+        self.assertIsNotNone(refused_s)
+        self.assertGreater(refused_s, 0.0)
+        self.assertIsNone(queue.refusal_s(group("in", pieces=8), 40, 0.0))
+
+    def test_memory_lengthens_the_predicted_wait(self):
+        """Guards against waits told from calls alone while memory limits."""
+        small = self.queue(*(group(f"r{n}", pieces=4) for n in range(10)))
+        large = self.queue(
+            *(group(f"r{n}", pieces=4, size=LARGE) for n in range(10))
+        )
+        asked = group("x", objective_at=5.0)
+        self.assertGreater(
+            large.wait_s(asked, 1, 0.0), small.wait_s(asked, 1, 0.0)
+        )
+
+    def test_given_up_groups_leave_the_queue(self):
+        """Guards against pieces made for callers that have left."""
+        queue = self.queue(group("old", deadline_at=0.1), group("new"))
+        self.assertEqual(["old"], [g.request_id for g in queue.expire(0.0, 1)])
+        self.assertEqual(1, len(queue))
+
+    def test_cancelled_request_leaves_the_queue(self):
+        """Guards against work for a caller that hung up."""
+        queue = self.queue(group("gone", pieces=3), group("stays"))
+        queue.cancel("gone")
+        self.assertEqual(["stays"], names(queue.next_call(0.0, 36e6)))
+
+    def test_new_work_is_told_the_wait_of_new_work(self):
+        """Guards against refusals because of a late group's long wait."""
+        queue = self.queue(
+            *(group(f"l{n}", pieces=8, objective_at=0.1) for n in range(20))
+        )
+        late = group("late", pieces=8, objective_at=0.1)
+        self.assertLess(
+            queue.fresh_wait_s(late, 1, 1.0), queue.wait_s(late, 1, 1.0)
+        )
+
+
+class GathererTest(testtools.TestCase):
+    def test_all_members_choose_the_same_gatherer_near_the_servers(self):
+        """Guards against two VMs that call one stage server."""
+        from savoryspar import membership
+
+        members = [
+            membership.Member(
+                membership.Record(f"i{n}", f"vm{n}", "r", f"z{n % 3}", "a"),
+                0.0,
+                0,
+            )
+            for n in range(9)
+        ]
+        chosen = {
+            stages.choose_gatherer("pool", "z1", order).incarnation
+            for order in (members, members[::-1])
+        }
+        self.assertEqual(1, len(chosen))
+        first = stages.choose_gatherer("pool", "z1", members)
+        self.assertEqual("z1", first.zone)
+        other = stages.choose_gatherer(
+            "pool", "z1", members, frozenset({first.incarnation})
+        )
+        self.assertNotEqual(first.incarnation, other.incarnation)
--- /dev/null
+++ b/tests/stages/test_chain.py
@@ -0,0 +1,94 @@
+"""Tests of the stages of one request."""
+
+import testtools
+
+from savoryspar import backends, fleet, stages
+from tests.gateway import requests
+
+POOLS = {
+    name: fleet.StagePool(1, 2, 8, 0.15, 0.01, 36e6, 4.0)
+    for name in ("a", "b", "c")
+}
+NOTE = (
+    fleet.Stage("a", (), 3_000_000),
+    fleet.Stage("a", (), 8_000),
+    fleet.Stage("b", (1,), 60_000),
+    fleet.Stage("c", (2,), 6_000),
+)
+
+
+def chain(pieces, stage_list=NOTE):
+    return stages.new_chain(
+        requests.caller_request(pieces=pieces),
+        requests.route(stages=stage_list),
+        POOLS,
+        1,
+        1.5,
+        6.0,
+    )
+
+
+class ChainTest(testtools.TestCase):
+    def test_stages_start_when_their_inputs_are_there(self):
+        """Guards against pieces that are given only some of their inputs."""
+        note = chain((1, 1, 2, 3))
+        self.assertEqual([0, 1], note.ready(frozenset()))
+        note.finish(1, ["h1"])
+        self.assertEqual([2], note.ready(frozenset({0, 1})))
+        self.assertEqual(("h1",), note.group(2).inputs)
+
+    def test_engine_gets_results_that_no_stage_follows(self):
+        """Guards against an engine that is given intermediate results."""
+        note = chain((1, 1, 1, 2))
+        for number, handles in enumerate((["a"], ["b"], ["c"], ["d", "e"])):
+            note.finish(number, handles)
+        self.assertTrue(note.is_done)
+        self.assertEqual(["a", "d", "e"], note.inputs())
+
+    def test_stage_without_pieces_is_left_out(self):
+        """Guards against a wait for a stage that the request omits."""
+        note = chain((0, 1, 1, 1))
+        self.assertEqual([1], note.ready(frozenset()))
+        for number in (1, 2, 3):
+            note.finish(number, [str(number)])
+        self.assertTrue(note.is_done)
+        self.assertEqual(["3"], note.inputs())
+
+    def test_used_results_are_returned_to_be_freed(self):
+        """Guards against memory of servers that is full of used results."""
+        note = chain((1, 1, 1, 1))
+        note.finish(1, ["h1"])
+        self.assertEqual(["h1"], note.finish(2, ["h2"]))
+
+    def test_short_branch_waits_for_the_long_one(self):
+        """Guards against large results that wait for the other branch."""
+        note = chain((1, 1, 8, 8))
+        idle = lambda pool: 0.0  # noqa: E731
+        self.assertGreater(note.delay_s(0, idle), 0.0)
+        self.assertEqual(0.0, note.delay_s(1, idle))
+
+    def test_contested_branch_starts_first(self):
+        """Guards against a chain done for nothing (gesto scale-1)."""
+        note = chain(
+            (1, 0, 8, 8), (*NOTE[:2], fleet.Stage("b", (), 1), NOTE[3])
+        )
+        told = {"a": 4.0}
+        wait_s = lambda pool: told.get(pool, 0.0)  # noqa: E731
+        self.assertEqual(0.0, note.delay_s(0, wait_s))
+        self.assertGreater(note.delay_s(2, wait_s), 1.0)
+
+    def test_told_waits_lengthen_the_expected_time(self):
+        """Guards against requests that start without any hope."""
+        note = chain((1, 1, 8, 8))
+        busy = note.expected_s(lambda pool: 5.0, frozenset())
+        self.assertGreater(busy, note.left_s(0.0))
+        idle = note.expected_s(lambda pool: 0.0, frozenset())
+        self.assertLess(idle, note.left_s(0.0))
+
+    def test_only_pieces_that_the_request_has_are_asked_for(self):
+        """Guards against a piece that no caller's request has."""
+        note = chain((2,))
+        self.assertEqual([0], note.ready(frozenset()))
+        self.assertEqual(2, note.group(0).pieces)
+        self.assertIsInstance(note.group(0).waiting[0], stages.Piece)
+        self.assertIsInstance(requests.caller_request(), backends.CallerRequest)
