Give pieces back when a zone has no stage server left

Change: groups are handed back at once and go to another zone; a server that failed is tried again after its pause.

--- a/savoryspar/gateway/gathering.py
+++ b/savoryspar/gateway/gathering.py
@@ -91,12 +91,14 @@
         "freed",
         "is_running",
         "made_at",
+        "paused_until",
         "sizes",
     )
 
     def __init__(self, entry: fleet.BackendEntry):
         self.entry = entry
         self.backoff_s = 0.0
+        self.paused_until = 0.0
         self.is_running = False
         self.sizes: dict[str, int] = {}
         self.expires: dict[str, float] = {}
@@ -167,7 +169,8 @@
             done: Called when all have results, or with the failure.
             now: Monotonic time in seconds.
         """
-        servers = len(self._refresh())
+        self._refresh()
+        servers = self._usable()
         offer = Offer(
             self.queue.refusal_s(group, servers, now)
             if servers
@@ -229,6 +232,21 @@
                 eventlet.spawn(self._work, server)
         return entries
 
+    def _usable(self) -> int:
+        """Returns the number of listed servers that did not fail just now."""
+        now = self._clock()
+        names = {entry.name for entry in self._entries()}
+        return sum(
+            name in names and server.paused_until <= now
+            for name, server in self._servers.items()
+        )
+
+    def _give_back(self) -> None:
+        """Tells askers to go elsewhere when no server is left here."""
+        if not self._usable():
+            for group in [*self._done]:
+                self._finish(group, stages.Failure.NO_SERVER)
+
     def _wake(self) -> None:
         wakeups, self._wakeups = self._wakeups, []
         for wakeup in wakeups:
@@ -257,6 +275,7 @@
                     wakeup.wait()
         finally:
             server.is_running = False
+            self._give_back()
 
     def _run(
         self,
@@ -364,7 +383,9 @@
             pause_s=server.backoff_s,
             cause=str(exc),
         )
+        server.paused_until = self._clock() + server.backoff_s
         self._return(call, counts=True)
+        self._give_back()
         eventlet.sleep(server.backoff_s)
 
     def _return(
--- a/savoryspar/gateway/stage_work.py
+++ b/savoryspar/gateway/stage_work.py
@@ -23,6 +23,8 @@
 is asked whether it still has the pieces."""
 MIN_RESULT_S = 0.6
 MAX_SUBMITS = 3
+ELSEWHERE = (stages.Failure.LATE, stages.Failure.NO_SERVER)
+"""Failures after which another zone may have a place."""
 REMOTE_COST_S = 0.08
 """Predicted wait by which another zone must be better than the own one: two
 round trips of 40 ms between regions, and results that have to cross."""
@@ -222,7 +224,7 @@
                 )
                 excluded |= {place.incarnation}
             except StageError as exc:
-                if exc.failure is not stages.Failure.LATE:
+                if exc.failure not in ELSEWHERE:
                     raise
                 refused = exc
                 full |= {place.zone}
--- a/savoryspar/stages/model.py
+++ b/savoryspar/stages/model.py
@@ -12,7 +12,7 @@
     INPUT_GONE = "input_gone"
     NO_ROOM = "no_room"
     FAILED = "failed"
-    CANCELLED = "cancelled"
+    NO_SERVER = "no_server"
 
 
 class Piece:
--- /dev/null
+++ b/tests/gateway/test_gathering.py
@@ -0,0 +1,135 @@
+"""Tests of gathered calls, against a scripted stage server."""
+
+import json
+import os
+import time
+
+import eventlet
+import testtools
+
+from savoryspar import backends, fleet, log, platform, stages
+from savoryspar.gateway import gathering
+from tests.backends import test_connections as scripted
+
+POOL = fleet.StagePool(1, 2, 8, 0.01, 0.001, 36e6, 4.0)
+
+
+def answer(entries):
+    body = json.dumps({"entries": entries}).encode()
+    head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body)
+    return scripted.send(head + body)
+
+
+class GathererTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.entries = []
+        self.ended = []
+        reader, writer = os.pipe()
+        self.addCleanup(os.close, reader)
+        self.addCleanup(os.close, writer)
+        self.gatherer = gathering.new_gatherer(
+            POOL,
+            lambda: self.entries,
+            backends.new_connections(platform.answer_facts, time.monotonic),
+            log.new_event_log(writer, "n"),
+            time.monotonic,
+        )
+
+    def add_server(self, *steps):
+        server = scripted.ScriptedServer(*steps)
+        self.entries.append(
+            fleet.BackendEntry(
+                f"i-{len(self.entries)}",
+                "p",
+                server.address,
+                "z",
+                1,
+                False,
+                0,
+                1,
+            )
+        )
+        return server
+
+    def submit(self, name, pieces=1):
+        now = time.monotonic()
+        group = stages.Group(
+            name, "p", 0, pieces, "k", (), 0, now + 1.0, now + 3.0, 1000
+        )
+        offer = self.gatherer.submit(
+            group, lambda *end: self.ended.append(end), now
+        )
+        return group, offer
+
+    def wait(self, count):
+        with eventlet.Timeout(3.0):
+            while len(self.ended) < count:
+                eventlet.sleep(0.005)
+        return [(g.request_id, failure) for g, failure in self.ended]
+
+    def test_results_reach_their_own_groups(self):
+        """Guards against a result handed to another request."""
+        self.add_server(
+            answer([{"handle": "h1"}, {"handle": "h2"}, {"handle": "h3"}])
+        )
+        first, _ = self.submit("r1")
+        second, _ = self.submit("r2", 2)
+        self.assertEqual([("r1", None), ("r2", None)], self.wait(2))
+        self.assertEqual(
+            (["h1"], ["h2", "h3"]), (first.handles(), second.handles())
+        )
+
+    def test_pool_without_servers_refuses_at_once(self):
+        """Guards against pieces that wait where no server is."""
+        _, offer = self.submit("r1")
+        self.assertIsNotNone(offer.refused_s)
+
+    def test_last_server_that_fails_gives_pieces_back(self):
+        """Guards against pieces that wait for a server that is gone.
+
+        A dossier waited 4 s in a zone whose only server had left (gesto-callado
+        scale-1).
+        """
+        self.add_server(scripted.send_and_end(b""))
+        self.submit("r1")
+        self.assertEqual([("r1", stages.Failure.NO_SERVER)], self.wait(1))
+
+    def test_failed_server_is_tried_again(self):
+        """Guards against a pool refused for good after one failure."""
+        self.add_server(scripted.send_and_end(b""), answer([{"handle": "h"}]))
+        self.submit("r1")
+        self.wait(1)
+        self.assertIsNotNone(self.submit("r2")[1].refused_s)
+        eventlet.sleep(gathering.FIRST_BACKOFF_S + 0.1)
+        self.submit("r3")
+        self.assertEqual(("r3", None), self.wait(2)[1])
+
+    def test_refusal_for_memory_does_not_fail_a_group(self):
+        """Guards against requests refused because memory was short once."""
+        self.add_server(
+            answer([{"reason": "room"}]),
+            answer([{"reason": "room"}]),
+            answer([{"reason": "room"}]),
+            answer([{"reason": "room"}]),
+            answer([{"handle": "h"}]),
+        )
+        self.submit("r1")
+        self.assertEqual([("r1", None)], self.wait(1))
+
+    def test_input_that_is_gone_fails_the_group(self):
+        """Guards against a piece retried without its inputs."""
+        self.add_server(answer([{"reason": "gone"}]))
+        self.submit("r1")
+        self.assertEqual([("r1", stages.Failure.INPUT_GONE)], self.wait(1))
+
+    def test_results_of_a_cancelled_request_are_freed(self):
+        """Guards against memory kept for a caller that hung up."""
+        server = self.add_server(answer([{"handle": "h1"}]), answer([]))
+        self.submit("r1")
+        eventlet.sleep(0)
+        self.gatherer.cancel("r1")
+        with eventlet.Timeout(3.0):
+            while len(server.requests) < 2:
+                eventlet.sleep(0.005)
+        self.assertIn(b"POST /-/stage-free", server.requests[1])
