Run a request where most bytes of its stage results lie

Cause: the zone was chosen by the number of results, so sixteen results of 6 KB outweighed one of 3 MB, which then crossed.

--- a/savoryspar/gateway/stage_work.py
+++ b/savoryspar/gateway/stage_work.py
@@ -49,14 +49,17 @@
 
 
 class _Place:
-    """Where a group was submitted."""
+    """Where a group was submitted, and the size of each of its results."""
 
-    __slots__ = ("incarnation", "pool", "zone")
+    __slots__ = ("incarnation", "pool", "result_bytes", "zone")
 
-    def __init__(self, pool: str, zone: str, incarnation: str):
+    def __init__(
+        self, pool: str, zone: str, incarnation: str, result_bytes: int
+    ):
         self.pool = pool
         self.zone = zone
         self.incarnation = incarnation
+        self.result_bytes = result_bytes
 
 
 class StageWork:
@@ -193,12 +196,12 @@
         )
 
     def zone_of(self, handles: Sequence[str], default: str) -> str:
-        """Returns the zone in which most of the results lie."""
-        zones = collections.Counter(
-            self._made_by[handle].zone
-            for handle in handles
-            if handle in self._made_by
-        )
+        """Returns the zone in which most bytes of the results lie."""
+        zones: collections.Counter[str] = collections.Counter()
+        for handle in handles:
+            if handle in self._made_by:
+                place = self._made_by[handle]
+                zones[place.zone] += place.result_bytes
         return max(sorted(zones), key=zones.get, default=default)
 
     def _run(self, group: stages.Group, near: str) -> list[str]:
@@ -255,7 +258,7 @@
         )
         if member is None:
             member = view.own
-        return _Place(group.pool, zone, member.incarnation)
+        return _Place(group.pool, zone, member.incarnation, group.result_bytes)
 
     def _wait_s(
         self, pool: str, zone: str, rank: int, near: str, now: float
