Answer callers until the last request of a leaving VM is done

Change: it listens until its last request is done; new streams get 503 with Retry-After, requests with one answer are served while time is left.

--- a/savoryspar/gateway/app.py
+++ b/savoryspar/gateway/app.py
@@ -20,8 +20,10 @@
 NO_CONFIGURATION_RETRY_S = 0.5
 STOPPING_RETRY_S = 0.3
 LATE_STOP_S = 2.5
-"""Time after SIGTERM from which new requests are sent to another VM: what came
-sooner may still be at work in the last sixth of the grace time."""
+"""Time after SIGTERM from which new streams are sent to another VM; those that
+came sooner usually end within the grace time."""
+PLAIN_OBJECTIVES = 3.0
+"""Time that a request with one answer may need, in objectives."""
 
 StartResponse = Callable[[str, list[tuple[str, str]]], Callable[[bytes], Any]]
 
@@ -31,18 +33,20 @@
 
     Attributes:
         running: Requests being served.
-        stopping_since: When the process was asked to stop, or None.
+        is_stopping: Whether the process was asked to stop.
     """
 
     __slots__ = (
         "_clock",
         "_counters",
+        "_ends_at",
         "_events",
         "_holder",
         "_plain",
+        "_stopping_since",
         "_streams",
+        "is_stopping",
         "running",
-        "stopping_since",
     )
 
     def __init__(
@@ -61,7 +65,9 @@
         self._counters = counted
         self._clock = clock
         self.running = 0
-        self.stopping_since: float | None = None
+        self.is_stopping = False
+        self._stopping_since = 0.0
+        self._ends_at = 0.0
 
     def __call__(
         self, environ: dict[str, Any], start_response: StartResponse
@@ -115,6 +121,20 @@
         wsgi.WSGI_LOCAL.already_handled = True
         return []
 
+    def stop_at(self, now: float, ends_at: float) -> None:
+        """Refuses from now on what could not be answered before the end."""
+        self.is_stopping = True
+        self._stopping_since = now
+        self._ends_at = ends_at
+
+    def _ends_too_soon(self, route: fleet.Route, now: float) -> bool:
+        """Tells whether the process ends before a new request would."""
+        if not self.is_stopping:
+            return False
+        if route.kind is fleet.RouteKind.STREAM:
+            return now - self._stopping_since > LATE_STOP_S
+        return self._ends_at - now < PLAIN_OBJECTIVES * route.objective_s
+
     def _run(
         self, job: model.Job, start_response: StartResponse
     ) -> model.Reply | None:
@@ -142,13 +162,6 @@
         self, req: backends.CallerRequest, received_at: float
     ) -> model.Job:
         now = self._clock()
-        if (
-            self.stopping_since is not None
-            and now - self.stopping_since > LATE_STOP_S
-        ):
-            raise model.refusal(
-                "stopping", "this entry VM is leaving", STOPPING_RETRY_S
-            )
         current = self._holder.current
         route = current.find_route(req.host, req.path)
         if route is None:
@@ -158,6 +171,10 @@
                 f"no route for host {req.host!r} and path {req.path!r}",
                 "see the routes in force",
             )
+        if self._ends_too_soon(route, now):
+            raise model.refusal(
+                "stopping", "this entry VM is leaving", STOPPING_RETRY_S
+            )
         workspace = self._authenticate(current, route, req.key)
         timeout_s = route.timeout_s or DEFAULT_DEADLINE_S
         deadline_s = min(timeout_s, req.deadline_s or timeout_s)
--- a/savoryspar/gateway/node.py
+++ b/savoryspar/gateway/node.py
@@ -42,6 +42,7 @@
 """Size of the fleet that budgets are divided by at least, while few peers are
 known yet."""
 WAIT_S = 0.05
+"""Pause between two looks at the requests that still run."""
 CROSS_REGION_COST = 0.9
 """Utilization by which a server of the own region must be worse before one of
 another region is used."""
@@ -161,11 +162,15 @@
         """Leaves: not ready first, then finishes every request in time."""
         now = self._clock()
         ends_at = now + self._cfg.gateway.grace_s - END_MARGIN_S
-        self._app.stopping_since = now
+        self._app.stop_at(now, ends_at)
         self._events.belief("stopping", now, running=self._app.running)
         self._members.leave(now)
         self._server.drain()
         eventlet.sleep(NOTICE_S)
+        # Callers that the balancer still sends here get an answer until the
+        # last request is done, rather than a refused connection.
+        while self._app.running and self._clock() < ends_at:
+            eventlet.sleep(WAIT_S)
         with eventlet.Timeout(max(0.0, ends_at - self._clock()), False):
             self._server.stop()
         self._members.stop(self._clock())
@@ -173,7 +178,7 @@
 
     def missing(self) -> str:
         """Returns what the process lacks before it can serve, or ""."""
-        if self._app.stopping_since is not None:
+        if self._app.is_stopping:
             return "stopping"
         if self._holder.current is None:
             return "no configuration"
--- /dev/null
+++ b/tests/gateway/test_app.py
@@ -0,0 +1,178 @@
+"""Tests of the callers' side of the gateway, without a network."""
+
+import os
+
+from eventlet import wsgi
+import testtools
+
+from savoryspar import fleet, http, log
+from savoryspar.gateway import app, counters, model
+from tests.gateway import requests
+
+
+class FakeForwarder:
+    def __init__(self, act):
+        self.jobs = []
+        self._act = act
+
+    def run(self, job, start=None):
+        self.jobs.append(job)
+        return self._act(job, start)
+
+
+class FakeInput:
+    def __init__(self, sock, body):
+        self._sock = sock
+        self._body = body
+
+    def get_socket(self):
+        return self._sock
+
+    def read(self, size):
+        return self._body[:size]
+
+
+def reply(job, start):
+    del job, start
+    return model.Reply("200 OK", [("Savoryspar-Seal", "s")], b"whole")
+
+
+class GatewayAppTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        reader, writer = os.pipe()
+        self.addCleanup(os.close, reader)
+        self.addCleanup(os.close, writer)
+        events = log.new_event_log(writer, "n")
+        self.holder = fleet.new_holder(events)
+        self.now = 100.0
+        self.plain = FakeForwarder(reply)
+        self.streams = FakeForwarder(reply)
+        self.app = app.new_gateway_app(
+            self.holder,
+            self.plain,
+            self.streams,
+            events,
+            counters.new_counters(),
+            lambda: self.now,
+        )
+        self.answers = []
+
+    def publish(self, *routes):
+        self.holder.offer(
+            fleet.Configuration(
+                1,
+                routes,
+                {},
+                {"k": fleet.Workspace("ws", 1)},
+                True,
+                fleet.CallerLimits(16384, 1000, 3.0, 15.0),
+            ),
+            b"",
+            "test",
+            self.now,
+        )
+
+    def ask(self, path="/p/x", body=b"", **headers):
+        import socket
+
+        own, caller = socket.socketpair()
+        self.addCleanup(own.close)
+        self.addCleanup(caller.close)
+        source = FakeInput(own, body)
+        fields = {"Host": "h.example", "Savoryspar-Key": "k", **headers}
+        environ = {
+            "eventlet.input": source,
+            "wsgi.input": source,
+            "REQUEST_METHOD": "POST",
+            "CONTENT_LENGTH": str(len(body)),
+            http.TARGET_KEY: path,
+            http.FIELDS_KEY: list(fields.items()),
+        }
+
+        def start_response(status, fields):
+            self.answers.append((status, dict(fields)))
+
+        wsgi.WSGI_LOCAL.already_handled = False
+        return b"".join(self.app(environ, start_response))
+
+    def plain_route(self, **changes):
+        return requests.route(kind=fleet.RouteKind.ONCE, **changes)
+
+    def test_no_configuration_is_a_refusal_and_no_denial(self):
+        """Guards against 404 and 401 from a VM that knows nothing yet."""
+        self.ask()
+        status, fields = self.answers[0]
+        self.assertTrue(status.startswith("503"))
+        self.assertIn("Retry-After", fields)
+
+    def test_unknown_route_and_key_are_denied(self):
+        """Guards against work for a caller without a key."""
+        self.publish(self.plain_route())
+        self.ask("/other/")
+        self.ask(**{"Savoryspar-Key": "wrong"})
+        self.assertEqual(
+            ["404", "401"], [status[:3] for status, _ in self.answers]
+        )
+        self.assertEqual([], self.plain.jobs)
+
+    def test_public_route_needs_no_key(self):
+        """Guards against public requests refused for their missing key."""
+        self.publish(self.plain_route(is_public=True))
+        self.ask(**{"Savoryspar-Key": ""})
+        self.assertEqual("200 OK", self.answers[0][0])
+
+    def test_deadline_is_the_shorter_of_route_and_caller(self):
+        """Guards against a server that works longer than the caller waits."""
+        self.publish(self.plain_route(timeout_s=2.0))
+        self.ask(**{"Savoryspar-Deadline-Ms": "1500"})
+        self.ask(**{"Savoryspar-Deadline-Ms": "9000"})
+        self.assertEqual(
+            [101.5, 102.0], [job.deadline_at for job in self.plain.jobs]
+        )
+
+    def test_stream_is_given_up_when_its_caller_leaves(self):
+        """Guards against stage work for callers that have left."""
+        self.publish(requests.route(objective_s=1.5))
+        self.ask()
+        self.assertEqual(106.0, self.streams.jobs[0].patience_at)
+
+    def test_failure_after_the_head_closes_the_connection(self):
+        """Guards against a broken stream that looks whole.
+
+        Its refusal once ended the chunked body (haftgarden scale-1, ORDER).
+        """
+
+        def act(job, start):
+            del job
+            start("200 OK", [])
+            raise model.refusal("stage_late", "no place", 1.0)
+
+        self.streams._act = act
+        self.publish(requests.route())
+        self.assertEqual(b"", self.ask())
+        self.assertEqual(1, len(self.answers))
+        self.assertTrue(wsgi.WSGI_LOCAL.already_handled)
+
+    def test_leaving_process_takes_what_it_can_still_answer(self):
+        """Guards against requests cut off by the end of the grace time."""
+        self.publish(
+            self.plain_route(objective_s=0.25),
+            requests.route(host="s.example"),
+        )
+        self.app.stop_at(100.0, 107.7)
+        self.now = 104.0
+        self.ask()
+        self.ask(Host="s.example")
+        self.now = 107.5
+        self.ask()
+        self.assertEqual(
+            ["200", "503", "503"], [status[:3] for status, _ in self.answers]
+        )
+
+    def test_long_body_is_refused(self):
+        """Guards against memory filled by one caller."""
+        self.publish(self.plain_route())
+        self.ask(body=b"x" * 1001)
+        self.assertTrue(self.answers[0][0].startswith("413"))
+        self.assertEqual("close", self.answers[0][1]["Connection"])
