Write every line of an entry VM as a structured event; explain requests

Cause: lines of the membership went to standard error in another format, and the story of a request had to be put together by hand.

--- a/savoryspar/cli/application.py
+++ b/savoryspar/cli/application.py
@@ -18,6 +18,7 @@
     "demo": "demo.DemoCommand",
     "drain": "drain.DrainCommand",
     "entry": "entry.EntryCommand",
+    "explain": "explain.ExplainCommand",
     "serve": "serve.ServeCommand",
     "sheet check": "sheet_check.SheetCheckCommand",
     "sheet diff": "sheet_diff.SheetDiffCommand",
--- a/savoryspar/cli/serve.py
+++ b/savoryspar/cli/serve.py
@@ -7,7 +7,7 @@
 from cleo.helpers import option
 import eventlet
 
-from savoryspar import conf, gateway, log
+from savoryspar import conf, gateway
 from savoryspar.cli import exit_codes, faults, signals
 
 SETTINGS_VARIABLE = "SAVORYSPAR_NODE_FILE"
@@ -32,7 +32,6 @@
         except ExceptionGroup as group:
             faults.print_faults(self, group)
             return exit_codes.USAGE
-        log.configure(cfg.log.level, cfg.log.format)
         arrived = signals.new_signal_queue(
             signal.SIGTERM, signal.SIGINT, signal.SIGHUP
         )
--- a/savoryspar/gateway/node.py
+++ b/savoryspar/gateway/node.py
@@ -22,6 +22,7 @@
     app,
     counters,
     fleet_watch,
+    gathering,
     placing,
     plain,
     stage_work,
@@ -80,6 +81,7 @@
         self._cfg = cfg
         self._clock = clock
         self._events = log.new_event_log(sys.stdout.fileno(), section.name)
+        log.write_to_events(self._events, cfg.log.level, clock)
         self._holder = fleet.new_holder(self._events)
         self._roster = fleet.new_roster(self._events)
         self._members = _new_members(cfg, clock())
@@ -283,62 +285,27 @@
         return [content]
 
     def _add_gauges(self) -> None:
-        read = self._metrics.read_with
-        read(
-            "savoryspar_gateway_running",
-            "Requests being served.",
-            lambda: self._app.running,
-        )
-        read(
-            "savoryspar_gateway_connections",
-            "Open connections of callers.",
-            lambda: self._server.connections,
-        )
-        read(
-            "savoryspar_gateway_configuration_version",
-            "Version of the configuration in force, 0 if none.",
-            lambda: self._holder.version,
-        )
-        read(
-            "savoryspar_gateway_store_calls",
-            "Calls to the platform's store since the start.",
-            self._watch.calls,
-        )
-        read(
-            "savoryspar_gateway_store_changes",
-            "Changes that the store reported since the start.",
-            lambda: sum(self._watch.changes.values()),
-        )
-        read(
-            "savoryspar_gateway_peers",
-            "Live peers in the view of this process.",
-            lambda: len(self._members.view(self._clock()).members),
-        )
-        read(
-            "savoryspar_gateway_backend_connections_opened",
-            "Connections to backend servers opened since the start.",
-            lambda: self._connections.opened,
-        )
-        read(
-            "savoryspar_gateway_stray_answers",
-            "Answers to other requests that were skipped, since the start.",
-            lambda: self._connections.stray_answers,
-        )
-        read(
-            "savoryspar_gateway_stage_calls",
-            "Calls to stage servers that this VM gathered.",
-            lambda: sum(g.calls for g in self._work.gatherers().values()),
-        )
-        read(
-            "savoryspar_gateway_stage_pieces",
-            "Pieces in the calls that this VM gathered.",
-            lambda: sum(g.pieces for g in self._work.gatherers().values()),
-        )
-        read(
-            "savoryspar_gateway_log_lines_left_out",
-            "Log lines that were not written since the start.",
-            lambda: self._events.left_out,
-        )
+        readers = {
+            "running": lambda: self._app.running,
+            "connections": lambda: self._server.connections,
+            "configuration_version": lambda: self._holder.version,
+            "store_calls": self._watch.calls,
+            "store_changes": lambda: sum(self._watch.changes.values()),
+            "peers": lambda: len(self._members.view(self._clock()).members),
+            "backend_connections_opened": lambda: self._connections.opened,
+            "stray_answers": lambda: self._connections.stray_answers,
+            "stage_calls": lambda: sum(g.calls for g in self._gatherers()),
+            "stage_pieces": lambda: sum(g.pieces for g in self._gatherers()),
+            "stage_waiting": lambda: sum(
+                len(g.queue) for g in self._gatherers()
+            ),
+            "log_lines_left_out": lambda: self._events.left_out,
+        }
+        for name, reader in readers.items():
+            self._metrics.read_with(name, reader)
+
+    def _gatherers(self) -> Iterable[gathering.Gatherer]:
+        return self._work.gatherers().values()
 
 
 def _new_members(cfg: conf.Settings, now: float) -> membership.Membership:
--- a/savoryspar/log/events.py
+++ b/savoryspar/log/events.py
@@ -5,10 +5,13 @@
 Failures and changes of belief may use a reserve that successes may not.
 """
 
+from collections.abc import Callable
 import json
 import os
 from typing import Any
 
+import logbook
+
 LINES_PER_S = 60.0
 """Lines a second on average; about 12 a request at 5 requests a second."""
 BURST_LINES = 240.0
@@ -84,6 +87,38 @@
             self._partial = data[written : end + 1]
 
 
+class _EventHandler(logbook.Handler):
+    """Turns the lines of other parts into structured ones."""
+
+    def __init__(self, events: EventLog, level: str, clock: Callable):
+        super().__init__(level=level.upper())
+        self._events = events
+        self._clock = clock
+
+    def emit(self, record: logbook.LogRecord) -> None:
+        """Writes a line of a part."""
+        self._events.belief(
+            "library",
+            self._clock(),
+            part=record.channel,
+            level=record.level_name.lower(),
+            message=record.message,
+        )
+
+
+def write_to_events(
+    events: EventLog, level: str, clock: Callable[[], float]
+) -> None:
+    """Writes the lines of all loggers as events from now on.
+
+    Args:
+        events: Where they are written.
+        level: Lowest level that is written, for example ``info``.
+        clock: Monotonic time in seconds.
+    """
+    _EventHandler(events, level, clock).push_application()
+
+
 def new_event_log(fd: int, node: str) -> EventLog:
     """Returns a log that writes to a file descriptor without blocking."""
     os.set_blocking(fd, False)
--- a/tools/write_reference.py
+++ b/tools/write_reference.py
@@ -6,7 +6,7 @@
 
 os.environ.setdefault("EVENTLET_NO_GREENDNS", "yes")
 
-from savoryspar import checks, conf, log, metrics
+from savoryspar import checks, conf, gateway, log, metrics
 from savoryspar.cli import application
 from savoryspar.conf import loader
 from savoryspar.http import app, operators, problems
@@ -101,11 +101,30 @@
     )
 
 
+def events_page() -> str:
+    """Returns the page of the structured lines on standard output."""
+    rows = [(f"`{name}`", text) for name, text in sorted(log.EVENTS.items())]
+    return _page(
+        "Events",
+        "`savoryspar serve` writes one JSON object a line to standard output:"
+        " `at` (monotonic seconds), `node`, `event`, `request` where it"
+        " concerns one, `left_out` (lines not written so far), and the inputs"
+        " of the decision. `savoryspar explain ID` reads them.",
+        ("event", "what"),
+        rows,
+    )
+
+
 def metrics_page() -> str:
     """Returns the page of all metrics."""
     rows = [
         (f"`{name}`", text)
-        for name, text in sorted(metrics.new_metrics().descriptions().items())
+        for name, text in sorted(
+            {
+                **metrics.new_metrics().descriptions(),
+                **gateway.descriptions(),
+            }.items()
+        )
     ]
     return _page(
         "Metrics", "`GET /metrics`, Prometheus format.", ("name", "what"), rows
@@ -153,6 +172,7 @@
     "endpoints.md": endpoints_page,
     "problems.md": problems_page,
     "log.md": log_page,
+    "events.md": events_page,
     "metrics.md": metrics_page,
     "checks.md": checks_page,
 }
