--- a/savoryspar/stages/batching.py
+++ b/savoryspar/stages/batching.py
@@ -22,6 +22,8 @@
 """Weight of the newest result in the mean time for which results are kept."""
 TAKEN_WEIGHT = 0.1
 """Weight of the newest call in the part that each rank takes."""
+MAX_TAKEN = 0.9
+"""Part of the calls that work in time is believed to take at most."""
 FIRST_HOLD_S = 0.8
 """Time for which a result is kept, before any was freed: a call of 0.3 s and
 the time until an engine has read a long prompt."""
@@ -35,13 +37,15 @@
         hold_s: Mean time for which the memory of a large result is in use.
     """
 
-    __slots__ = ("_groups", "_taken", "hold_s", "pool")
+    __slots__ = ("_groups", "_taken", "_taken_in_time", "hold_s", "pool")
 
     def __init__(self, pool: fleet.StagePool):
         self.pool = pool
         self.hold_s = FIRST_HOLD_S
         # Part of contested calls that each rank took lately.
         self._taken: dict[int, float] = {}
+        # Part that groups took which could still meet their objective.
+        self._taken_in_time = 0.0
         self._groups: dict[tuple[str, int], model.Group] = {}
 
     def __len__(self) -> int:
@@ -126,7 +130,7 @@
                 math.ceil(rest / servers)
             )
             wait_s = max(busy_s, stored_bytes / room_bytes * self.hold_s)
-            yield group, wait_s * self._stretch(group.rank)
+            yield group, wait_s * self._stretch(group, now)
 
     def note_hold(self, size_bytes: int, hold_s: float) -> None:
         """Learns for how long the memory of a result was in use."""
@@ -170,29 +174,35 @@
         call: list[tuple[model.Group, model.Piece]] = []
         room = _fill(call, by_objective, kept, room_bytes)
         _fill(call, by_rank, self.pool.batch, room)
-        self._note_ranks(call)
+        self._note_taken(call, now)
         for group in {id(g): g for g, _ in call}.values():
             if not group.waiting:
                 del self._groups[group.request_id, group.stage]
         return call
 
-    def _note_ranks(
-        self, call: Sequence[tuple[model.Group, model.Piece]]
+    def _note_taken(
+        self, call: Sequence[tuple[model.Group, model.Piece]], now: float
     ) -> None:
-        """Learns which ranks take the calls while others wait."""
+        """Learns who takes the calls while others wait."""
         if not call:
             return
         is_contested = any(g.waiting for g in self._groups.values())
         counts = collections.Counter(group.rank for group, _ in call)
+        in_time = sum(self._is_in_time(group, now) for group, _ in call)
         for rank in self._taken.keys() | counts.keys():
             part = counts[rank] / len(call) if is_contested else 0.0
             known = self._taken.get(rank, 0.0)
             self._taken[rank] = known + TAKEN_WEIGHT * (part - known)
-
-    def _stretch(self, rank: int) -> float:
-        """Returns the factor by which more urgent work delays a rank."""
-        taken = sum(part for r, part in self._taken.items() if r < rank)
-        return 1.0 / (1.0 - min(taken, 1.0 - FAIR_SHARE))
+        part = in_time / len(call) if is_contested else 0.0
+        self._taken_in_time += TAKEN_WEIGHT * (part - self._taken_in_time)
+
+    def _stretch(self, group: model.Group, now: float) -> float:
+        """Returns the factor by which work that goes first delays a group."""
+        taken = sum(p for rank, p in self._taken.items() if rank < group.rank)
+        taken = min(taken, 1.0 - FAIR_SHARE)
+        if not self._is_in_time(group, now):
+            taken = max(taken, min(self._taken_in_time, MAX_TAKEN))
+        return 1.0 / (1.0 - taken)
 
     def _urgency(self, group: model.Group, now: float) -> tuple:
         return (
--- a/tests/stages/test_batching.py
+++ b/tests/stages/test_batching.py
@@ -94,6 +94,22 @@
         self.assertGreater(refused_s, 0.0)
         self.assertIsNone(queue.refusal_s(group("in", pieces=8), 40, 0.0))
 
+    def test_late_work_is_refused_while_work_in_time_takes_all(self):
+        """Pattern: a long flood; late work is held for nothing.
+
+        Guards against refusals that come when the caller is about to leave
+        (haftgarden scale-1).
+        """
+        queue = self.queue(
+            *(group(f"r{n}", pieces=8, objective_at=99.0) for n in range(60))
+        )
+        late = group("late", pieces=2, objective_at=0.0, deadline_at=30.0)
+        before_s = queue.wait_s(late, 1, 0.0)
+        for _ in range(30):
+            queue.next_call(0.0, 36e6)
+        self.assertIsNotNone(queue.refusal_s(late, 1, 0.0))
+        self.assertLess(before_s, 30.0)
+
     def test_memory_lengthens_the_predicted_wait(self):
         """Guards against waits told from calls alone while memory limits."""
         small = self.queue(*(group(f"r{n}", pieces=4) for n in range(10)))
