--- a/savoryspar/fleet/model.py
+++ b/savoryspar/fleet/model.py
@@ -243,6 +243,8 @@
     __slots__ = (
         "_by_host",
         "_by_key",
+        "_first_rank",
+        "_ranks",
         "has_workspaces",
         "limits",
         "services",
@@ -266,6 +268,21 @@
         self._by_host: dict[str, list[Route]] = {}
         for route in sorted(routes, key=lambda r: -len(r.prefix)):
             self._by_host.setdefault(route.host, []).append(route)
+        self._ranks = 1 + max((route.rank for route in routes), default=0)
+        self._first_rank = min(
+            (w.rank for w in workspaces.values() if w.rank is not None),
+            default=0,
+        )
+
+    def rank(self, workspace: Workspace | None, route: Route) -> int:
+        """Returns the rank of a request, 0 for the most urgent one.
+
+        The workspace's rank goes first; the route's decides between requests
+        of workspaces with the same rank.
+        """
+        if workspace is None or workspace.rank is None:
+            return route.rank
+        return (workspace.rank - self._first_rank) * self._ranks + route.rank
 
     def find_route(self, host: str, path: str) -> Route | None:
         """Returns the route with the longest prefix that begins the path."""
--- a/savoryspar/gateway/app.py
+++ b/savoryspar/gateway/app.py
@@ -178,7 +178,7 @@
         workspace = self._authenticate(current, route, req.key)
         timeout_s = route.timeout_s or DEFAULT_DEADLINE_S
         deadline_s = min(timeout_s, req.deadline_s or timeout_s)
-        rank = route.rank
+        rank = current.rank(workspace, route)
         job = model.Job(
             req,
             route,
--- a/tests/fleet/test_roster.py
+++ b/tests/fleet/test_roster.py
@@ -91,3 +91,20 @@
         self.assertIs(long, current.find_route("h.example", "/a/b/c"))
         self.assertIs(short, current.find_route("h.example", "/a/bc"))
         self.assertIsNone(current.find_route("other", "/a/b/c"))
+
+    def test_rank_of_the_workspace_goes_before_that_of_the_route(self):
+        """Guards against an urgent workspace behind another one's routes."""
+        routes = [requests.route(rank=0), requests.route(rank=2)]
+        workspaces = {
+            "k1": fleet.Workspace("urgent", 1),
+            "k2": fleet.Workspace("other", 2),
+        }
+        limits = fleet.CallerLimits(1, 1, 1.0, 1.0)
+        current = fleet.Configuration(1, routes, {}, workspaces, True, limits)
+        ranks = [
+            current.rank(workspace, route)
+            for workspace in workspaces.values()
+            for route in routes
+        ]
+        self.assertEqual([0, 2, 3, 5], ranks)
+        self.assertEqual(2, current.rank(None, routes[1]))
