--- a/savoryspar/gateway/attempts.py
+++ b/savoryspar/gateway/attempts.py
@@ -32,12 +32,12 @@
         self,
         job: model.Job,
         router: routing.Router,
-        placing_: placing.Placing,
+        placer: placing.Placing,
         events: log.EventLog,
     ):
         self._job = job
         self._router = router
-        self._placing = placing_
+        self._placing = placer
         self._events = events
         self._excluded: frozenset[str] = frozenset()
         self._refused = 0
--- a/savoryspar/gateway/fleet_watch.py
+++ b/savoryspar/gateway/fleet_watch.py
@@ -7,9 +7,6 @@
 from savoryspar import fleet, log, membership, platform
 from savoryspar.gateway import model
 
-CONFIGURATION_KEY = "op/config"
-CONFIGURATION_PREFIX = "op/"
-SERVER_PREFIX = "servers/"
 WATCH_S = 20.0
 """Wait of one watch; a longer one saves few calls, and the store cuts some."""
 RETRY_S = 0.4
@@ -59,7 +56,10 @@
     ):
         self._clients = {
             prefix: platform.new_store_client(address)
-            for prefix in (CONFIGURATION_PREFIX, SERVER_PREFIX)
+            for prefix in (
+                platform.CONFIGURATION_PREFIX,
+                platform.SERVER_PREFIX,
+            )
         }
         self._holder = holder
         self._roster = roster
@@ -75,8 +75,8 @@
 
     def start(self) -> None:
         """Follows the store in green threads."""
-        eventlet.spawn(self._follow, CONFIGURATION_PREFIX)
-        eventlet.spawn(self._follow, SERVER_PREFIX)
+        eventlet.spawn(self._follow, platform.CONFIGURATION_PREFIX)
+        eventlet.spawn(self._follow, platform.SERVER_PREFIX)
         eventlet.spawn(self._expire_always)
 
     def calls(self) -> int:
@@ -115,11 +115,11 @@
                 retry_s = min(2.0 * retry_s, MAX_RETRY_S)
 
     def _read(self, prefix: str, client: platform.StoreClient) -> int:
-        if prefix == CONFIGURATION_PREFIX:
-            snapshot = client.get(CONFIGURATION_KEY)
+        if prefix == platform.CONFIGURATION_PREFIX:
+            snapshot = client.get(platform.CONFIGURATION_KEY)
             self._take(prefix, snapshot.items)
             return snapshot.revision if snapshot.items else 0
-        snapshot = client.read_all(SERVER_PREFIX)
+        snapshot = client.read_all(platform.SERVER_PREFIX)
         now = self._clock()
         entries = [self._decode(item, now) for item in snapshot.items]
         self._roster.replace(
@@ -135,15 +135,18 @@
         now = self._clock()
         self.changes[prefix] += len(items)
         for item in items:
-            if item.key == CONFIGURATION_KEY and item.value is not None:
+            if (
+                item.key == platform.CONFIGURATION_KEY
+                and item.value is not None
+            ):
                 self._offer(item.value, "store", now)
-            elif item.key.startswith(SERVER_PREFIX):
+            elif item.key.startswith(platform.SERVER_PREFIX):
                 self._take_server(item, now)
         if items:
             self._on_change(now)
 
     def _take_server(self, item: platform.Item, now: float) -> None:
-        name = item.key[len(SERVER_PREFIX) :]
+        name = item.key[len(platform.SERVER_PREFIX) :]
         if item.value is None:
             self._roster.remove(name, item.revision, "store", now)
             return
@@ -156,7 +159,9 @@
     ) -> fleet.BackendEntry | None:
         try:
             return platform.decode_backend_entry(
-                item.key[len(SERVER_PREFIX) :], item.value or b"", item.revision
+                item.key[len(platform.SERVER_PREFIX) :],
+                item.value or b"",
+                item.revision,
             )
         except fleet.DocumentError as exc:
             self._events.belief(
--- a/savoryspar/gateway/streams.py
+++ b/savoryspar/gateway/streams.py
@@ -33,7 +33,7 @@
         self,
         holder: fleet.ConfigurationHolder,
         router: routing.Router,
-        placing_: placing.Placing,
+        placer: placing.Placing,
         work: stage_work.StageWork,
         connections: backends.Connections,
         event_log: log.EventLog,
@@ -41,7 +41,7 @@
     ):
         self._holder = holder
         self._router = router
-        self._placing = placing_
+        self._placing = placer
         self._work = work
         self._connections = connections
         self._events = event_log
@@ -335,7 +335,7 @@
 def new_stream_forwarder(
     holder: fleet.ConfigurationHolder,
     router: routing.Router,
-    placing_: placing.Placing,
+    placer: placing.Placing,
     work: stage_work.StageWork,
     connections: backends.Connections,
     event_log: log.EventLog,
@@ -343,5 +343,5 @@
 ) -> StreamForwarder:
     """Returns a forwarder over the given parts."""
     return StreamForwarder(
-        holder, router, placing_, work, connections, event_log, clock
+        holder, router, placer, work, connections, event_log, clock
     )
--- a/savoryspar/log/events.py
+++ b/savoryspar/log/events.py
@@ -10,8 +10,12 @@
 import os
 from typing import Any
 
+from eventlet import patcher
 import logbook
 
+original_os = patcher.original("os")
+"""The module without eventlet's changes, whose write waits for the reader."""
+
 LINES_PER_S = 60.0
 """Lines a second on average; about 12 a request at 5 requests a second."""
 BURST_LINES = 240.0
@@ -77,7 +81,7 @@
             data = self._partial + data
             self._partial = b""
         try:
-            written = os.write(self._fd, data)
+            written = original_os.write(self._fd, data)
         except OSError:
             # The reader is slow or gone; the count goes into the next line.
             self.left_out += 1
--- a/savoryspar/platform/__init__.py
+++ b/savoryspar/platform/__init__.py
@@ -5,11 +5,13 @@
 """
 
 from savoryspar.platform.documents import (
+    CONFIGURATION_KEY,
+    CONFIGURATION_PREFIX,
+    SERVER_PREFIX,
     decode_backend_entry,
     decode_configuration,
 )
 from savoryspar.platform.headers import (
-    READY_PATH,
     answer_facts,
     answer_headers,
     decode_caller_request,
--- a/savoryspar/platform/documents.py
+++ b/savoryspar/platform/documents.py
@@ -6,6 +6,12 @@
 
 from savoryspar import fleet
 
+CONFIGURATION_PREFIX = "op/"
+CONFIGURATION_KEY = "op/config"
+"""Key of the operator's newest configuration."""
+SERVER_PREFIX = "servers/"
+"""Beginning of the keys of backend servers' entries; the ID follows."""
+
 KINDS = {
     "safe": fleet.RouteKind.IDEMPOTENT,
     "unsafe": fleet.RouteKind.ONCE,
--- a/savoryspar/platform/headers.py
+++ b/savoryspar/platform/headers.py
@@ -4,8 +4,6 @@
 
 from savoryspar import backends
 
-READY_PATH = "/-/readyz"
-
 ATTEMPT_ID = "Savoryspar-Attempt-Id"
 DEADLINE = "Savoryspar-Deadline-Ms"
 EXPECT_SERVER = "Savoryspar-Expect-Instance"
@@ -73,14 +71,15 @@
         BadRequestError: A field cannot be read.
     """
     found = {name.lower(): value.strip() for name, value in fields}
-    get = lambda name: found.get(name.lower(), "")  # noqa: E731
+
+    def get(name: str) -> str:
+        return found.get(name.lower(), "")
+
     try:
-        deadline_ms = float(get(DEADLINE)) if get(DEADLINE) else None
+        deadline_s = float(get(DEADLINE)) / 1000.0 if get(DEADLINE) else None
         prompt_tokens, output_tokens = _numbers(get(TOKENS), 2)
         pieces = tuple(int(n) for n in get(PIECES).split(",") if n.strip())
-        parts = tuple(
-            _part(text) for text in get(PROMPT_PARTS).split(",") if text
-        )
+        parts = [_part(text) for text in get(PROMPT_PARTS).split(",") if text]
         resume_after = int(get(RESUME_AFTER)) if get(RESUME_AFTER) else None
     except ValueError as exc:
         raise backends.BadRequestError(
@@ -91,17 +90,10 @@
         attempt_id=get(ATTEMPT_ID),
         method=method,
         target=target,
-        host=get("Host").rpartition(":")[0].lower()
-        if ":" in get("Host")
-        else get("Host").lower(),
-        fields=tuple(
-            (name, value)
-            for name, value in fields
-            if name.lower() not in HOP_BY_HOP | SET_BY_SYSTEM
-            and name.lower() not in _listed_in_connection(get("Connection"))
-        ),
+        host=get("Host").lower().partition(":")[0],
+        fields=_passed_on(fields, get("Connection")),
         body=body,
-        deadline_s=None if deadline_ms is None else deadline_ms / 1000.0,
+        deadline_s=deadline_s,
         key=get(KEY),
         model=get(MODEL),
         prompt_tokens=prompt_tokens,
@@ -113,6 +105,16 @@
     )
 
 
+def _passed_on(
+    fields: Sequence[tuple[str, str]], connection: str
+) -> tuple[tuple[str, str], ...]:
+    """Returns the fields that concern more than the caller's connection."""
+    left_out = HOP_BY_HOP | SET_BY_SYSTEM | _listed_in_connection(connection)
+    return tuple(
+        (name, value) for name, value in fields if name.lower() not in left_out
+    )
+
+
 def _listed_in_connection(value: str) -> frozenset[str]:
     return frozenset(word.strip().lower() for word in value.split(","))
 
--- /dev/null
+++ b/tests/http/test_protocol.py
@@ -0,0 +1,78 @@
+"""Tests of request heads that could be read in two ways."""
+
+import eventlet
+import testtools
+
+from savoryspar import http
+
+
+def app(environ, start_response):
+    body = environ["wsgi.input"].read()
+    start_response("200 OK", [("X-Target", environ[http.TARGET_KEY])])
+    return [b"body:" + body]
+
+
+class AmbiguousRequestTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        server = http.new_listener(app, ("127.0.0.1", 0), 10, 2.0)
+        server.start()
+        self.address = server.address
+
+    def ask(self, data):
+        sock = eventlet.connect(self.address)
+        sock.sendall(data)
+        sock.settimeout(2.0)
+        answer = b""
+        try:
+            while part := sock.recv(65536):
+                answer += part
+                if b"body:" in answer and not answer.startswith(b"HTTP/1.1 4"):
+                    break
+        finally:
+            sock.close()
+        return answer
+
+    def assert_refused(self, data):
+        answer = self.ask(data)
+        self.assertTrue(answer.startswith(b"HTTP/1.1 400 "), answer)
+        self.assertIn(b"Connection: close", answer)
+        self.assertEqual(1, answer.count(b"HTTP/1.1"))
+
+    def test_two_lengths_are_refused(self):
+        """Guards against a request that is smuggled behind another one."""
+        self.assert_refused(
+            b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n"
+            b"Content-Length: 5\r\n\r\nabcGET / HTTP/1.1\r\nHost: h\r\n\r\n"
+        )
+
+    def test_length_and_chunks_are_refused(self):
+        """Guards against a body whose end two readers see differently."""
+        self.assert_refused(
+            b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n"
+            b"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n"
+        )
+
+    def test_unknown_encoding_is_refused(self):
+        """Guards against a body that is passed on undecoded."""
+        self.assert_refused(
+            b"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: gzip\r\n\r\n"
+        )
+
+    def test_garbage_gets_a_status_line(self):
+        """Guards against an HTML page without a head as the answer."""
+        self.assert_refused(b"garbage\r\n\r\n")
+
+    def test_chunked_body_is_read(self):
+        """Guards against callers turned away with 411."""
+        answer = self.ask(
+            b"POST /a%2f//b HTTP/1.1\r\nHost: h\r\n"
+            b"Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n"
+        )
+        self.assertIn(b"body:abc", answer)
+        self.assertIn(b"/a%2f//b", answer)
+
+    def test_slashes_at_the_start_are_kept(self):
+        """Guards against a path that the server library rewrites."""
+        answer = self.ask(b"GET //a HTTP/1.1\r\nHost: h\r\n\r\n")
+        self.assertIn(b"X-Target: //a", answer)
--- a/tests/log/test_events.py
+++ b/tests/log/test_events.py
@@ -4,6 +4,8 @@
 import os
 import pathlib
 import re
+import subprocess
+import sys
 
 import testtools
 
@@ -12,6 +14,19 @@
 PACKAGE = pathlib.Path(log.__file__).resolve().parents[1]
 CALL = re.compile(r"\.(?:belief|decision|failure)\(\s*(.*?),\n?", re.DOTALL)
 NAME = re.compile(r'"([^"]+)"')
+PATCHED = """
+import eventlet
+eventlet.monkey_patch()
+import os
+from savoryspar import log
+
+reader, writer = os.pipe()
+events = log.new_event_log(writer, "vm-1")
+with eventlet.Timeout(5.0):
+    for step in range(5000):
+        events.belief("start", float(step), text="x" * 200)
+print("done")
+"""
 
 
 class EventLogTest(testtools.TestCase):
@@ -74,6 +89,18 @@
         for line in self.lines()[:-1]:
             self.assertEqual("start", line["event"])
 
+    def test_slow_reader_does_not_block_a_patched_process(self):
+        """Guards against eventlet's write, which waits for the reader."""
+        run = subprocess.run(
+            [sys.executable, "-W", "ignore", "-c", PATCHED],
+            cwd=PACKAGE.parent,
+            capture_output=True,
+            text=True,
+            timeout=30,
+            check=True,
+        )
+        self.assertEqual("done", run.stdout.strip())
+
     def test_every_event_is_listed(self):
         """Guards against a line that the reference does not explain."""
         used = {
--- /dev/null
+++ b/tests/platform/test_store.py
@@ -0,0 +1,123 @@
+"""Tests of the store's client against scripted answers."""
+
+import base64
+import json
+import socket
+import threading
+
+import testtools
+
+from savoryspar import fleet, platform
+from tests.backends import test_connections as scripted
+
+
+def answer(status, body):
+    data = json.dumps(body).encode()
+    head = b"HTTP/1.1 %d X\r\nContent-Length: %d\r\n\r\n" % (status, len(data))
+    return scripted.send(head + data)
+
+
+def item(key, value, revision):
+    text = base64.b64encode(value).decode()
+    return {"key": key, "value": text, "revision": revision}
+
+
+class ThreadedServer:
+    """Answers requests in a thread, since the client blocks this one."""
+
+    def __init__(self, steps):
+        self.requests = []
+        self._steps = list(steps)
+        self._sock = socket.create_server(("127.0.0.1", 0))
+        self.address = f"127.0.0.1:{self._sock.getsockname()[1]}"
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def _accept(self):
+        while self._steps:
+            conn, _ = self._sock.accept()
+            with conn:
+                self._serve(conn)
+
+    def _serve(self, conn):
+        while self._steps:
+            head = conn.recv(65536)
+            if not head:
+                return
+            self.requests.append(head)
+            step = self._steps.pop(0)
+            step(conn)
+            if conn.fileno() < 0:
+                return
+
+
+class StoreClientTest(testtools.TestCase):
+    def client(self, *steps):
+        self.server = ThreadedServer(steps)
+        return platform.new_store_client(self.server.address)
+
+    def test_missing_key_is_an_empty_snapshot(self):
+        """Guards against a start that fails before the first configuration."""
+        snapshot = self.client(answer(404, {"as-of": 7})).get("op/config")
+        self.assertEqual(([], 7), (snapshot.items, snapshot.revision))
+
+    def test_pages_are_followed_and_watched_from_the_first(self):
+        """Guards against changes lost while later pages are read."""
+        client = self.client(
+            answer(
+                200,
+                {
+                    "entries": [item("s/a", b"1", 3)],
+                    "truncated": True,
+                    "as-of": 9,
+                },
+            ),
+            answer(
+                200,
+                {
+                    "entries": [item("s/b", b"2", 10)],
+                    "truncated": False,
+                    "as-of": 12,
+                },
+            ),
+        )
+        snapshot = client.read_all("s/")
+        self.assertEqual(["s/a", "s/b"], [i.key for i in snapshot.items])
+        self.assertEqual(9, snapshot.revision)
+        self.assertIn(b"after=s%2Fa", self.server.requests[1])
+
+    def test_removals_are_told_apart(self):
+        """Guards against a removed server taken for an empty entry."""
+        client = self.client(
+            answer(
+                200,
+                {
+                    "events": [
+                        item("s/a", b"1", 4),
+                        {"key": "s/b", "revision": 5, "deleted": True},
+                    ],
+                    "as-of": 5,
+                },
+            )
+        )
+        changes = client.watch("s/", 3, 1.0)
+        self.assertEqual([b"1", None], [i.value for i in changes.items])
+
+    def test_forgotten_history_is_told_apart(self):
+        """Guards against a watch that never hears of the lost changes."""
+        client = self.client(answer(410, {}))
+        self.assertRaises(fleet.HistoryGoneError, client.watch, "s/", 3, 1.0)
+
+    def test_refusals_are_errors(self):
+        """Guards against a refused read taken for an empty list."""
+        for status in (429, 503, 404):
+            client = self.client(answer(status, {}))
+            self.assertRaises(fleet.StoreError, client.read_all, "s/")
+
+    def test_broken_answers_open_a_new_connection(self):
+        """Guards against a client that stays on a dead connection."""
+        client = self.client(
+            scripted.send_and_end(b"HTTP/1.1 200 OK\r\nContent-Le"),
+            answer(404, {"as-of": 2}),
+        )
+        self.assertRaises(fleet.StoreError, client.get, "k")
+        self.assertEqual(2, client.get("k").revision)
