Split what a VM gathers from what it asks for

Change: gateway/gatherers.py serves peers, gateway/stage_work.py asks; a changed pool reaches its queue; header fields are bounded as the configuration says; a result that could not be freed is logged.

--- a/savoryspar/fleet/roster.py
+++ b/savoryspar/fleet/roster.py
@@ -145,10 +145,6 @@
             (name, revision) for name, (revision, _) in self._removed.items()
         ]
 
-    def find(self, name: str) -> model.BackendEntry | None:
-        """Returns the entry of a server."""
-        return self._entries.get(name)
-
     def _undoubt(self, name: str) -> None:
         if self._doubted.pop(name, None) is not None:
             self.generation += 1
--- a/savoryspar/gateway/app.py
+++ b/savoryspar/gateway/app.py
@@ -25,6 +25,9 @@
 PLAIN_OBJECTIVES = 3.0
 """Time that a request with one answer may need, in objectives."""
 
+FIELD_BYTES = 4
+"""Colon, blank and line end of a header field."""
+
 StartResponse = Callable[[str, list[tuple[str, str]]], Callable[[bytes], Any]]
 
 
@@ -150,11 +153,13 @@
                 "this entry VM has no configuration yet",
                 NO_CONFIGURATION_RETRY_S,
             )
+        fields = environ[http.FIELDS_KEY]
+        _check_header_size(fields, current.limits.max_header_bytes)
         body = _read_body(environ, current.limits.max_body_bytes)
         return platform.decode_caller_request(
             environ["REQUEST_METHOD"],
             environ[http.TARGET_KEY],
-            environ[http.FIELDS_KEY],
+            fields,
             body,
         )
 
@@ -304,6 +309,21 @@
         return self._start_response(status, fields)
 
 
+def _check_header_size(
+    fields: Iterable[tuple[str, str]], max_bytes: int
+) -> None:
+    """Raises ``GatewayError`` when the header fields are too long."""
+    size = sum(len(name) + len(value) + FIELD_BYTES for name, value in fields)
+    if size > max_bytes:
+        raise model.GatewayError(
+            "431 Request Header Fields Too Large",
+            "header_too_long",
+            f"the header fields have {size} bytes, more than {max_bytes}",
+            "send less",
+            is_closing=True,
+        )
+
+
 def _read_body(environ: dict[str, Any], max_bytes: int) -> bytes:
     """Reads the whole body.
 
--- /dev/null
+++ b/savoryspar/gateway/gatherers.py
@@ -0,0 +1,191 @@
+"""The queues that this VM gathers, and what peers ask of them."""
+
+from collections.abc import Sequence
+from typing import Any
+
+import eventlet
+
+from savoryspar import backends, fleet, log, membership, stages
+from savoryspar.gateway import gathering, model
+
+SUBMIT_KIND = "stage_submit"
+DONE_KIND = "stage_done"
+CANCEL_KIND = "stage_cancel"
+FREE_KIND = "stage_free"
+POLL_KIND = "stage_poll"
+DONE_TIMEOUT_S = 1.0
+"""Time for the asker to take results."""
+
+
+class Gatherers:
+    """A gatherer for each pool and zone that was asked for here."""
+
+    __slots__ = (
+        "_clock",
+        "_connections",
+        "_events",
+        "_gatherers",
+        "_holder",
+        "_members",
+        "_roster",
+    )
+
+    def __init__(
+        self,
+        holder: fleet.ConfigurationHolder,
+        roster: fleet.Roster,
+        members: membership.Membership,
+        connections: backends.Connections,
+        events: log.EventLog,
+        clock: model.Clock,
+    ):
+        self._holder = holder
+        self._roster = roster
+        self._members = members
+        self._connections = connections
+        self._events = events
+        self._clock = clock
+        self._gatherers: dict[tuple[str, str], gathering.Gatherer] = {}
+        members.handle(SUBMIT_KIND, self._serve_submit)
+        members.handle(POLL_KIND, self._serve_poll)
+        members.handle(CANCEL_KIND, self._serve_cancel)
+        members.handle(FREE_KIND, self._serve_free)
+
+    def by_place(self) -> dict[tuple[str, str], gathering.Gatherer]:
+        """Returns the gatherers by pool and zone."""
+        return self._gatherers
+
+    def submit(
+        self, zone: str, group: stages.Group, done: gathering.Done, now: float
+    ) -> gathering.Offer:
+        """Offers a group to the gatherer of its pool in a zone.
+
+        Args:
+            zone: Availability zone of the servers.
+            group: The pieces.
+            done: Called when all have results, or with the failure.
+            now: Monotonic time in seconds.
+        """
+        current = self._holder.current
+        service = current and current.services.get(group.pool)
+        if not service or not service.stage_pool:
+            retry_s = gathering.NO_SERVER_RETRY_S
+            return gathering.Offer(retry_s, retry_s, retry_s)
+        gatherer = self._gatherers.get((group.pool, zone))
+        if gatherer is None:
+            gatherer = gathering.new_gatherer(
+                service.stage_pool,
+                lambda: self._entries(group.pool, zone),
+                self._connections,
+                self._events,
+                self._clock,
+            )
+            self._gatherers[group.pool, zone] = gatherer
+        # A new version of the configuration may have changed the pool.
+        gatherer.queue.pool = service.stage_pool
+        return gatherer.submit(group, done, now)
+
+    def wait_s(
+        self, pool: str, zone: str, request_id: str, stage: int
+    ) -> float | None:
+        """Predicts when a group is done; None when it is not known here."""
+        gatherer = self._gatherers.get((pool, zone))
+        return gatherer and gatherer.wait_s(request_id, stage)
+
+    def cancel(self, request_id: str) -> None:
+        """Drops the pieces of a request."""
+        for gatherer in self._gatherers.values():
+            gatherer.cancel(request_id)
+
+    def free(self, pool: str, zone: str, handles: Sequence[str]) -> None:
+        """Frees results of a pool; unknown ones end by themselves."""
+        gatherer = self._gatherers.get((pool, zone))
+        if gatherer is not None:
+            gatherer.free(handles)
+
+    def free_all(self, handles: Sequence[str]) -> None:
+        """Frees results of any pool."""
+        for gatherer in self._gatherers.values():
+            gatherer.free(handles)
+
+    def _entries(self, pool: str, zone: str) -> list[fleet.BackendEntry]:
+        return [
+            entry
+            for entry in self._roster.usable()
+            if entry.service == pool and entry.zone == zone
+        ]
+
+    def _serve_submit(self, sender: str, body: Any) -> dict[str, Any]:
+        now = self._clock()
+        group = stages.decode_group(body["group"], now)
+        zone = str(body["zone"])
+
+        def done(group: stages.Group, failure: stages.Failure | None) -> None:
+            eventlet.spawn(self._tell_done, sender, zone, group, failure)
+
+        offer = self.submit(zone, group, done, now)
+        return {
+            "refused_s": offer.refused_s,
+            "wait_s": offer.wait_s,
+            "fresh_wait_s": offer.fresh_wait_s,
+        }
+
+    def _tell_done(
+        self,
+        sender: str,
+        zone: str,
+        group: stages.Group,
+        failure: stages.Failure | None,
+    ) -> None:
+        try:
+            reply = self._members.request(
+                sender,
+                DONE_KIND,
+                [
+                    group.request_id,
+                    group.stage,
+                    group.handles(),
+                    failure.value if failure else "",
+                ],
+                DONE_TIMEOUT_S,
+            )
+            if not reply["is_awaited"]:
+                self.free(group.pool, zone, group.handles())
+        except membership.PeerUnreachableError as exc:
+            self.free(group.pool, zone, group.handles())
+            self._events.failure(
+                "stage results not delivered",
+                self._clock(),
+                group.request_id,
+                stage=group.stage,
+                peer=sender,
+                cause=str(exc),
+            )
+
+    def _serve_poll(self, sender: str, body: Any) -> dict[str, Any]:
+        del sender
+        pool, zone, request_id, stage = body
+        return {"wait_s": self.wait_s(pool, zone, request_id, stage)}
+
+    def _serve_cancel(self, sender: str, body: Any) -> dict[str, Any]:
+        del sender
+        self.cancel(str(body))
+        return {}
+
+    def _serve_free(self, sender: str, body: Any) -> dict[str, Any]:
+        del sender
+        pool, zone, handles = body
+        self.free(str(pool), str(zone), [str(h) for h in handles])
+        return {}
+
+
+def new_gatherers(
+    holder: fleet.ConfigurationHolder,
+    roster: fleet.Roster,
+    members: membership.Membership,
+    connections: backends.Connections,
+    events: log.EventLog,
+    clock: model.Clock,
+) -> Gatherers:
+    """Returns the gatherers of an entry VM; peers may submit at once."""
+    return Gatherers(holder, roster, members, connections, events, clock)
--- a/savoryspar/gateway/gathering.py
+++ b/savoryspar/gateway/gathering.py
@@ -13,25 +13,6 @@
 from savoryspar import backends, fleet, log, platform, stages
 from savoryspar.gateway import model
 
-MAX_TRIES = 3
-"""Calls in which the pieces of a group may fail before it fails."""
-CALL_TIMEOUT_FACTOR = 6.0
-"""Longest wait for a call as a factor of its expected time."""
-MIN_CALL_TIMEOUT_S = 1.5
-FIRST_BACKOFF_S = 0.3
-MAX_BACKOFF_S = 4.0
-"""Pause of a server after failed calls, doubled from one to the next."""
-FULL_PAUSE_S = 0.05
-"""Pause after a server said that it is full: another VM calls it too."""
-NO_SERVER_RETRY_S = 1.0
-"""When to come back while a pool has no server in the zone."""
-WAKE_S = 0.3
-"""Longest pause between two looks at the queue; memory may end by itself."""
-IDLE_S = 5.0
-"""Time without pieces after which a server's green thread ends."""
-FREE_DELAY_S = 0.02
-"""Time for which freed results are collected into one call; their memory is
-what limits a pool with large results."""
 FULL_ROOM_PAUSE_S = 0.05
 """Pause of a server that refused all pieces of a call for lack of memory: it
 keeps results that another VM had ordered."""
@@ -54,9 +35,6 @@
 FREE_DELAY_S = 0.02
 """Time for which freed results are collected into one call; their memory is
 what limits a pool with large results."""
-ROOM_GROWTH = 1.05
-"""Growth of the memory that a server is believed to have, with each call that
-it did not refuse for lack of memory."""
 FREE_TIMEOUT_S = 1.0
 
 Done = Callable[[stages.Group, "stages.Failure | None"], None]
--- a/savoryspar/gateway/node.py
+++ b/savoryspar/gateway/node.py
@@ -22,6 +22,7 @@
     app,
     counters,
     fleet_watch,
+    gatherers,
     gathering,
     placing,
     plain,
@@ -64,6 +65,7 @@
         "_clock",
         "_connections",
         "_events",
+        "_gatherers",
         "_holder",
         "_members",
         "_metrics",
@@ -93,7 +95,7 @@
         self._placing = placing.new_fleet_placing(
             self._router, self._roster, self._members, self._events, clock
         )
-        self._work = stage_work.new_stage_work(
+        self._gatherers = gatherers.new_gatherers(
             self._holder,
             self._roster,
             self._members,
@@ -101,6 +103,9 @@
             self._events,
             clock,
         )
+        self._work = stage_work.new_stage_work(
+            self._roster, self._members, self._gatherers, self._events, clock
+        )
         self._watch = fleet_watch.FleetWatch(
             section.store_address,
             self._holder,
@@ -225,7 +230,7 @@
             "peers": sorted(f"{m.zone}/{m.name}" for m in view.members),
             "gatherers": {
                 f"{pool}/{zone}": len(gatherer.queue)
-                for (pool, zone), gatherer in self._work.gatherers().items()
+                for (pool, zone), gatherer in self._gatherers.by_place().items()
             },
             "routing": self._router.status(now),
         }
@@ -294,18 +299,16 @@
             "peers": lambda: len(self._members.view(self._clock()).members),
             "backend_connections_opened": lambda: self._connections.opened,
             "stray_answers": lambda: self._connections.stray_answers,
-            "stage_calls": lambda: sum(g.calls for g in self._gatherers()),
-            "stage_pieces": lambda: sum(g.pieces for g in self._gatherers()),
-            "stage_waiting": lambda: sum(
-                len(g.queue) for g in self._gatherers()
-            ),
+            "stage_calls": lambda: sum(g.calls for g in self._queues()),
+            "stage_pieces": lambda: sum(g.pieces for g in self._queues()),
+            "stage_waiting": lambda: sum(len(g.queue) for g in self._queues()),
             "log_lines_left_out": lambda: self._events.left_out,
         }
         for name, reader in readers.items():
             self._metrics.read_with(name, reader)
 
-    def _gatherers(self) -> Iterable[gathering.Gatherer]:
-        return self._work.gatherers().values()
+    def _queues(self) -> Iterable[gathering.Gatherer]:
+        return self._gatherers.by_place().values()
 
 
 def _new_members(cfg: conf.Settings, now: float) -> membership.Membership:
--- a/savoryspar/gateway/stage_work.py
+++ b/savoryspar/gateway/stage_work.py
@@ -7,17 +7,13 @@
 import eventlet
 from eventlet import event
 
-from savoryspar import backends, fleet, log, membership, stages
-from savoryspar.gateway import gathering, model
+from savoryspar import fleet, log, membership, stages
+from savoryspar.gateway import gatherers, gathering, model
 
-SUBMIT_KIND = "stage_submit"
-DONE_KIND = "stage_done"
-CANCEL_KIND = "stage_cancel"
-FREE_KIND = "stage_free"
 SUBMIT_TIMEOUT_S = 0.4
 """Time for a peer to accept a group; a round trip between regions is 40 ms."""
-DONE_TIMEOUT_S = 1.0
-POLL_KIND = "stage_poll"
+PEER_TIMEOUT_S = 1.0
+"""Time for a peer to take a note that nobody waits for."""
 RESULT_FACTOR = 1.5
 """Wait for the results as a factor of the predicted time, before the gatherer
 is asked whether it still has the pieces."""
@@ -67,10 +63,8 @@
 
     __slots__ = (
         "_clock",
-        "_connections",
         "_events",
-        "_gatherers",
-        "_holder",
+        "_here",
         "_made_by",
         "_members",
         "_roster",
@@ -80,32 +74,21 @@
 
     def __init__(
         self,
-        holder: fleet.ConfigurationHolder,
         roster: fleet.Roster,
         members: membership.Membership,
-        connections: backends.Connections,
+        here: gatherers.Gatherers,
         events: log.EventLog,
         clock: model.Clock,
     ):
-        self._holder = holder
         self._roster = roster
         self._members = members
-        self._connections = connections
+        self._here = here
         self._events = events
         self._clock = clock
-        self._gatherers: dict[tuple[str, str], gathering.Gatherer] = {}
         self._waits: dict[tuple[str, str, int], tuple[float, float]] = {}
         self._waiting: dict[tuple[str, int], event.Event] = {}
         self._made_by: dict[str, _Place] = {}
-        members.handle(SUBMIT_KIND, self._serve_submit)
-        members.handle(DONE_KIND, self._serve_done)
-        members.handle(POLL_KIND, self._serve_poll)
-        members.handle(CANCEL_KIND, self._serve_cancel)
-        members.handle(FREE_KIND, self._serve_free)
-
-    def gatherers(self) -> dict[tuple[str, str], gathering.Gatherer]:
-        """Returns the queues that this VM gathers, by pool and zone."""
-        return self._gatherers
+        members.handle(gatherers.DONE_KIND, self._serve_done)
 
     def run_chain(
         self, chain: stages.Chain, request_id: str, near: str
@@ -169,7 +152,7 @@
                 places.setdefault(id(place), (place, []))[1].append(handle)
         for place, found in places.values():
             if place.incarnation == self._own():
-                self._free_here(place.pool, place.zone, found)
+                self._here.free(place.pool, place.zone, found)
             else:
                 eventlet.spawn(self._free_there, place, found)
 
@@ -335,36 +318,25 @@
 
     def _poll(self, place: _Place, group: stages.Group) -> float | None:
         if place.incarnation == self._own():
-            return self._wait_here(
+            return self._here.wait_s(
                 place.pool, place.zone, group.request_id, group.stage
             )
         reply = self._members.request(
             place.incarnation,
-            POLL_KIND,
+            gatherers.POLL_KIND,
             [place.pool, place.zone, group.request_id, group.stage],
             SUBMIT_TIMEOUT_S,
         )
         return reply["wait_s"]
 
-    def _wait_here(
-        self, pool: str, zone: str, request_id: str, stage: int
-    ) -> float | None:
-        gatherer = self._gatherers.get((pool, zone))
-        return gatherer and gatherer.wait_s(request_id, stage)
-
-    def _serve_poll(self, sender: str, body: Any) -> dict[str, Any]:
-        del sender
-        pool, zone, request_id, stage = body
-        return {"wait_s": self._wait_here(pool, zone, request_id, stage)}
-
     def _submit(
         self, place: _Place, group: stages.Group, now: float
     ) -> gathering.Offer:
         if place.incarnation == self._own():
-            return self._gather(place.zone, group, self._done_here, now)
+            return self._here.submit(place.zone, group, self._done_here, now)
         reply = self._members.request(
             place.incarnation,
-            SUBMIT_KIND,
+            gatherers.SUBMIT_KIND,
             {"zone": place.zone, "group": group.to_body(now)},
             SUBMIT_TIMEOUT_S,
         )
@@ -372,33 +344,6 @@
             reply["refused_s"], reply["wait_s"], reply["fresh_wait_s"]
         )
 
-    def _gather(
-        self, zone: str, group: stages.Group, done: gathering.Done, now: float
-    ) -> gathering.Offer:
-        current = self._holder.current
-        service = current and current.services.get(group.pool)
-        if not service or not service.stage_pool:
-            retry_s = gathering.NO_SERVER_RETRY_S
-            return gathering.Offer(retry_s, retry_s, retry_s)
-        gatherer = self._gatherers.get((group.pool, zone))
-        if gatherer is None:
-            gatherer = gathering.new_gatherer(
-                service.stage_pool,
-                lambda: self._entries(group.pool, zone),
-                self._connections,
-                self._events,
-                self._clock,
-            )
-            self._gatherers[group.pool, zone] = gatherer
-        return gatherer.submit(group, done, now)
-
-    def _entries(self, pool: str, zone: str) -> list[fleet.BackendEntry]:
-        return [
-            entry
-            for entry in self._roster.usable()
-            if entry.service == pool and entry.zone == zone
-        ]
-
     def _done_here(
         self, group: stages.Group, failure: stages.Failure | None
     ) -> None:
@@ -406,56 +351,7 @@
         if waiting is not None:
             waiting.send((group.handles(), failure.value if failure else ""))
             return
-        for gatherer in self._gatherers.values():
-            gatherer.free(group.handles())
-
-    def _serve_submit(self, sender: str, body: Any) -> dict[str, Any]:
-        now = self._clock()
-        group = stages.decode_group(body["group"], now)
-
-        zone = str(body["zone"])
-
-        def done(group: stages.Group, failure: stages.Failure | None) -> None:
-            eventlet.spawn(self._tell_done, sender, zone, group, failure)
-
-        offer = self._gather(zone, group, done, now)
-        return {
-            "refused_s": offer.refused_s,
-            "wait_s": offer.wait_s,
-            "fresh_wait_s": offer.fresh_wait_s,
-        }
-
-    def _tell_done(
-        self,
-        sender: str,
-        zone: str,
-        group: stages.Group,
-        failure: stages.Failure | None,
-    ) -> None:
-        try:
-            reply = self._members.request(
-                sender,
-                DONE_KIND,
-                [
-                    group.request_id,
-                    group.stage,
-                    group.handles(),
-                    failure.value if failure else "",
-                ],
-                DONE_TIMEOUT_S,
-            )
-            if not reply["is_awaited"]:
-                self._free_here(group.pool, zone, group.handles())
-        except membership.PeerUnreachableError as exc:
-            self._free_here(group.pool, zone, group.handles())
-            self._events.failure(
-                "stage results not delivered",
-                self._clock(),
-                group.request_id,
-                stage=group.stage,
-                peer=sender,
-                cause=str(exc),
-            )
+        self._here.free_all(group.handles())
 
     def _serve_done(self, sender: str, body: Any) -> dict[str, Any]:
         del sender
@@ -466,7 +362,7 @@
         return {"is_awaited": waiting is not None}
 
     def _cancel(self, request_id: str) -> None:
-        self._cancel_here(request_id)
+        self._here.cancel(request_id)
         # Pieces wait at the gatherers of the own zone, seldom elsewhere.
         view = self._members.view(self._clock())
         for member in view.members:
@@ -474,7 +370,10 @@
                 continue
             try:
                 self._members.request(
-                    member.incarnation, CANCEL_KIND, request_id, DONE_TIMEOUT_S
+                    member.incarnation,
+                    gatherers.CANCEL_KIND,
+                    request_id,
+                    PEER_TIMEOUT_S,
                 )
             except membership.PeerUnreachableError as exc:
                 self._events.failure(
@@ -485,38 +384,22 @@
                     cause=str(exc),
                 )
 
-    def _serve_cancel(self, sender: str, body: Any) -> dict[str, Any]:
-        del sender
-        self._cancel_here(str(body))
-        return {}
-
-    def _cancel_here(self, request_id: str) -> None:
-        for gatherer in self._gatherers.values():
-            gatherer.cancel(request_id)
-
     def _free_there(self, place: _Place, handles: list[str]) -> None:
         try:
             self._members.request(
                 place.incarnation,
-                FREE_KIND,
+                gatherers.FREE_KIND,
                 [place.pool, place.zone, handles],
-                DONE_TIMEOUT_S,
+                PEER_TIMEOUT_S,
+            )
+        except membership.PeerUnreachableError as exc:
+            self._events.belief(
+                "results not freed",
+                self._clock(),
+                peer=place.incarnation,
+                results=len(handles),
+                cause=str(exc),
             )
-        except membership.PeerUnreachableError:
-            # Another VM can free them as well: the calls name the results.
-            self._free_here(place.pool, place.zone, handles)
-
-    def _serve_free(self, sender: str, body: Any) -> dict[str, Any]:
-        del sender
-        pool, zone, handles = body
-        self._free_here(str(pool), str(zone), [str(h) for h in handles])
-        return {}
-
-    def _free_here(self, pool: str, zone: str, handles: list[str]) -> None:
-        gatherer = self._gatherers.get((pool, zone))
-        if gatherer is not None:
-            # Unknown results end with their time to live.
-            gatherer.free(handles)
 
     def _own(self) -> str:
         return self._members.view(self._clock()).own.incarnation
@@ -540,12 +423,19 @@
 
 
 def new_stage_work(
-    holder: fleet.ConfigurationHolder,
     roster: fleet.Roster,
     members: membership.Membership,
-    connections: backends.Connections,
+    here: gatherers.Gatherers,
     events: log.EventLog,
     clock: model.Clock,
 ) -> StageWork:
-    """Returns the stage work of an entry VM; peers may submit at once."""
-    return StageWork(holder, roster, members, connections, events, clock)
+    """Returns the stage work of an entry VM.
+
+    Args:
+        roster: The backend servers.
+        members: The other entry VMs.
+        here: What this VM gathers itself.
+        events: Where decisions are logged.
+        clock: Monotonic time in seconds.
+    """
+    return StageWork(roster, members, here, events, clock)
