Never move past changes that a watch did not tell

Change: an empty answer moves nothing, so the change is told or the history is said to be gone; a watch waits 5 s instead of 20.

--- a/savoryspar/gateway/fleet_watch.py
+++ b/savoryspar/gateway/fleet_watch.py
@@ -7,8 +7,9 @@
 from savoryspar import fleet, log, membership, platform
 from savoryspar.gateway import model
 
-WATCH_S = 20.0
-"""Wait of one watch; a longer one saves few calls, and the store cuts some."""
+WATCH_S = 5.0
+"""Wait of one watch. A store that is about to drop its history may let a watch
+wait without telling it of changes, which are then missed for as long."""
 RETRY_S = 0.4
 """Wait after a failed call, doubled up to ``MAX_RETRY_S``, with jitter."""
 MAX_RETRY_S = 1.6
@@ -22,6 +23,16 @@
 EXPIRE_S = 0.25
 
 
+def next_revision(revision: int, changes: platform.Snapshot) -> int:
+    """Returns the revision from which the next watch asks.
+
+    An empty answer moves nothing: a store that lost changes for its watches
+    answers with a newer revision all the same. Asked from the old one again,
+    it tells them, or says that they are no longer kept.
+    """
+    return max(revision, changes.revision) if changes.items else revision
+
+
 class FleetWatch:
     """Keeps the configuration and the roster up to date.
 
@@ -94,7 +105,7 @@
                 else:
                     changes = client.watch(prefix, revision, WATCH_S)
                     self._take(prefix, changes.items)
-                    revision = max(revision, changes.revision)
+                    revision = next_revision(revision, changes)
                 self._note_connected(prefix, revision)
                 retry_s = RETRY_S
                 if not revision:
