--- a/savoryspar/fleet/roster.py
+++ b/savoryspar/fleet/roster.py
@@ -145,6 +145,13 @@
             (name, revision) for name, (revision, _) in self._removed.items()
         ]
 
+    def is_leaving(self, name: str) -> bool:
+        """Tells whether a server is known to drain or to have left."""
+        entry = self._entries.get(name)
+        if entry is None:
+            return name in self._removed
+        return entry.is_draining or name in self._doubted
+
     def _undoubt(self, name: str) -> None:
         if self._doubted.pop(name, None) is not None:
             self.generation += 1
--- a/savoryspar/gateway/placing.py
+++ b/savoryspar/gateway/placing.py
@@ -253,6 +253,11 @@
                 self._notify, placer.incarnation, kind, [number, *words]
             )
 
+        if self._roster.is_leaving(name):
+            # The placer is cut off from the store and does not know it yet.
+            notify(FINISH_KIND, [routing.Outcome.CANCELLED.value, -1])
+            call.excluded |= {name}
+            return self._place_in(zone, call, self._clock())
         return Placement(
             backends.Server(name, address, region, zone, call.pool),
             placer.incarnation,
