Share the options of probed connections; drop code that nothing calls

The store's client and the connections to servers had the same socket options but for one figure. Chain.total_s and the result of Gatherer.free had no caller; a send of a request with one answer is counted where streams count theirs. Behaviour stays as it is.

--- a/savoryspar/backends/__init__.py
+++ b/savoryspar/backends/__init__.py
@@ -5,6 +5,7 @@
     Answer,
     Connections,
     new_connections,
+    probing_options,
 )
 from savoryspar.backends.exceptions import (
     BackendError,
--- a/savoryspar/backends/connections.py
+++ b/savoryspar/backends/connections.py
@@ -31,15 +31,8 @@
 MAX_STRAY_ANSWERS = 2
 """Answers to other requests that are skipped on one connection."""
 
-SOCKET_OPTIONS = (
-    (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
-    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
-    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 1),
-    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1),
-    (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 2),
-    (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, 3000),
-)
-"""A server that vanished without a reset is noticed within about 3 s."""
+USER_TIMEOUT_MS = 3000
+"""Time without an acknowledgement after which a connection is dead."""
 
 FAILURES = (
     OSError,
@@ -49,6 +42,23 @@
     urllib3.exceptions.HTTPError,
 )
 
+
+def probing_options(user_timeout_ms: int) -> tuple[tuple[int, int, int], ...]:
+    """Returns socket options that notice a silent connection within 3 s.
+
+    Args:
+        user_timeout_ms: Time without an acknowledgement of what was sent.
+    """
+    return (
+        (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
+        (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 1),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 2),
+        (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, user_timeout_ms),
+    )
+
+
 ReadFacts = Callable[[int, Iterable[tuple[str, str]]], requests.AnswerFacts]
 
 
@@ -275,7 +285,7 @@
         conn = connection.HTTPConnection(host, int(port))
         sock = ResetAwareSocket(socket.AF_INET, socket.SOCK_STREAM)
         try:
-            for option in SOCKET_OPTIONS:
+            for option in probing_options(USER_TIMEOUT_MS):
                 sock.setsockopt(*option)
             sock.settimeout(timeout_s)
             sock.connect((host, int(port)))
--- a/savoryspar/gateway/gathering.py
+++ b/savoryspar/gateway/gathering.py
@@ -180,20 +180,17 @@
             del self._done[group]
             self.free(group.handles())
 
-    def free(self, handles: Sequence[str]) -> list[str]:
-        """Frees results; returns those that no server here made."""
-        unknown = []
+    def free(self, handles: Sequence[str]) -> None:
+        """Frees results; those of other servers end by themselves."""
         for handle in handles:
             server = next(
                 (s for s in self._servers.values() if handle in s.sizes), None
             )
             if server is None:
-                unknown.append(handle)
                 continue
             if not server.freed:
                 eventlet.spawn_after(FREE_DELAY_S, self._free, server)
             server.freed.append(handle)
-        return unknown
 
     def _refresh(self) -> list[fleet.BackendEntry]:
         entries = [*self._entries()]
--- a/savoryspar/gateway/plain.py
+++ b/savoryspar/gateway/plain.py
@@ -45,7 +45,7 @@
                 outcome = routing.Outcome.UNREACHABLE
             except backends.CallUnknownError as exc:
                 reply, has_not_run, cause = None, False, str(exc)
-                job.sends += 1
+                tries.note_sent()
                 outcome = routing.Outcome.FAILED
                 if exc.is_crash:
                     outcome = routing.Outcome.CRASHED
--- a/savoryspar/platform/store.py
+++ b/savoryspar/platform/store.py
@@ -4,14 +4,13 @@
 from collections.abc import Iterator
 import http.client
 import json
-import socket
 from typing import Any
 from urllib import parse
 
 import urllib3
 from urllib3 import connection
 
-from savoryspar import fleet
+from savoryspar import backends, fleet
 
 CONNECT_TIMEOUT_S = 1.0
 """A store that is up accepts within some milliseconds."""
@@ -19,15 +18,8 @@
 """Longest wait for an answer that does not watch; usual answers take 4 ms."""
 WATCH_MARGIN_S = 2.0
 """Added to the wait of a watch before its connection is taken for dead."""
-KEEPALIVE_OPTIONS = (
-    (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
-    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
-    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 1),
-    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1),
-    (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 2),
-    (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, 2500),
-)
-"""Notices within 3 s that a waiting watch's connection went silent."""
+USER_TIMEOUT_MS = 2500
+"""Time without an acknowledgement after which the connection is dead."""
 
 
 class Item:
@@ -174,7 +166,7 @@
                 self._host,
                 self._port,
                 timeout=CONNECT_TIMEOUT_S,
-                socket_options=KEEPALIVE_OPTIONS,
+                socket_options=backends.probing_options(USER_TIMEOUT_MS),
             )
             self._conn.connect()
         self._conn.timeout = timeout_s
--- a/savoryspar/stages/chain.py
+++ b/savoryspar/stages/chain.py
@@ -65,16 +65,6 @@
             return self._req.pieces[number]
         return 0
 
-    def total_s(self) -> float:
-        """Returns the expected time of all stages."""
-        return max(
-            (
-                self._stage_s(number) + self._after_s[number]
-                for number in range(len(self._stages))
-            ),
-            default=0.0,
-        )
-
     def expected_s(
         self, wait_s: Callable[[str], float], started: frozenset[int]
     ) -> float:
