--- a/savoryspar/pipelines/attempts.py
+++ b/savoryspar/pipelines/attempts.py
@@ -173,7 +173,7 @@
         RunError: It is blocked.
     """
     router.suspects.record_crash(
-        req.fingerprint, choice.server.name, now, choice.call.is_alone
+        req.fingerprint, choice.server.name, now, choice.was_alone
     )
     check_fingerprint(router, req, now)
 
--- a/savoryspar/routing/model.py
+++ b/savoryspar/routing/model.py
@@ -120,6 +120,14 @@
         self.reason = ""
         self.expected_s = 0.0
 
+    @property
+    def was_alone(self) -> bool:
+        """Whether no other own call has been at the server meanwhile.
+
+        A call that must run alone gets a shared server when all are taken out.
+        """
+        return self.call.is_alone and self.state.shared_at < self.chosen_at
+
 
 class Outcome(enum.Enum):
     """How a call ended."""
--- a/savoryspar/routing/router.py
+++ b/savoryspar/routing/router.py
@@ -282,6 +282,8 @@
         policies.note_choice(self._policy, state.server.name, call, now)
         state.pending_s += choice.prefill_s
         state.in_flight += 1
+        if state.in_flight > 1:
+            state.shared_at = now
         if not call.excluded:
             self.note_call(call.pool)
         if state.tier is servers.Tier.ELSEWHERE:
--- a/savoryspar/routing/servers.py
+++ b/savoryspar/routing/servers.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable, Sequence
 import enum
+import math
 
 from savoryspar import backends
 from savoryspar.routing import limits, options, outliers, subsets
@@ -37,6 +38,7 @@
         pending_s: Time to read the prompts of calls whose answer has not begun.
         is_alone: Whether a call runs there that must run alone.
         drained_until: Until when it gets no work because such a call waits.
+        shared_at: When two own calls were last there at once, in seconds.
     """
 
     __slots__ = (
@@ -50,6 +52,7 @@
         "pending_s",
         "salt",
         "server",
+        "shared_at",
         "tier",
     )
 
@@ -64,6 +67,7 @@
         self.pending_s = 0.0
         self.is_alone = False
         self.drained_until = 0.0
+        self.shared_at = -math.inf
         self.salt = subsets.weight("", server.name)
         self._others = 0.0
         self._reported_at = 0.0
--- a/tests/routing/test_router.py
+++ b/tests/routing/test_router.py
@@ -210,6 +210,24 @@
         self.assertEqual("a", builders.run(router, 0.2))
 
 
+    def test_suspects_that_share_a_server_are_not_alone(self):
+        """Its crash must not block those that were only beside the culprit.
+
+        With all servers taken out, calls that must run alone may meet at one.
+        """
+        router = builders.new_router(["a"])
+        builders.run(router, 0.0, routing.Outcome.UNREACHABLE)
+        first, second = (
+            router.choose(builders.new_call(is_alone=True), 9.0)
+            for _ in range(2)
+        )
+        self.assertEqual((False, False), (first.was_alone, second.was_alone))
+        for choice in (first, second):
+            router.observe(choice, routing.Outcome.OK, -1, 10.0)
+        third = router.choose(builders.new_call(is_alone=True), 11.0)
+        self.assertTrue(third.was_alone)
+
+
 class PolicyTest(testtools.TestCase):
     def test_every_policy_spreads_calls(self):
         """A baseline that is broken makes every comparison worthless."""
