--- a/savoryspar/gateway/gatherers.py
+++ b/savoryspar/gateway/gatherers.py
@@ -85,6 +85,15 @@
         gatherer.queue.pool = service.stage_pool
         return gatherer.submit(group, done, now)
 
+    def idle_s(self, group: stages.Group) -> float:
+        """Returns the time of a group's pieces in one call of their own."""
+        current = self._holder.current
+        service = current and current.services.get(group.pool)
+        if not service or not service.stage_pool:
+            return 0.0
+        pool = service.stage_pool
+        return pool.call_s + group.pieces * pool.piece_s
+
     def wait_s(
         self, pool: str, zone: str, request_id: str, stage: int
     ) -> float | None:
--- a/savoryspar/gateway/node.py
+++ b/savoryspar/gateway/node.py
@@ -104,7 +104,12 @@
             clock,
         )
         self._work = stage_work.new_stage_work(
-            self._roster, self._members, self._gatherers, self._events, clock
+            self._roster,
+            self._members,
+            self._gatherers,
+            self._events,
+            clock,
+            section.zone_regions,
         )
         self._watch = fleet_watch.FleetWatch(
             section.store_address,
--- a/savoryspar/gateway/stage_work.py
+++ b/savoryspar/gateway/stage_work.py
@@ -1,7 +1,7 @@
 """Gets the pieces of a request's stages made, here or at the gathering VM."""
 
 import collections
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from typing import Any
 
 import eventlet
@@ -21,11 +21,6 @@
 MAX_SUBMITS = 3
 ELSEWHERE = (stages.Failure.LATE, stages.Failure.NO_SERVER)
 """Failures after which another zone may have a place."""
-REMOTE_COST_S = 0.08
-"""Predicted wait by which another zone must be better than the own one: two
-round trips of 40 ms between regions, and results that have to cross."""
-WAIT_HALF_LIFE_S = 0.7
-"""Age at which half of a told wait is believed to have gone."""
 
 
 class StageError(Exception):
@@ -79,13 +74,14 @@
         here: gatherers.Gatherers,
         events: log.EventLog,
         clock: model.Clock,
+        regions: Mapping[str, str],
     ):
         self._roster = roster
         self._members = members
         self._here = here
         self._events = events
         self._clock = clock
-        self._waits: dict[tuple[str, str, int], tuple[float, float]] = {}
+        self._waits = stages.new_zone_waits(regions)
         self._waiting: dict[tuple[str, int], event.Event] = {}
         self._made_by: dict[str, _Place] = {}
         members.handle(gatherers.DONE_KIND, self._serve_done)
@@ -112,7 +108,9 @@
                 now = self._clock()
 
                 def told_s(pool: str, now: float = now) -> float:
-                    return self._told_wait_s(pool, chain.rank, near, now)
+                    return self._waits.shortest_s(
+                        pool, self._zones(pool), chain.rank, [near], now
+                    )
 
                 _check_hope(chain, started, told_s, now)
                 for number in chain.ready(started):
@@ -168,15 +166,9 @@
         except StageError as exc:
             results.put((number, exc))
 
-    def _told_wait_s(
-        self, pool: str, rank: int, near: str, now: float
-    ) -> float:
-        """Returns the shortest wait told lately for a pool, over all zones."""
-        zones = {e.zone for e in self._roster.usable() if e.service == pool}
-        return min(
-            (self._wait_s(pool, zone, rank, near, now) for zone in zones),
-            default=0.0,
-        )
+    def _zones(self, pool: str) -> set[str]:
+        """Returns the zones that have a usable server of a pool."""
+        return {e.zone for e in self._roster.usable() if e.service == pool}
 
     def zone_of(self, handles: Sequence[str], default: str) -> str:
         """Returns the zone in which most bytes of the results lie."""
@@ -225,16 +217,20 @@
         now: float,
     ) -> _Place | None:
         view = self._members.view(now)
-        zones = {
-            entry.zone
-            for entry in self._roster.usable()
-            if entry.service == group.pool
-        } - full
+        zones = self._zones(group.pool) - full
         if not zones:
             return None
-        zone = min(
-            sorted(zones),
-            key=lambda z: self._wait_s(group.pool, z, group.rank, near, now),
+        wanted_in = [near]
+        if group.inputs:
+            wanted_in.append(self.zone_of(group.inputs, near))
+        zone = self._waits.choose(
+            group.pool,
+            zones,
+            group.rank,
+            self._here.idle_s(group),
+            wanted_in,
+            group.request_id,
+            now,
         )
         member = stages.choose_gatherer(
             group.pool, zone, (view.own, *view.members), excluded
@@ -243,13 +239,6 @@
             member = view.own
         return _Place(group.pool, zone, member.incarnation, group.result_bytes)
 
-    def _wait_s(
-        self, pool: str, zone: str, rank: int, near: str, now: float
-    ) -> float:
-        wait_s, at = self._waits.get((pool, zone, rank), (0.0, now))
-        faded_s = wait_s * 0.5 ** ((now - at) / WAIT_HALF_LIFE_S)
-        return faded_s + (0.0 if zone == near else REMOTE_COST_S)
-
     def _run_at(
         self, place: _Place, group: stages.Group, now: float
     ) -> list[str]:
@@ -258,7 +247,11 @@
         self._waiting[key] = waiting
         try:
             offer = self._submit(place, group, now)
-            self._waits[place.pool, place.zone, group.rank] = (
+            self._waits.note(
+                place.pool,
+                place.zone,
+                group.rank,
+                self._here.idle_s(group),
                 offer.fresh_wait_s,
                 now,
             )
@@ -428,6 +421,7 @@
     here: gatherers.Gatherers,
     events: log.EventLog,
     clock: model.Clock,
+    regions: Mapping[str, str],
 ) -> StageWork:
     """Returns the stage work of an entry VM.
 
@@ -437,5 +431,6 @@
         here: What this VM gathers itself.
         events: Where decisions are logged.
         clock: Monotonic time in seconds.
+        regions: Region of each availability zone.
     """
-    return StageWork(roster, members, here, events, clock)
+    return StageWork(roster, members, here, events, clock, regions)
