--- a/savoryspar/gateway/fleet_watch.py
+++ b/savoryspar/gateway/fleet_watch.py
@@ -10,6 +10,10 @@
 WATCH_S = 5.0
 """Wait of one watch. A store that is about to drop its history may let a watch
 wait without telling it of changes, which are then missed for as long."""
+GATHER_S = 0.25
+"""Wait after a change before the store is asked for more, a tenth of the 2.5 s
+in which a change must be in force. While all servers register, each watch
+returned one of them: two thirds of a VM's calls to the store."""
 RETRY_S = 0.4
 """Wait after a failed call, doubled up to ``MAX_RETRY_S``, with jitter."""
 MAX_RETRY_S = 1.6
@@ -86,30 +90,39 @@
 
     def start(self) -> None:
         """Follows the store in green threads."""
-        eventlet.spawn(self._follow, platform.CONFIGURATION_PREFIX)
-        eventlet.spawn(self._follow, platform.SERVER_PREFIX)
+        for prefix, client in self._clients.items():
+            eventlet.spawn(self.follow, prefix, client)
         eventlet.spawn(self._expire_always)
 
     def calls(self) -> int:
         """Returns the calls made to the store so far."""
         return sum(client.calls for client in self._clients.values())
 
-    def _follow(self, prefix: str) -> None:
-        client = self._clients[prefix]
+    def follow(self, prefix: str, client: platform.StoreClient) -> None:
+        """Takes all changes under a prefix, for ever.
+
+        Args:
+            prefix: One of those that the platform writes under.
+            client: The store; used by nobody else.
+        """
         revision = 0
         retry_s = RETRY_S
         while True:
             try:
+                has_changed = False
                 if not revision:
                     revision = self._read(prefix, client)
                 else:
                     changes = client.watch(prefix, revision, WATCH_S)
                     self._take(prefix, changes.items)
                     revision = next_revision(revision, changes)
+                    has_changed = bool(changes.items)
                 self._note_connected(prefix, revision)
                 retry_s = RETRY_S
                 if not revision:
                     eventlet.sleep(MISSING_RETRY_S)
+                elif has_changed:
+                    eventlet.sleep(GATHER_S)
             except fleet.HistoryGoneError as exc:
                 self._events.belief(
                     "store history gone",
--- a/tests/routing/test_router.py
+++ b/tests/routing/test_router.py
@@ -209,7 +209,6 @@
         router.observe(alone, routing.Outcome.CANCELLED, -1, 0.1)
         self.assertEqual("a", builders.run(router, 0.2))
 
-
     def test_suspects_that_share_a_server_are_not_alone(self):
         """Its crash must not block those that were only beside the culprit.
 
