--- a/savoryspar/backends/connections.py
+++ b/savoryspar/backends/connections.py
@@ -250,6 +250,7 @@
         except FAILURES as exc:
             conn.close()
             left_s = deadline_at - self._clock()
+            cause: Exception = exc
             if (
                 is_reused
                 and may_repeat
@@ -257,16 +258,20 @@
                 and not isinstance(exc, TimeoutError)
             ):
                 self._idle.pop(server, None)
-                return self.send(
-                    server, method, target, fields, body, left_s, attempt_id
-                )
+                try:
+                    return self.send(
+                        server, method, target, fields, body, left_s, attempt_id
+                    )
+                except exceptions.CallRefusedError as refused:
+                    # What was sent first may have been read before the reset.
+                    cause = refused
             raise exceptions.CallUnknownError(
                 server[0],
-                f"no answer: {exc!r}",
+                f"no answer: {cause!r}",
                 "the request may have run; check the server",
                 has_sent=True,
-                is_crash=not isinstance(exc, TimeoutError),
-            ) from exc
+                is_crash=cause is exc and not isinstance(exc, TimeoutError),
+            ) from cause
         except BaseException:
             # The caller hung up; closing cancels the request at the server.
             conn.close()
--- a/tests/backends/test_connections.py
+++ b/tests/backends/test_connections.py
@@ -21,7 +21,7 @@
         self._steps = list(steps)
         self._sock = eventlet.listen(("127.0.0.1", 0))
         self.address = f"127.0.0.1:{self._sock.getsockname()[1]}"
-        eventlet.spawn(self._accept)
+        self._acceptor = eventlet.spawn(self._accept)
 
     def _accept(self):
         while True:
@@ -29,6 +29,11 @@
             self.connections += 1
             eventlet.spawn(self._serve, conn)
 
+    def close(self):
+        """Refuses new connections."""
+        self._acceptor.kill()
+        self._sock.close()
+
     def _serve(self, conn):
         while self._steps:
             head = b""
@@ -127,6 +132,26 @@
         self.assertEqual(b"2", self.ask(server, "b"))
         self.assertEqual(1, self.connections.stray_answers)
 
+    def test_request_lost_on_a_kept_connection_may_have_run(self):
+        """Guards against a promise of not run for a request that was read.
+
+        A server that crashed reset a kept connection after it had read the
+        request, and refused the new connection on which it was sent again
+        (soak --seed 16 --for 15).
+        """
+
+        def crash(conn):
+            server.close()
+            send_and_reset(b"")(conn)
+
+        server = ScriptedServer(send(whole(b"a", b"1")), crash)
+        self.ask(server, "a")
+        exc = self.assertRaises(
+            backends.CallUnknownError, self.ask, server, "b", may_repeat=True
+        )
+        self.assertTrue(exc.has_sent)
+        self.assertEqual(2, len(server.requests))
+
     def test_target_is_sent_unchanged(self):
         """Guards against a path whose escapes the client library rewrites."""
         server = ScriptedServer(send(whole(b"a", b"1")))
