--- a/savoryspar/cli/application.py
+++ b/savoryspar/cli/application.py
@@ -23,6 +23,7 @@
     "sheet check": "sheet_check.SheetCheckCommand",
     "sheet diff": "sheet_diff.SheetDiffCommand",
     "sheet export": "sheet_export.SheetExportCommand",
+    "soak": "soak.SoakCommand",
     "standin": "standin.StandinCommand",
     "status": "status.StatusCommand",
     "version": "version.VersionCommand",
--- /dev/null
+++ b/savoryspar/cli/soak.py
@@ -0,0 +1,40 @@
+"""``savoryspar soak``."""
+
+import pathlib
+import tempfile
+
+from cleo.commands import command
+from cleo.helpers import option
+
+from savoryspar import soak
+from savoryspar.cli import exit_codes
+
+
+class SoakCommand(command.Command):
+    """Run entry VMs with faults and judge what callers got."""
+
+    name = "soak"
+    description = "Run entry VMs under faults; judge what callers got."
+    options = [
+        option("seed", None, "Seed of faults.", flag=False, default="1"),
+        option("for", None, "Seconds with faults.", flag=False, default="20"),
+        option("logs", None, "Folder that keeps the logs.", flag=False),
+    ]
+    help = "Example: savoryspar soak --seed 7 --for 30 --logs soak-7"
+
+    def handle(self) -> int:
+        """Runs the command; exits with 1 if a rule was broken."""
+        kept = self.option("logs")
+        with tempfile.TemporaryDirectory() as scratch:
+            folder = pathlib.Path(kept or scratch)
+            folder.mkdir(parents=True, exist_ok=True)
+            seed = int(self.option("seed"))
+            report = soak.run_soak(seed, float(self.option("for")), folder)
+        for line in report.made:
+            self.line(line)
+        for status, count in sorted(report.counts.items()):
+            self.line(f"status {status}: {count} answers")
+        for line in report.broken:
+            self.line_error(f"broken: {line}")
+        self.line(f"seed {seed}: {len(report.broken)} rules broken")
+        return exit_codes.FAILED if report.broken else exit_codes.OK
--- /dev/null
+++ b/savoryspar/platform/standin.py
@@ -0,0 +1,218 @@
+"""The other side of the platform's protocols, for stand-ins and callers.
+
+It translates as the rest of the package does: records in, wire names out.
+"""
+
+import base64
+from collections.abc import Callable, Iterable, Mapping, Sequence
+import json
+from typing import Any, Protocol
+from urllib import parse
+
+from savoryspar import fleet
+from savoryspar.platform import documents, headers, store
+
+KIND_NAMES = {kind: name for name, kind in documents.KINDS.items()}
+NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
+"""Status codes of the system with which a request has not run."""
+
+
+class StoreContents(Protocol):
+    """What a stand-in of the store holds."""
+
+    revision: int
+
+    def read(self, prefix: str) -> Sequence[store.Item]:
+        """Returns the items whose keys begin with a prefix, ordered."""
+
+    def wait(
+        self, prefix: str, after: int, wait_s: float
+    ) -> Sequence[store.Item] | None:
+        """Waits for changes; None if they are no longer kept."""
+
+
+class Send:
+    """One send to a backend server, as the server sees it."""
+
+    __slots__ = ("attempt_id", "body", "inputs", "path", "resume_after")
+
+    def __init__(self, environ: Mapping[str, Any]):
+        def get(name: str) -> str:
+            return environ.get("HTTP_" + name.upper().replace("-", "_"), "")
+
+        self.path = str(environ["PATH_INFO"])
+        self.attempt_id = get(headers.ATTEMPT_ID)
+        self.inputs = [h for h in get(headers.INPUTS).split(",") if h]
+        self.resume_after = int(get(headers.RESUME_AFTER) or -1)
+        self.body: bytes = environ["wsgi.input"].read()
+
+
+def encode_configuration(
+    version: int,
+    routes: Iterable[fleet.Route],
+    services: Iterable[fleet.Service],
+    workspaces: Mapping[str, fleet.Workspace],
+) -> bytes:
+    """Returns the document of a configuration.
+
+    Args:
+        version: Its version.
+        routes: All routes.
+        services: All services.
+        workspaces: By the key that callers send.
+    """
+    return json.dumps(
+        {
+            "version": version,
+            "routes": [_route(route) for route in routes],
+            "services": [_service(service) for service in services],
+            "tenants": [
+                {"name": workspace.name, "api-keys": [key]}
+                for key, workspace in workspaces.items()
+            ],
+            "limits": {},
+        }
+    ).encode()
+
+
+def _route(route: fleet.Route) -> dict[str, Any]:
+    return {
+        "name": route.name,
+        "host": route.host,
+        "prefix": route.prefix,
+        "route-kind": KIND_NAMES[route.kind],
+        "service": route.services[0][0],
+        "timeout-ms": int(route.timeout_s * 1000),
+        "goal-ms": int(route.objective_s * 1000),
+        "gap-goal-ms": int(route.gap_objective_s * 1000),
+        "priority": route.rank,
+        "attempts": route.attempts,
+        "public": route.is_public,
+        "resumable": route.is_resumable,
+        "phases": [
+            {"service": s.service, "after": [*s.after], "data": s.result_bytes}
+            for s in route.stages
+        ],
+    }
+
+
+def _service(service: fleet.Service) -> dict[str, Any]:
+    item: dict[str, Any] = {
+        "name": service.name,
+        "max-conns": service.max_connections,
+    }
+    pool = service.stage_pool
+    if pool:
+        item["segments"] = {
+            "slots": pool.slots,
+            "queue": pool.queue,
+            "batch": pool.batch,
+            "call-ms": pool.call_s * 1000.0,
+            "item-ms": pool.piece_s * 1000.0,
+            "room-mb": pool.room_bytes / 1e6,
+            "handle-ttl-s": pool.result_ttl_s,
+        }
+    if service.engine_pool:
+        item["engine"] = {
+            "slots": service.engine_pool.slots,
+            "kv-cap": service.engine_pool.memory_tokens,
+        }
+    return item
+
+
+def encode_backend_entry(entry: fleet.BackendEntry) -> bytes:
+    """Returns the document of a server."""
+    return json.dumps(
+        {
+            "service": entry.service,
+            "addr": entry.address,
+            "zone": entry.zone,
+            "slots": entry.slots,
+            "state": "draining" if entry.is_draining else "ready",
+            "born": entry.started_ms,
+        }
+    ).encode()
+
+
+def serve_store(
+    contents: StoreContents, environ: Mapping[str, Any]
+) -> tuple[str, bytes]:
+    """Answers a read of the store; returns the status line and the body."""
+    query = dict(parse.parse_qsl(str(environ["QUERY_STRING"])))
+    path = environ["PATH_INFO"]
+    body: dict[str, Any]
+    if path == "/-/kv-watch":
+        changes = contents.wait(
+            query["prefix"], int(query["after"]), int(query["wait-ms"]) / 1000.0
+        )
+        if changes is None:
+            return "410 Gone", b"{}"
+        body = {"events": [_item(item) for item in changes]}
+    elif path == "/-/kv-range":
+        after = query.get("after", "")
+        items = [i for i in contents.read(query["prefix"]) if i.key > after]
+        body = {"entries": [_item(item) for item in items], "truncated": False}
+    else:
+        found = [
+            i for i in contents.read(query["key"]) if i.key == query["key"]
+        ]
+        if not found:
+            return "404 Not Found", b"{}"
+        body = _item(found[0])
+    return "200 OK", json.dumps({**body, "as-of": contents.revision}).encode()
+
+
+def _item(item: store.Item) -> dict[str, Any]:
+    if item.value is None:
+        return {"key": item.key, "revision": item.revision, "deleted": True}
+    return {
+        "key": item.key,
+        "value": base64.b64encode(item.value).decode(),
+        "revision": item.revision,
+        "created": item.revision,
+        "lease": 0,
+    }
+
+
+def encode_seal(text: str) -> list[tuple[str, str]]:
+    """Returns the fields of the answer of a server that ran a request."""
+    return [(headers.SEAL, text)]
+
+
+def encode_not_run() -> list[tuple[str, str]]:
+    """Returns the fields of the answer of a server that refuses a request."""
+    return [(headers.NOT_RUN, "1")]
+
+
+def serve_stage_call(
+    body: bytes, make: Callable[[str, int, int], str]
+) -> tuple[bytes, int]:
+    """Answers a call that runs or frees pieces.
+
+    Args:
+        body: The call.
+        make: Returns the handle of a piece, from its request, stage, number.
+
+    Returns:
+        The answer, and how many pieces were made.
+    """
+    entries = json.loads(body).get("entries", ())
+    made = [
+        {"handle": make(e["id"], e["phase"], e["segment"])} for e in entries
+    ]
+    return json.dumps({"entries": made}).encode(), len(made)
+
+
+def caller_headers(
+    attempt_id: str, key: str, deadline_s: float, pieces: Iterable[int] = ()
+) -> dict[str, str]:
+    """Returns the fields that a caller sends."""
+    fields = {
+        headers.ATTEMPT_ID: attempt_id,
+        headers.KEY: key,
+        headers.DEADLINE: str(int(deadline_s * 1000)),
+    }
+    counts = ",".join(str(count) for count in pieces)
+    if counts:
+        fields |= {headers.PIECES: counts, headers.PIECE_KEY: attempt_id}
+    return fields
--- a/savoryspar/standins/fault_proxy.py
+++ b/savoryspar/standins/fault_proxy.py
@@ -125,10 +125,9 @@
         document = exchange.read_json()
         is_reset = document.pop("reset", False)
         try:
-            self._faults.change(document)
+            self.change(document, is_reset)
         except ValueError as exc:
             return exchange.answer({"error": str(exc)}, "400 Bad Request")
-        self._apply(is_reset)
         return exchange.answer(
             {
                 **self._faults.to_document(),
@@ -137,7 +136,17 @@
             }
         )
 
-    def _apply(self, is_reset: bool) -> None:
+    def change(self, faults: Mapping[str, Any], is_reset: bool = False) -> None:
+        """Sets the given faults; the others stay.
+
+        Args:
+            faults: Members of ``Faults``.
+            is_reset: Whether open connections are reset.
+
+        Raises:
+            ValueError: A fault does not exist, or its value is not usable.
+        """
+        self._faults.change(faults)
         if self._faults.refuse and self._listener:
             self._acceptor.kill()
             self._listener.close()
