--- a/savoryspar/stages/zones.py
+++ b/savoryspar/stages/zones.py
@@ -17,6 +17,10 @@
 results that cross a link."""
 HALF_LIFE_S = 0.7
 """Age at which a told wait counts half, and the mean of all zones half."""
+MEAN_HALF_LIFE_S = 1.5
+"""Age at which half of a pool's mean wait is believed gone. While waits are
+believed to be long, requests are refused before any gatherer is asked, so a
+belief that did not fade would never be corrected."""
 MEAN_WEIGHT = 0.2
 """Weight of the newest told wait in the mean of a pool: about five calls."""
 UNKNOWN_PART = 0.8
@@ -49,8 +53,8 @@
     def __init__(self, regions: Mapping[str, str]):
         self._regions = regions
         self._told: dict[tuple[str, str, int], _Told] = {}
-        # Mean wait above an idle pool's, by pool and rank.
-        self._means: dict[tuple[str, int], float] = {}
+        # Mean wait above an idle pool's and when it was told last.
+        self._means: dict[tuple[str, int], tuple[float, float]] = {}
 
     def note(
         self,
@@ -73,9 +77,9 @@
         """
         above_s = max(0.0, wait_s - idle_s)
         self._told[pool, zone, rank] = _Told(idle_s, above_s, now)
-        mean_s = self._means.get((pool, rank), above_s)
+        mean_s = self._mean_s(pool, rank, above_s, now)
         mean_s += MEAN_WEIGHT * (above_s - mean_s)
-        self._means[pool, rank] = mean_s
+        self._means[pool, rank] = (mean_s, now)
 
     def choose(
         self,
@@ -143,13 +147,21 @@
             near: Zones of the inputs and of the server that needs the results.
             now: Monotonic time in seconds.
         """
-        above_s = UNKNOWN_PART * self._means.get((pool, rank), 0.0)
+        above_s = UNKNOWN_PART * self._mean_s(pool, rank, 0.0, now)
         told = self._told.get((pool, zone, rank))
         if told is not None:
             newness = 0.5 ** ((now - told.at) / HALF_LIFE_S)
             above_s += newness * (told.above_s - above_s)
         return idle_s + above_s + sum(self._apart_s(zone, n) for n in near)
 
+    def _mean_s(
+        self, pool: str, rank: int, default_s: float, now: float
+    ) -> float:
+        if (pool, rank) not in self._means:
+            return default_s
+        mean_s, at = self._means[pool, rank]
+        return mean_s * 0.5 ** ((now - at) / MEAN_HALF_LIFE_S)
+
     def server_zone(self, home: str, made_in: str, read_s: float) -> str:
         """Returns the zone of the server that gets a request's results.
 
--- a/tests/stages/test_zones.py
+++ b/tests/stages/test_zones.py
@@ -42,6 +42,17 @@
         self.waits.note("p", "baq", 0, IDLE_S, IDLE_S, 0.0)
         self.assertEqual("baq", choose(self.waits))
 
+    def test_belief_of_a_flood_fades_without_new_words(self):
+        """Guards against refusals for half a minute after a flood.
+
+        Requests are refused by the believed wait before a gatherer is asked,
+        so nothing corrects it (haftgarden scale-1, 12 s to 34 s).
+        """
+        for number in range(20):
+            self.waits.note("p", "ctg", 0, IDLE_S, 7.0, 0.1 * number)
+        wait_s = self.waits.shortest_s("p", ["ctg"], 0, [], 9.0)
+        self.assertLess(wait_s, IDLE_S + 0.3)
+
     def test_inputs_keep_a_group_in_their_zone(self):
         """A chain that left its zone must not cross back and forth."""
         self.waits.note("p", "ctg", 0, IDLE_S, IDLE_S + 0.01, 0.0)
