--- a/savoryspar/gateway/gathering.py
+++ b/savoryspar/gateway/gathering.py
@@ -271,6 +271,8 @@
             pool=server.entry.service,
             pieces=len(pieces),
             waiting=len(self.queue),
+            used_mb=round(server.used_bytes(now) / 1e6, 3),
+            room_mb=round(self.queue.pool.room_bytes / 1e6, 3),
             hold_s=round(self.queue.hold_s, 3),
         )
         try:
