--- a/savoryspar/stages/batching.py
+++ b/savoryspar/stages/batching.py
@@ -130,7 +130,7 @@
                 math.ceil(rest / servers)
             )
             wait_s = max(busy_s, stored_bytes / room_bytes * self.hold_s)
-            yield group, wait_s * self._stretch(group, now)
+            yield group, self._stretched_s(group, wait_s, now)
 
     def note_hold(self, size_bytes: int, hold_s: float) -> None:
         """Learns for how long the memory of a result was in use."""
@@ -196,13 +196,19 @@
         part = in_time / len(call) if is_contested else 0.0
         self._taken_in_time += TAKEN_WEIGHT * (part - self._taken_in_time)
 
-    def _stretch(self, group: model.Group, now: float) -> float:
-        """Returns the factor by which work that goes first delays a group."""
+    def _stretched_s(
+        self, group: model.Group, wait_s: float, now: float
+    ) -> float:
+        """Returns a wait with the delay by later work that goes first.
+
+        A group that will have missed its objective by then gets only what
+        groups that can still meet theirs leave.
+        """
         taken = sum(p for rank, p in self._taken.items() if rank < group.rank)
         taken = min(taken, 1.0 - FAIR_SHARE)
-        if not self._is_in_time(group, now):
+        if now + wait_s / (1.0 - taken) > group.objective_at:
             taken = max(taken, min(self._taken_in_time, MAX_TAKEN))
-        return 1.0 / (1.0 - taken)
+        return wait_s / (1.0 - taken)
 
     def _urgency(self, group: model.Group, now: float) -> tuple:
         return (
--- a/tests/stages/test_batching.py
+++ b/tests/stages/test_batching.py
@@ -110,6 +110,23 @@
         self.assertIsNotNone(queue.refusal_s(late, 1, 0.0))
         self.assertLess(before_s, 30.0)
 
+    def test_work_that_will_be_late_is_refused_in_a_flood(self):
+        """Pattern: a flood longer than an objective, of one kind of request.
+
+        Groups that arrive in time, but will be late when their turn comes,
+        stand behind all that arrive after them. They were held until their
+        deadline (haftgarden scale-1: 54 s of stage work thrown away).
+        """
+        queue = self.queue(
+            *(group(f"r{n}", pieces=8, objective_at=4.0) for n in range(60))
+        )
+        for _ in range(30):
+            queue.next_call(0.0, 36e6)
+        asked = group("x", pieces=8, objective_at=4.0, deadline_at=30.0)
+        self.assertIsNotNone(queue.refusal_s(asked, 1, 0.0))
+        patient = group("y", pieces=8, objective_at=20.0, deadline_at=30.0)
+        self.assertIsNone(queue.refusal_s(patient, 1, 0.0))
+
     def test_memory_lengthens_the_predicted_wait(self):
         """Guards against waits told from calls alone while memory limits."""
         small = self.queue(*(group(f"r{n}", pieces=4) for n in range(10)))
