--- a/savoryspar/soak/runs.py
+++ b/savoryspar/soak/runs.py
@@ -91,6 +91,8 @@
         made.calm_at = dict.fromkeys(made.calm_at, began)
         made.run(began + length_s)
         ended = now()
+        for server in servers:
+            server.is_choosy = False
         eventlet.sleep(CALM_S)
         people.stop()
         for thread in threads:
