Learn the pace of each stage server and tell it in waits

Change: each call teaches the pace of its server, and a call that goes on for too long tells it before it ends. Predicted waits count it, and the log line of a call names it.

--- a/savoryspar/gateway/gathering.py
+++ b/savoryspar/gateway/gathering.py
@@ -43,6 +43,9 @@
 """Time for which freed results are collected into one call while less than half
 of the server's memory is in use: fewer calls, each of which costs about 1 ms of
 processor time. Above that they are freed at once, as memory limits the pool."""
+PACE_WEIGHT = 0.4
+"""Weight of the newest call in the pace of a server: after three calls, about a
+second, four fifths of a change are known."""
 FREE_TIMEOUT_S = 1.0
 REMEMBERED_HANDLES = 512
 """Newest results of a server by which a second copy of an answer is known."""
@@ -75,12 +78,14 @@
     __slots__ = (
         "_used_bytes",
         "backoff_s",
-        "busy_until",
+        "call_at",
         "entry",
+        "expected_s",
         "expires",
         "freed",
         "is_running",
         "made_at",
+        "pace",
         "paused_until",
         "seen",
         "sizes",
@@ -91,7 +96,9 @@
         self.entry = entry
         self.backoff_s = 0.0
         self.paused_until = 0.0
-        self.busy_until = 0.0
+        self.call_at: float | None = None
+        self.expected_s = 0.0
+        self.pace = 1.0
         self.is_running = False
         self.sizes: dict[str, int] = {}
         self._used_bytes = 0
@@ -132,6 +139,32 @@
         """Returns the memory that is believed to be free."""
         return pool.room_bytes - self.used_bytes(now)
 
+    def begin_call(self, expected_s: float, now: float) -> None:
+        """Notes the start of a call and its expected time at a usual pace."""
+        self.call_at = now
+        self.expected_s = expected_s
+
+    def learn_pace(self, now: float) -> None:
+        """Learns the pace of the server from a call that was answered."""
+        factor = (now - self.call_at) / self.expected_s
+        self.pace += PACE_WEIGHT * (factor - self.pace)
+
+    def pace_at(self, now: float) -> float:
+        """Returns the time of its calls as a factor of the expected one.
+
+        A call that goes on for too long tells it before it ends.
+        """
+        if self.call_at is None:
+            return self.pace
+        return max(self.pace, (now - self.call_at) / self.expected_s)
+
+    def free_in_s(self, now: float) -> float:
+        """Returns the time until the server takes another call."""
+        if self.call_at is None:
+            return 0.0
+        ends_at = self.call_at + self.expected_s * self.pace
+        return max(0.0, ends_at - now)
+
     def wait(self, timeout_s: float) -> None:
         """Waits until there may be work."""
         self.wakeup = event.Event()
@@ -374,7 +407,7 @@
                 if call:
                     self._wake_one(now)
                     self._run(server, call, now)
-                    server.busy_until = 0.0
+                    server.call_at = None
                     idle_since = self._clock()
                     continue
                 if now - idle_since > IDLE_S and not len(self.queue):
@@ -411,7 +444,7 @@
         pieces = [piece for _, piece in call]
         expected_s = self.queue.call_s(len(pieces))
         timeout_s = max(MIN_CALL_TIMEOUT_S, CALL_TIMEOUT_FACTOR * expected_s)
-        server.busy_until = now + expected_s
+        server.begin_call(expected_s, now)
         self.calls += 1
         self.pieces += len(pieces)
         self._events.decision(
@@ -425,6 +458,7 @@
             used_mb=round(server.used_bytes(now) / 1e6, 3),
             room_mb=round(self.queue.pool.room_bytes / 1e6, 3),
             hold_s=round(self.queue.hold_s, 3),
+            pace=round(server.pace, 2),
         )
         try:
             answer = self._connections.send(
@@ -452,6 +486,7 @@
             self._fail(server, call, exc)
             return
         server.backoff_s = 0.0
+        server.learn_pace(self._clock())
         self._take(server, call, results, now)
 
     def _take(
@@ -590,11 +625,17 @@
     """Returns what keeps servers from new calls."""
     return stages.PoolLoad(
         len(usable),
-        min((max(0.0, s.busy_until - now) for s in usable), default=0.0),
+        min((server.free_in_s(now) for server in usable), default=0.0),
         sum(server.used_bytes(now) for server in usable),
+        _mean_pace([server.pace_at(now) for server in usable]),
     )
 
 
+def _mean_pace(paces: Sequence[float]) -> float:
+    """Returns the pace of servers that share calls, slower ones take fewer."""
+    return len(paces) / sum(1.0 / pace for pace in paces) if paces else 1.0
+
+
 def new_gatherer(
     pool: fleet.StagePool,
     entries: Callable[[], Sequence[fleet.BackendEntry]],
--- a/savoryspar/stages/batching.py
+++ b/savoryspar/stages/batching.py
@@ -36,16 +36,22 @@
         servers: Servers that work for the queue.
         free_in_s: Time until the first of them is free.
         used_bytes: Memory of the results that they keep.
+        pace: Time that their calls take, as a factor of the expected one.
     """
 
-    __slots__ = ("free_in_s", "servers", "used_bytes")
+    __slots__ = ("free_in_s", "pace", "servers", "used_bytes")
 
     def __init__(
-        self, servers: int, free_in_s: float = 0.0, used_bytes: float = 0.0
+        self,
+        servers: int,
+        free_in_s: float = 0.0,
+        used_bytes: float = 0.0,
+        pace: float = 1.0,
     ):
         self.servers = max(1, servers)
         self.free_in_s = free_in_s
         self.used_bytes = used_bytes
+        self.pace = pace
 
 
 class BatchQueue:
@@ -166,11 +172,12 @@
         """
         room_bytes = self.pool.room_bytes * load.servers
         calls, rest = divmod(max(0, pieces - 1), self.pool.batch * load.servers)
-        busy_s = load.free_in_s + calls * self.call_s(self.pool.batch)
+        calls_s = calls * self.call_s(self.pool.batch) * load.pace
+        busy_s = load.free_in_s + calls_s
         missing_bytes = load.used_bytes + stored_bytes - room_bytes
         memory_s = max(0.0, missing_bytes) / room_bytes * self.hold_s
         own_s = self.call_s(math.ceil((rest + 1) / load.servers))
-        return max(busy_s, memory_s) + own_s
+        return max(busy_s, memory_s) + own_s * load.pace
 
     def note_hold(self, size_bytes: int, hold_s: float) -> None:
         """Learns for how long the memory of a result was in use."""
--- a/tests/gateway/test_gathering.py
+++ b/tests/gateway/test_gathering.py
@@ -228,6 +228,27 @@
         eventlet.sleep(gathering.IDLE_FREE_DELAY_S + 0.05)
         self.assertIn(b"/-/stage-free", server.requests[-1])
 
+    def test_slow_server_is_told_as_slow(self):
+        """Pattern: one server of a pool turns slow for some seconds.
+
+        Its gatherer went on to tell the wait at the usual pace, so requests
+        kept coming that would be late (twdoa-spar trouble-3, seconds 12 to 17:
+        0.42 of the worth, 0.8 before).
+        """
+
+        def slowly(conn):
+            eventlet.sleep(0.3)
+            return answer([{"handle": "h1"}])(conn)
+
+        self.add_server(slowly)
+        _, before = self.submit("r1")
+        eventlet.sleep(0.15)
+        _, during = self.submit("r2")
+        self.assertGreater(during.wait_s, 5.0 * before.wait_s)
+        self.wait(1)
+        _, after = self.submit("r3")
+        self.assertGreater(after.wait_s, 3.0 * before.wait_s)
+
     def test_results_of_a_busy_server_are_freed_at_once(self):
         """Pattern: little memory for results, which limits a pool.
 
