Let no suspect run at a server that has just crashed

Cause: when a server crashes under a call, its process resets connections until it has ended. It had no call of this process any more, so the next suspect that waited for a free server was sent there, met a reset, and that counted as its own second crash, met alone: refused_fingerprint.

Change: a server that crashed less than 1 s ago gets no call that must run alone, and such a crash at a last resort does not count as met alone.

Two tests of the router fail on the code before, each time.

--- a/savoryspar/routing/model.py
+++ b/savoryspar/routing/model.py
@@ -87,6 +87,7 @@
         expected_s: Expected time until the answer begins, 0 when not known.
         reason: Why it was chosen.
         is_probe: Whether the call probes a server that was taken out.
+        is_settled: Whether the server had not crashed just before.
         state: What the router knows of the server; only for the router.
     """
 
@@ -96,6 +97,7 @@
         "expected_s",
         "first_at",
         "is_probe",
+        "is_settled",
         "prefill_s",
         "reason",
         "server",
@@ -115,6 +117,7 @@
         self.call = call
         self.chosen_at = chosen_at
         self.is_probe = is_probe
+        self.is_settled = state is None or state.is_settled(chosen_at)
         self.first_at: float | None = None
         self.prefill_s = 0.0
         self.reason = ""
@@ -124,9 +127,14 @@
     def was_alone(self) -> bool:
         """Whether no other own call has been at the server meanwhile.
 
-        A call that must run alone gets a shared server when all are taken out.
+        A call that must run alone gets a shared server, or one that has just
+        crashed under another call, when all are taken out.
         """
-        return self.call.is_alone and self.state.shared_at < self.chosen_at
+        return (
+            self.call.is_alone
+            and self.state.shared_at < self.chosen_at
+            and self.is_settled
+        )
 
 
 class Outcome(enum.Enum):
--- a/savoryspar/routing/router.py
+++ b/savoryspar/routing/router.py
@@ -228,6 +228,8 @@
             state.pending_s -= choice.prefill_s
         if choice.call.is_alone:
             state.is_alone = False
+        if outcome is model.Outcome.CRASHED:
+            state.crashed_at = now
         self.take_load(choice, load, now)
         began_at = now if choice.first_at is None else choice.first_at
         latency_s = _comparable(began_at - choice.chosen_at, choice)
--- a/savoryspar/routing/selection.py
+++ b/savoryspar/routing/selection.py
@@ -75,7 +75,8 @@
     """Returns a server without calls for a call that must run alone.
 
     When none is free, the one with the fewest calls is drained. At most half
-    of the servers run such calls, so that other work goes on.
+    of the servers run such calls, so that other work goes on. A server that
+    crashed just now gets none: its end would look like a second crash.
 
     Raises:
         NoServerError: None is free yet, or none can take the call.
@@ -89,11 +90,12 @@
     )
     if sum(state.is_alone for state in usable) >= max(1, len(usable) // 2):
         raise waiting
-    free = [state for state in usable if not state.in_flight]
+    settled = [state for state in usable if state.is_settled(now)]
+    free = [state for state in settled if not state.in_flight]
     if free:
         return min(free, key=lambda s: (s.load(now), s.server.name))
-    if not any(state.drained_until > now for state in usable):
-        least = min(usable, key=lambda s: s.in_flight)
+    if settled and not any(state.drained_until > now for state in settled):
+        least = min(settled, key=lambda s: s.in_flight)
         least.drained_until = now + DRAIN_S
     raise waiting
 
--- a/savoryspar/routing/servers.py
+++ b/savoryspar/routing/servers.py
@@ -11,6 +11,9 @@
 """Half-life of a load report; calls of other processes end unseen."""
 REPORT_KEPT = 0.8
 """Part of earlier reports that a new one does not replace."""
+SETTLE_S = 1.0
+"""Time after a crash in which a server may still take connections that it
+resets: its process ends some time after its first connection broke."""
 OTHER_ZONES_SIZE = 8
 """Servers of a pool in other zones of the own region to use."""
 OTHER_REGIONS_SIZE = 8
@@ -39,11 +42,13 @@
         is_alone: Whether a call runs there that must run alone.
         drained_until: Until when it gets no work because such a call waits.
         shared_at: When two own calls were last there at once, in seconds.
+        crashed_at: When an own call ended last by a crash, in seconds.
     """
 
     __slots__ = (
         "_others",
         "_reported_at",
+        "crashed_at",
         "drained_until",
         "health",
         "in_flight",
@@ -68,10 +73,15 @@
         self.is_alone = False
         self.drained_until = 0.0
         self.shared_at = -math.inf
+        self.crashed_at = -math.inf
         self.salt = subsets.weight("", server.name)
         self._others = 0.0
         self._reported_at = 0.0
 
+    def is_settled(self, now: float) -> bool:
+        """Tells whether a crash now would be another one than the last."""
+        return now - self.crashed_at >= SETTLE_S
+
     def is_closed(self, now: float) -> bool:
         """Tells whether it is kept for a call that must run alone."""
         return self.is_alone or self.drained_until > now
--- a/tests/routing/test_router.py
+++ b/tests/routing/test_router.py
@@ -238,6 +238,46 @@
             )
             self.assertEqual({"a": 6, "b": 6, "c": 6}, counts, policy)
 
+    def test_server_that_has_just_crashed_runs_no_suspect(self):
+        """Guards against an innocent stream refused beside a crash.
+
+        A process that crashes resets connections until it has ended. A stream
+        that went on alone at the engine that the culprit had just crashed met
+        such a reset, which looked like its own second crash
+        (refused_fingerprint after 7 and 17 of 60 tokens).
+        """
+        router = builders.new_router(["a", "b"])
+        names = set()
+        busy = [router.choose(builders.new_call(), 0.0) for _ in range(2)]
+        for choice in busy:
+            names.add(choice.server.name)
+        self.assertEqual({"a", "b"}, names)
+        router.observe(busy[0], routing.Outcome.OK, -1, 0.5)
+        culprit = router.choose(builders.new_call(is_alone=True), 0.6)
+        self.assertTrue(culprit.was_alone)
+        router.observe(culprit, routing.Outcome.CRASHED, -1, 0.7)
+        self.assertRaises(
+            routing.NoServerError,
+            router.choose,
+            builders.new_call(is_alone=True),
+            0.72,
+        )
+        router.observe(busy[1], routing.Outcome.OK, -1, 0.8)
+        innocent = router.choose(builders.new_call(is_alone=True), 0.82)
+        self.assertEqual(busy[1].server.name, innocent.server.name)
+
+    def test_last_resort_that_has_just_crashed_blocks_nobody(self):
+        """Guards against the same reset where only that server is left."""
+        router = builders.new_router(["a"])
+        refused = router.choose(builders.new_call(), 0.0)
+        router.observe(refused, routing.Outcome.UNREACHABLE, -1, 0.0)
+        culprit = router.choose(builders.new_call(is_alone=True), 1.1)
+        router.observe(culprit, routing.Outcome.CRASHED, -1, 1.2)
+        self.assertTrue(culprit.was_alone)
+        innocent = router.choose(builders.new_call(is_alone=True), 1.25)
+        router.observe(innocent, routing.Outcome.CRASHED, -1, 1.26)
+        self.assertFalse(innocent.was_alone)
+
 
 class NoticeTest(testtools.TestCase):
     def test_server_that_wants_no_work_is_not_chosen(self):
--- a/tools/play_days.py
+++ b/tools/play_days.py
@@ -1,7 +1,7 @@
 """Plays days of the users' bench with mechanisms switched off, and compares.
 
-Each variant is a clone of the repository beside it, in which the settings
-template names the mechanisms that are off. Results are kept in a file, one
+Each variant is a clone of the repository beside it, in which a named constant
+has the value that switches a mechanism off. Results are kept in a file, one
 line a run, so an interrupted comparison goes on where it ended.
 
     python -m tools.play_days BENCH --site SITE [--site SITE] [--day DAY]
@@ -25,10 +25,20 @@
 
 ROOT = pathlib.Path(__file__).resolve().parents[1]
 WORK = ROOT.parent / "scratch" / "variants"
-TEMPLATE = pathlib.Path("deploy", "entry.ini")
 DAYS = ("trouble-1", "scale-1", "trouble-2", "scale-2", "trouble-3")
 NONE = "none"
 """The variant in which every mechanism is on."""
+SWITCHES: dict[str, tuple[str, str, str]] = {
+    "fair_share": ("stages/batching.py", "FAIR_SHARE", "0.0"),
+    "late_waits": ("stages/batching.py", "MAX_TAKEN", "0.0"),
+    "pace": ("gateway/gathering.py", "PACE_WEIGHT", "0.0"),
+    "delayed_branches": ("stages/chain.py", "SAFETY", "1e9"),
+    "told_waits": ("stages/zones.py", "HALF_LIFE_S", "1e-6"),
+    "zone_distance": ("stages/zones.py", "REMOTE_COST_S", "0.0"),
+    "home_zones": ("gateway/placing.py", "MIN_HOME_TOKENS", "10**9"),
+    "home_servers": ("routing/policies.py", "HOME_SHARE", "0.0"),
+}
+"""Module, constant and value by which a mechanism is switched off."""
 
 
 class Run:
@@ -66,14 +76,15 @@
     if (ROOT / "target").exists():
         shutil.copytree(ROOT / "target", folder / "target", symlinks=True)
     if off != NONE:
-        template = folder / TEMPLATE
-        text = template.read_text("utf-8")
-        changed = text.replace(
-            "[gateway]\n", f"[gateway]\nswitched_off = {off}\n", 1
+        path, name, value = SWITCHES[off]
+        module = folder / "savoryspar" / path
+        text = module.read_text("utf-8")
+        changed, count = re.subn(
+            rf"^{name} = .*$", f"{name} = {value}", text, flags=re.M
         )
-        if changed == text:
-            raise ValueError(f"{TEMPLATE} has no section [gateway]")
-        template.write_text(changed, "utf-8")
+        if count != 1:
+            raise ValueError(f"{path} does not define {name} once")
+        module.write_text(changed, "utf-8")
     return folder
 
 
@@ -146,7 +157,7 @@
     parser.add_argument("--site", action="append", required=True)
     parser.add_argument("--day", action="append")
     parser.add_argument("--seed", action="append", type=int)
-    parser.add_argument("--off", action="append")
+    parser.add_argument("--off", action="append", choices=[NONE, *SWITCHES])
     parser.add_argument("--jobs", type=int, default=4)
     parser.add_argument("--keep", default="")
     args = parser.parse_args(arguments)
