Learn the pace of a server from what it made; keep pauses of lapsed servers

Cause: a call whose pieces are all refused for lack of memory ends at once, and taught a quick pace, so waits were told too short while memory was short. A paused server whose entry lapsed and came back lost its pause.

Change: pace is learned from the pieces that were made, and not below half the usual time. Words of a server off the list are kept while they bind.

Both tests fail on the code before.

--- a/savoryspar/backends/notices.py
+++ b/savoryspar/backends/notices.py
@@ -131,10 +131,18 @@
                 self._forget(server, now - NEW_START_S)
         self._starts.update(starts)
         for server in [*self._starts.keys() - starts.keys()]:
-            if self._leaving.get(server, 0.0) <= now - REMEMBER_S:
+            if not self._has_word(server, now):
                 self._forget(server, now)
                 del self._starts[server]
 
+    def _has_word(self, server: Server, now: float) -> bool:
+        """Tells whether the words of a server off the list still bind."""
+        pause = self._pauses.get(server)
+        if pause is not None and pause.until > now:
+            return True
+        said_at = self._leaving.get(server)
+        return said_at is not None and now - said_at < REMEMBER_S
+
     def _forget(self, server: Server, said_before: float) -> None:
         """Drops the words of a server up to a time."""
         if self._leaving.get(server, 0.0) <= said_before:
--- a/savoryspar/gateway/gathering.py
+++ b/savoryspar/gateway/gathering.py
@@ -46,6 +46,9 @@
 PACE_WEIGHT = 0.4
 """Weight of the newest call in the pace of a server: after three calls, about a
 second, four fifths of a change are known."""
+MIN_PACE = 0.5
+"""Quickest pace that is believed: the call of a pool has the same time at each
+of its servers unless one is in trouble."""
 FREE_TIMEOUT_S = 1.0
 REMEMBERED_HANDLES = 512
 """Newest results of a server by which a second copy of an answer is known."""
@@ -144,10 +147,15 @@
         self.call_at = now
         self.expected_s = expected_s
 
-    def learn_pace(self, now: float) -> None:
-        """Learns the pace of the server from a call that was answered."""
-        factor = (now - self.call_at) / self.expected_s
-        self.pace += PACE_WEIGHT * (factor - self.pace)
+    def learn_pace(self, expected_s: float, now: float) -> None:
+        """Learns the pace of the server from a call that has ended.
+
+        Args:
+            expected_s: Time of the pieces that it made, at the usual pace.
+            now: Monotonic time in seconds.
+        """
+        factor = (now - self.call_at) / expected_s
+        self.pace += PACE_WEIGHT * (max(MIN_PACE, factor) - self.pace)
 
     def pace_at(self, now: float) -> float:
         """Returns the time of its calls as a factor of the expected one.
@@ -486,7 +494,9 @@
             self._fail(server, call, exc)
             return
         server.backoff_s = 0.0
-        server.learn_pace(self._clock())
+        made = sum(isinstance(result, str) for result in results)
+        if made:
+            server.learn_pace(self.queue.call_s(made), self._clock())
         self._take(server, call, results, now)
 
     def _take(
--- a/tests/backends/test_notices.py
+++ b/tests/backends/test_notices.py
@@ -41,6 +41,13 @@
         self.notices.update({SERVER: 1000, OTHER: 1000}, 9.0)
         self.assertFalse(self.notices.may_send(SERVER, 9.0))
 
+    def test_lapsed_entry_ends_no_pause(self):
+        """Guards against work for a paused server whose entry came back."""
+        self.notices.note(OTHER, False, 5.0, 500.0)
+        self.notices.update({}, 501.0)
+        self.notices.update({OTHER: 1000}, 502.0)
+        self.assertFalse(self.notices.may_send(OTHER, 502.0))
+
     def test_new_start_under_the_same_name_gets_work(self):
         """Guards against a server left out for good after it came back."""
         self.notices.update({SERVER: 2000}, 9.0)
--- a/tests/gateway/test_gathering.py
+++ b/tests/gateway/test_gathering.py
@@ -249,6 +249,21 @@
         _, after = self.submit("r3")
         self.assertGreater(after.wait_s, 3.0 * before.wait_s)
 
+    def test_refusals_for_memory_teach_no_pace(self):
+        """Pattern: a server whose memory is full refuses pieces at once.
+
+        Guards against short waits told while pieces are refused.
+        """
+        self.add_server(
+            *(answer([{"reason": "room"}]) for _ in range(4)),
+            answer([{"handle": "h1"}]),
+        )
+        _, before = self.submit("r1")
+        eventlet.sleep(2.5 * gathering.FULL_ROOM_PAUSE_S)
+        _, during = self.submit("r2")
+        self.assertGreaterEqual(during.wait_s, before.wait_s)
+        self.wait(1)
+
     def test_results_of_a_busy_server_are_freed_at_once(self):
         """Pattern: little memory for results, which limits a pool.
 
