--- a/savoryspar/gateway/gathering.py
+++ b/savoryspar/gateway/gathering.py
@@ -147,15 +147,18 @@
         self.call_at = now
         self.expected_s = expected_s
 
-    def learn_pace(self, expected_s: float, now: float) -> None:
-        """Learns the pace of the server from a call that has ended.
+    def end_call(self, made_s: float, now: float) -> None:
+        """Notes the end of a call, and learns the server's pace from it.
 
         Args:
-            expected_s: Time of the pieces that it made, at the usual pace.
+            made_s: Time of the pieces that it made, at the usual pace; 0 when
+                it made none, which says nothing of its pace.
             now: Monotonic time in seconds.
         """
-        factor = (now - self.call_at) / expected_s
-        self.pace += PACE_WEIGHT * (max(MIN_PACE, factor) - self.pace)
+        if made_s:
+            factor = (now - self.call_at) / made_s
+            self.pace += PACE_WEIGHT * (max(MIN_PACE, factor) - self.pace)
+        self.call_at = None
 
     def pace_at(self, now: float) -> float:
         """Returns the time of its calls as a factor of the expected one.
@@ -495,8 +498,7 @@
             return
         server.backoff_s = 0.0
         made = sum(isinstance(result, str) for result in results)
-        if made:
-            server.learn_pace(self.queue.call_s(made), self._clock())
+        server.end_call(self.queue.call_s(made) if made else 0.0, self._clock())
         self._take(server, call, results, now)
 
     def _take(
--- a/tests/gateway/test_gathering.py
+++ b/tests/gateway/test_gathering.py
@@ -259,13 +259,14 @@
             answer([{"handle": "h1"}]),
         )
         self.submit("r1")
-        eventlet.sleep(2.5 * gathering.FULL_ROOM_PAUSE_S)
+        self.wait(1)
         group, offer = self.submit("r2")
-        idle_s = self.gatherer.queue.wait_s(
+        usual_s = self.gatherer.queue.wait_s(
             group, stages.PoolLoad(1), time.monotonic()
         )
-        self.assertGreaterEqual(offer.wait_s, idle_s)
-        self.wait(1)
+        # One call made a piece; the quickest pace that it may teach.
+        pace = 1.0 - gathering.PACE_WEIGHT * (1.0 - gathering.MIN_PACE)
+        self.assertGreaterEqual(offer.wait_s, 0.999 * pace * usual_s)
 
     def test_results_of_a_busy_server_are_freed_at_once(self):
         """Pattern: little memory for results, which limits a pool.
