Write each piece of the sends, keys and log lines once

A request on its way to a server is one record in place of eight arguments given three times. Server.key names what connections and words are kept by. Tests share their event log.

--- a/savoryspar/backends/connections.py
+++ b/savoryspar/backends/connections.py
@@ -290,6 +290,38 @@
         self.total -= self._by_answer.pop(answer, 0)
 
 
+class _Call:
+    """A request on its way to a server; see ``Connections.send``."""
+
+    __slots__ = (
+        "attempt_id",
+        "body",
+        "deadline_at",
+        "fields",
+        "method",
+        "server",
+        "target",
+    )
+
+    def __init__(
+        self,
+        server: tuple[str, str],
+        method: str,
+        target: str,
+        fields: Sequence[tuple[str, str]],
+        body: bytes,
+        deadline_at: float,
+        attempt_id: str,
+    ):
+        self.server = server
+        self.method = method
+        self.target = target
+        self.fields = fields
+        self.body = body
+        self.deadline_at = deadline_at
+        self.attempt_id = attempt_id
+
+
 class Connections:
     """Sends requests and keeps idle connections by server.
 
@@ -369,49 +401,25 @@
             )
         if is_work:
             self.notices.note_sent(server, now)
-        return self._send(
-            server,
-            method,
-            target,
-            fields,
-            body,
-            timeout_s,
-            attempt_id,
-            may_repeat,
+        call = _Call(
+            server, method, target, fields, body, now + timeout_s, attempt_id
         )
+        return self._send(call, may_repeat)
 
-    def _send(
-        self,
-        server: tuple[str, str],
-        method: str,
-        target: str,
-        fields: Sequence[tuple[str, str]],
-        body: bytes,
-        timeout_s: float,
-        attempt_id: str,
-        may_repeat: bool,
-    ) -> Answer:
+    def _send(self, call: _Call, may_repeat: bool) -> Answer:
         """Does what ``send`` does, once more on a new connection if need be."""
-        deadline_at = self._clock() + timeout_s
+        server = call.server
         limit_s = MAX_IDLE_S if may_repeat else FRESH_IDLE_S
         conn = self._take_idle(server, limit_s)
         is_reused = conn is not None
         if conn is None:
-            conn = self._open(server, min(CONNECT_TIMEOUT_S, timeout_s))
+            left_s = call.deadline_at - self._clock()
+            conn = self._open(server, min(CONNECT_TIMEOUT_S, left_s))
         try:
-            return self._exchange(
-                server,
-                conn,
-                method,
-                target,
-                fields,
-                body,
-                deadline_at,
-                attempt_id,
-            )
+            return self._exchange(conn, call)
         except FAILURES as exc:
             conn.close()
-            left_s = deadline_at - self._clock()
+            left_s = call.deadline_at - self._clock()
             cause: Exception = exc
             if (
                 is_reused
@@ -421,16 +429,7 @@
             ):
                 self._idle.pop(server, None)
                 try:
-                    return self._send(
-                        server,
-                        method,
-                        target,
-                        fields,
-                        body,
-                        left_s,
-                        attempt_id,
-                        may_repeat=False,
-                    )
+                    return self._send(call, may_repeat=False)
                 except exceptions.CallRefusedError as refused:
                     # What was sent first may have been read before the reset.
                     cause = refused
@@ -473,28 +472,23 @@
         self.opened += 1
         return conn
 
-    def _exchange(
-        self,
-        server: tuple[str, str],
-        conn: connection.HTTPConnection,
-        method: str,
-        target: str,
-        fields: Sequence[tuple[str, str]],
-        body: bytes,
-        deadline_at: float,
-        attempt_id: str,
-    ) -> Answer:
-        sock = conn.sock
-        sock.bound(self._clock, deadline_at, MAX_HEAD_BYTES)
+    def _exchange(self, conn: connection.HTTPConnection, call: _Call) -> Answer:
+        sock, attempt_id = conn.sock, call.attempt_id
+        sock.bound(self._clock, call.deadline_at, MAX_HEAD_BYTES)
         # urllib3 sets the socket's timeout from this value with each request.
-        conn.timeout = max(0.001, deadline_at - self._clock())
+        conn.timeout = max(0.001, call.deadline_at - self._clock())
         headers = urllib3.HTTPHeaderDict()
-        for name, value in fields:
+        for name, value in call.fields:
             headers.add(name, value)
         headers.setdefault("User-Agent", "savoryspar")
         # A server may answer before it has read a long body, and close.
         with contextlib.suppress(BrokenPipeError):
-            conn.request(method, target, body=body or None, headers=headers)
+            conn.request(
+                call.method,
+                call.target,
+                body=call.body or None,
+                headers=headers,
+            )
         resp = http.client.HTTPConnection.getresponse(conn)
         is_shared = True
         for _ in range(MAX_STRAY_ANSWERS):
@@ -503,23 +497,23 @@
                 break
             self.stray_answers += 1
             is_shared = False
-            sock.bound(self._clock, deadline_at, MAX_STRAY_BYTES)
-            resp = _next_answer(resp, sock, method)
+            sock.bound(self._clock, call.deadline_at, MAX_STRAY_BYTES)
+            resp = _next_answer(resp, sock, call.method)
         if attempt_id and facts.attempt_id not in ("", attempt_id):
             raise http.client.HTTPException(
                 f"the answer belongs to attempt {facts.attempt_id!r}"
             )
 
-        self.notices.take(server, facts, self._clock())
+        self.notices.take(call.server, facts, self._clock())
 
         def release(answer: Answer) -> None:
             if is_shared and not facts.is_closing and not resp.will_close:
-                self._keep(server, conn, facts.idle_timeout_s)
+                self._keep(call.server, conn, facts.idle_timeout_s)
             else:
                 conn.close()
 
         return Answer(
-            server[0],
+            call.server[0],
             conn,
             sock,
             resp,
--- a/savoryspar/backends/model.py
+++ b/savoryspar/backends/model.py
@@ -25,6 +25,11 @@
         self.zone = zone
         self.pool = pool
 
+    @property
+    def key(self) -> tuple[str, str]:
+        """Name and address, by which its connections and words are kept."""
+        return (self.name, self.address)
+
 
 class StageCall:
     """One attempt to run a stage.
--- a/savoryspar/backends/notices.py
+++ b/savoryspar/backends/notices.py
@@ -5,7 +5,7 @@
 until the time is over, whatever the list of servers says meanwhile.
 """
 
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 
 from savoryspar import log
 from savoryspar.backends import requests
@@ -112,6 +112,18 @@
             return 0.0
         return max(0.0, pause.until - now, pause.tried_at + TRIAL_GAP_S - now)
 
+    def shortest_pause_s(self, servers: Iterable[Server], now: float) -> float:
+        """Returns when the first paused server wants work, 0 without one.
+
+        Those that leave want none again, whatever they said of a pause.
+        """
+        pauses = [
+            self.pause_s(server, now)
+            for server in servers
+            if server not in self._leaving
+        ]
+        return min((pause for pause in pauses if pause > 0.0), default=0.0)
+
     def may_send(self, server: Server, now: float) -> bool:
         """Tells whether a server may get work."""
         if server in self._leaving:
--- a/savoryspar/cli/explain.py
+++ b/savoryspar/cli/explain.py
@@ -2,13 +2,13 @@
 
 from collections.abc import Iterable, Iterator
 import itertools
-import json
 import sys
 from typing import Any
 
 from cleo.commands import command
 from cleo.helpers import argument, option
 
+from savoryspar import log
 from savoryspar.cli import exit_codes
 
 HIDDEN = frozenset({"at", "node", "event", "request", "left_out"})
@@ -54,19 +54,11 @@
 
 
 def _read(paths: Iterable[str]) -> Iterator[dict[str, Any]]:
-    """Yields the structured lines; a prefix before the object is skipped."""
+    """Yields the structured lines of files."""
     for path in [*paths] or ["-"]:
         file = sys.stdin if path == "-" else open(path, encoding="utf-8")  # noqa: SIM115
         with file:
-            for text in file:
-                start = text.find('{"at"')
-                if start < 0:
-                    continue
-                try:
-                    yield json.loads(text[start:])
-                except ValueError:
-                    # The end of a log that is still being written.
-                    continue
+            yield from log.read_lines(file)
 
 
 def _touches(line: dict[str, Any], request: str) -> bool:
--- a/savoryspar/gateway/gathering.py
+++ b/savoryspar/gateway/gathering.py
@@ -372,12 +372,8 @@
 
     def _return_s(self, now: float) -> float:
         """Returns when a pool without a usable server may have one again."""
-        pauses = [
-            self._notices.pause_s(server.key, now)
-            for server in self._servers.values()
-            if not self._notices.is_leaving(server.key)
-        ]
-        return min([pause for pause in pauses if pause] or [NO_SERVER_RETRY_S])
+        keys = [server.key for server in self._servers.values()]
+        return self._notices.shortest_pause_s(keys, now) or NO_SERVER_RETRY_S
 
     @property
     def _notices(self) -> backends.Notices:
--- a/savoryspar/gateway/node.py
+++ b/savoryspar/gateway/node.py
@@ -266,7 +266,7 @@
             },
             now,
         )
-        self._connections.forget([(s.name, s.address) for s in live])
+        self._connections.forget([server.key for server in live])
         current = self._holder.current
         if current is not None:
             limits = current.limits
--- a/savoryspar/gateway/placing.py
+++ b/savoryspar/gateway/placing.py
@@ -266,25 +266,26 @@
             self._notify(placer.incarnation, kind, [number, *words])
 
         now = self._clock()
-        if self._roster.is_leaving(name) or not self._router.notices.may_send(
-            (name, address), now
+        server = backends.Server(name, address, region, zone, call.pool)
+        notices = self._router.notices
+        if self._roster.is_leaving(name) or not notices.may_send(
+            server.key, now
         ):
             # The placer is cut off from the store and does not know it yet,
             # or the server said so to this VM only.
-            key = (name, address)
             notify(
                 FINISH_KIND,
                 [
                     routing.Outcome.CANCELLED.value,
                     -1,
-                    self._router.notices.is_leaving(key),
-                    self._router.notices.pause_s(key, now),
+                    notices.is_leaving(server.key),
+                    notices.pause_s(server.key, now),
                 ],
             )
             call.excluded |= {name}
             return self._place_in(zone, call, self._clock())
         return Placement(
-            backends.Server(name, address, region, zone, call.pool),
+            server,
             placer.incarnation,
             reply["reason"],
             self._router,
@@ -357,7 +358,7 @@
             now = self._clock()
             self._router.observe(choice, routing.Outcome(outcome), load, now)
             self._router.notices.note(
-                (choice.server.name, choice.server.address),
+                choice.server.key,
                 bool(is_leaving),
                 min(float(pause_s), platform.MAX_PAUSE_S),
                 now,
--- a/savoryspar/gateway/plain.py
+++ b/savoryspar/gateway/plain.py
@@ -88,7 +88,7 @@
             ),
         )
         return self._connections.send(
-            (server.name, server.address),
+            server.key,
             req.method,
             req.target,
             fields,
--- a/savoryspar/gateway/streams.py
+++ b/savoryspar/gateway/streams.py
@@ -253,7 +253,7 @@
             ),
         )
         return forwarder._connections.send(
-            (placement.server.name, placement.server.address),
+            placement.server.key,
             job.req.method,
             job.req.target,
             fields,
--- a/savoryspar/log/__init__.py
+++ b/savoryspar/log/__init__.py
@@ -2,5 +2,10 @@
 
 from savoryspar.log.catalog import EVENTS
 from savoryspar.log.decisions import Decision, DecisionLog, new_decision_log
-from savoryspar.log.events import EventLog, new_event_log, write_to_events
+from savoryspar.log.events import (
+    EventLog,
+    new_event_log,
+    read_lines,
+    write_to_events,
+)
 from savoryspar.log.setup import PARTS, configure, new_handler, new_logger
--- a/savoryspar/log/events.py
+++ b/savoryspar/log/events.py
@@ -5,7 +5,7 @@
 Failures and changes of belief may use a reserve that successes may not.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable, Iterator
 import json
 import os
 from typing import Any
@@ -123,6 +123,24 @@
     _EventHandler(events, level, clock).push_application()
 
 
+def read_lines(texts: Iterable[str]) -> Iterator[dict[str, Any]]:
+    """Yields the structured lines of a log; other lines are skipped.
+
+    Args:
+        texts: Lines as they were collected, with or without a prefix before
+            the object.
+    """
+    for text in texts:
+        start = text.find('{"at"')
+        if start < 0:
+            continue
+        try:
+            yield json.loads(text[start:])
+        except ValueError:
+            # The end of a log that is still being written.
+            continue
+
+
 def new_event_log(fd: int, node: str) -> EventLog:
     """Returns a log that writes to a file descriptor without blocking."""
     os.set_blocking(fd, False)
--- a/savoryspar/routing/pools.py
+++ b/savoryspar/routing/pools.py
@@ -37,7 +37,7 @@
             The names of servers that are new or have a new address.
         """
         key = (
-            sorted((s.name, s.address) for s in listed),
+            sorted(server.key for server in listed),
             sorted(entry.name for entry in entries),
         )
         if key == self._listed:
--- a/savoryspar/routing/router.py
+++ b/savoryspar/routing/router.py
@@ -329,18 +329,16 @@
         willing = [
             state
             for state in states
-            if self.notices.may_send(_key(state.server), now)
+            if self.notices.may_send(state.server.key, now)
         ]
         if states and not willing:
-            pauses = [
-                self.notices.pause_s(_key(state.server), now)
-                for state in states
-                if not self.notices.is_leaving(_key(state.server))
-            ]
+            pause_s = self.notices.shortest_pause_s(
+                [state.server.key for state in states], now
+            )
             raise exceptions.NoServerError(
                 pool,
                 "all said that they are leaving or want no work now",
-                min(pauses, default=selection.RETRY_AFTER_S),
+                pause_s or selection.RETRY_AFTER_S,
             )
         return willing
 
@@ -351,10 +349,6 @@
         return pool
 
 
-def _key(server: backends.Server) -> tuple[str, str]:
-    return (server.name, server.address)
-
-
 def _comparable(latency_s: float, choice: model.Choice) -> float:
     """Returns a latency that can be compared between prompts of any length."""
     if not choice.expected_s:
--- a/tests/gateway/test_app.py
+++ b/tests/gateway/test_app.py
@@ -1,13 +1,11 @@
 """Tests of the callers' side of the gateway, without a network."""
 
-import os
-
 from eventlet import wsgi
 import testtools
 
-from savoryspar import fleet, http, log
+from savoryspar import fleet, http
 from savoryspar.gateway import app, counters, model
-from tests.gateway import requests
+from tests.gateway import event_logs, requests
 
 
 class FakeForwarder:
@@ -40,10 +38,7 @@
 class GatewayAppTest(testtools.TestCase):
     def setUp(self):
         super().setUp()
-        reader, writer = os.pipe()
-        self.addCleanup(os.close, reader)
-        self.addCleanup(os.close, writer)
-        events = log.new_event_log(writer, "n")
+        events = event_logs.new_event_log(self)
         self.holder = fleet.new_holder(events)
         self.now = 100.0
         self.plain = FakeForwarder(reply)
--- a/tests/gateway/test_attempts.py
+++ b/tests/gateway/test_attempts.py
@@ -1,12 +1,10 @@
 """Tests of what a request learns from its servers."""
 
-import os
-
 import testtools
 
 from savoryspar import backends, fleet, log, routing
 from savoryspar.gateway import attempts, model
-from tests.gateway import requests
+from tests.gateway import event_logs, requests
 
 
 class Placement:
@@ -19,11 +17,8 @@
 class AttemptsCase(testtools.TestCase):
     def setUp(self):
         super().setUp()
-        reader, writer = os.pipe()
-        self.addCleanup(os.close, reader)
-        self.addCleanup(os.close, writer)
         self.router = routing.new_router(log.new_decision_log(0.0))
-        self.events = log.new_event_log(writer, "n")
+        self.events = event_logs.new_event_log(self)
 
 
 class CrashTest(AttemptsCase):
--- a/tests/gateway/test_fleet_watch.py
+++ b/tests/gateway/test_fleet_watch.py
@@ -1,14 +1,14 @@
 """Tests of following the store."""
 
-import os
 import time
 
 import eventlet
 import testtools
 
-from savoryspar import fleet, log, membership, platform
+from savoryspar import fleet, membership, platform
 from savoryspar.gateway import fleet_watch, watchers
 from savoryspar.platform import standin
+from tests.gateway import event_logs
 
 CHANGE_EVERY_S = 0.01
 
@@ -126,10 +126,7 @@
 
         Pattern: a fleet starts, and servers appear every few milliseconds.
         """
-        reader, writer = os.pipe()
-        self.addCleanup(os.close, reader)
-        self.addCleanup(os.close, writer)
-        events = log.new_event_log(writer, "n")
+        events = event_logs.new_event_log(self)
         roster = fleet.new_roster(events)
         watch = fleet_watch.FleetWatch(
             "store:1",
@@ -246,10 +243,7 @@
 
     def setUp(self):
         super().setUp()
-        reader, writer = os.pipe()
-        self.addCleanup(os.close, reader)
-        self.addCleanup(os.close, writer)
-        events = log.new_event_log(writer, "n")
+        events = event_logs.new_event_log(self)
         # Of these names, two others than "own" are chosen.
         self.members = FakeMembers(MANY)
         self.holder = fleet.new_holder(events)
--- a/tests/gateway/test_gathering.py
+++ b/tests/gateway/test_gathering.py
@@ -1,15 +1,15 @@
 """Tests of gathered calls, against a scripted stage server."""
 
 import json
-import os
 import time
 
 import eventlet
 import testtools
 
-from savoryspar import backends, fleet, log, platform, stages
+from savoryspar import backends, fleet, platform, stages
 from savoryspar.gateway import gathering
 from tests.backends import test_connections as scripted
+from tests.gateway import event_logs
 
 POOL = fleet.StagePool(1, 2, 8, 0.01, 0.001, 36e6, 4.0)
 
@@ -25,14 +25,11 @@
         super().setUp()
         self.entries = []
         self.ended = []
-        reader, writer = os.pipe()
-        self.addCleanup(os.close, reader)
-        self.addCleanup(os.close, writer)
         self.gatherer = gathering.new_gatherer(
             POOL,
             lambda: self.entries,
             backends.new_connections(platform.answer_facts, time.monotonic),
-            log.new_event_log(writer, "n"),
+            event_logs.new_event_log(self),
             time.monotonic,
         )
 
--- a/tests/gateway/test_placing.py
+++ b/tests/gateway/test_placing.py
@@ -1,12 +1,12 @@
 """Tests of placing requests with the knowledge of another VM."""
 
-import os
 import time
 
 import testtools
 
 from savoryspar import backends, fleet, log, membership, routing
 from savoryspar.gateway import placing
+from tests.gateway import event_logs
 
 
 class FakeMembers:
@@ -81,10 +81,7 @@
         self.assertEqual([2, "cancelled", -1, True, 0.0], members.told[-1][2])
 
     def _new_placer(self, leaving=""):
-        reader, writer = os.pipe()
-        self.addCleanup(os.close, reader)
-        self.addCleanup(os.close, writer)
-        events = log.new_event_log(writer, "n")
+        events = event_logs.new_event_log(self)
         roster = fleet.new_roster(events)
         for name in ("s1", "s2"):
             roster.put(
--- a/tests/gateway/test_stage_work.py
+++ b/tests/gateway/test_stage_work.py
@@ -1,13 +1,13 @@
 """Tests of stages that other VMs gather."""
 
-import os
 import time
 
 import eventlet
 import testtools
 
-from savoryspar import fleet, log, membership, stages
+from savoryspar import fleet, membership, stages
 from savoryspar.gateway import gatherers, stage_work
+from tests.gateway import event_logs
 
 VMS = 33
 
@@ -96,10 +96,7 @@
 
         Pattern: overload in a zone of 33 VMs, where many requests are refused.
         """
-        reader, writer = os.pipe()
-        self.addCleanup(os.close, reader)
-        self.addCleanup(os.close, writer)
-        events = log.new_event_log(writer, "n")
+        events = event_logs.new_event_log(self)
         roster = fleet.new_roster(events)
         roster.put(
             fleet.BackendEntry("s1", "p", "a:1", "z", 1, False, 0, 1), "t", 0.0
--- a/tests/gateway/test_streams.py
+++ b/tests/gateway/test_streams.py
@@ -1,12 +1,10 @@
 """Tests of relayed streams, with scripted answers and an own clock."""
 
-import os
-
 import testtools
 
 from savoryspar import backends, fleet, log, routing
 from savoryspar.gateway import model, placing, streams
-from tests.gateway import requests
+from tests.gateway import event_logs, requests
 
 EVENT = b"id: %d\ndata: x\n\n"
 
@@ -105,10 +103,7 @@
 class StreamTest(testtools.TestCase):
     def setUp(self):
         super().setUp()
-        reader, writer = os.pipe()
-        self.addCleanup(os.close, reader)
-        self.addCleanup(os.close, writer)
-        self.events = log.new_event_log(writer, "n")
+        self.events = event_logs.new_event_log(self)
         self.clock = Clock()
         self.sent = b""
 
--- a/tools/lost_requests.py
+++ b/tools/lost_requests.py
@@ -9,10 +9,11 @@
 
 import collections
 from collections.abc import Iterable, Iterator
-import json
 import sys
 from typing import Any
 
+from savoryspar import log
+
 Line = dict[str, Any]
 
 
@@ -78,18 +79,10 @@
     """Returns the attempts of a log; each is served by one VM."""
     traces: collections.defaultdict[str, Trace]
     traces = collections.defaultdict(Trace)
-    for text in lines:
-        begin = text.find('{"at"')
-        if begin < 0 or '"request"' not in text:
-            continue
-        try:
-            line = json.loads(text[begin:])
-        except json.JSONDecodeError:
-            continue
-        if line["event"] not in ("stage call", "request admitted"):
+    for line in log.read_lines(lines):
+        # A line of a call names the requests of all its pieces.
+        if "request" in line and line["event"] != "stage call":
             traces[line["request"]].lines.append(line)
-        elif line["event"] == "request admitted":
-            traces[line["request"]].lines.insert(0, line)
     return [
         trace for trace in traces.values() if trace.first("request admitted")
     ]
--- a/tools/play_days.py
+++ b/tools/play_days.py
@@ -66,7 +66,7 @@
 
 def clone(off: str) -> pathlib.Path:
     """Returns a clone of the last commit in which a mechanism is off."""
-    folder = WORK / off.replace(",", "+")
+    folder = WORK / off
     if folder.exists():
         shutil.rmtree(folder)
     folder.parent.mkdir(parents=True, exist_ok=True)
