--- a/savoryspar/backends/connections.py
+++ b/savoryspar/backends/connections.py
@@ -345,9 +345,9 @@
         self,
         facts: ReadFacts,
         clock: Callable[[], float],
-        words: notices.Notices,
+        server_notices: notices.Notices,
     ):
-        self.notices = words
+        self.notices = server_notices
         self._facts = facts
         self._clock = clock
         # Idle connections with the time of their last use and their limit.
@@ -593,13 +593,13 @@
 def new_connections(
     facts: ReadFacts,
     clock: Callable[[], float],
-    words: notices.Notices | None = None,
+    server_notices: notices.Notices | None = None,
 ) -> Connections:
     """Returns a client without connections.
 
     Args:
         facts: Reads the head of an answer.
         clock: Monotonic time in seconds.
-        words: What servers said of themselves; nothing when None.
+        server_notices: What servers said of themselves; nothing when None.
     """
-    return Connections(facts, clock, words or notices.new_notices())
+    return Connections(facts, clock, server_notices or notices.new_notices())
--- a/savoryspar/backends/model.py
+++ b/savoryspar/backends/model.py
@@ -27,7 +27,7 @@
 
     @property
     def key(self) -> tuple[str, str]:
-        """Name and address, by which its connections and words are kept."""
+        """Name and address, by which its connections and notices are kept."""
         return (self.name, self.address)
 
 
--- a/savoryspar/backends/notices.py
+++ b/savoryspar/backends/notices.py
@@ -15,10 +15,10 @@
 answered one without asking for another pause. Callers that waited for the end
 of the pause would otherwise all come at once."""
 REMEMBER_S = 120.0
-"""Time for which the words of servers off the list are kept. An entry may
+"""Time for which the notices of servers off the list are kept. An entry may
 lapse and come back while the store is away, and the server is the same."""
 NEW_START_S = 1.0
-"""Age up to which a word may be that of a start that is listed only now. A
+"""Age up to which a notice may be that of a start that is listed only now. A
 start is listed within about a heartbeat of 1.2 s, and a server that left takes
 longer than that to be back."""
 
@@ -57,7 +57,7 @@
     def take(
         self, server: Server, facts: requests.AnswerFacts, now: float
     ) -> None:
-        """Takes the words of an answer.
+        """Takes the notices of an answer.
 
         Args:
             server: The server that sent it.
@@ -69,7 +69,7 @@
     def note(
         self, server: Server, is_leaving: bool, pause_s: float, now: float
     ) -> None:
-        """Takes the words of an answer that this process or a peer got.
+        """Takes the notices of an answer that this process or a peer got.
 
         Args:
             server: The server that sent it.
@@ -131,7 +131,7 @@
         return not self._pauses or self.pause_s(server, now) <= 0.0
 
     def update(self, starts: Mapping[Server, int], now: float) -> None:
-        """Takes the listed servers; words of an earlier start are dropped.
+        """Takes the listed servers; notices of an earlier start are dropped.
 
         Args:
             starts: Start of each listed server, in Unix milliseconds.
@@ -143,12 +143,12 @@
                 self._forget(server, now - NEW_START_S)
         self._starts.update(starts)
         for server in [*self._starts.keys() - starts.keys()]:
-            if not self._has_word(server, now):
+            if not self._is_binding(server, now):
                 self._forget(server, now)
                 del self._starts[server]
 
-    def _has_word(self, server: Server, now: float) -> bool:
-        """Tells whether the words of a server off the list still bind."""
+    def _is_binding(self, server: Server, now: float) -> bool:
+        """Tells whether the notices of a server off the list still bind."""
         pause = self._pauses.get(server)
         if pause is not None and pause.until > now:
             return True
@@ -156,12 +156,12 @@
         return said_at is not None and now - said_at < REMEMBER_S
 
     def _forget(self, server: Server, said_before: float) -> None:
-        """Drops the words of a server up to a time."""
+        """Drops the notices of a server up to a time."""
         if self._leaving.get(server, 0.0) <= said_before:
             self._leaving.pop(server, None)
         self._pauses.pop(server, None)
 
 
 def new_notices() -> Notices:
-    """Returns notices without any word."""
+    """Returns an empty set of notices."""
     return Notices()
--- a/savoryspar/gateway/placing.py
+++ b/savoryspar/gateway/placing.py
@@ -105,8 +105,8 @@
         if self._choice is not None:
             self._router.observe(self._choice, outcome, load, now)
             return
-        words = [facts.is_leaving, facts.pause_s] if facts else [False, 0.0]
-        self._notify(FINISH_KIND, [outcome.value, load, *words])
+        notice = [facts.is_leaving, facts.pause_s] if facts else [False, 0.0]
+        self._notify(FINISH_KIND, [outcome.value, load, *notice])
 
 
 class LocalPlacing:
@@ -262,8 +262,8 @@
         name, address, region = reply["server"]
         number = reply["number"]
 
-        def notify(kind: str, words: list) -> None:
-            self._notify(placer.incarnation, kind, [number, *words])
+        def notify(kind: str, values: list) -> None:
+            self._notify(placer.incarnation, kind, [number, *values])
 
         now = self._clock()
         server = backends.Server(name, address, region, zone, call.pool)
--- a/tests/backends/test_notices.py
+++ b/tests/backends/test_notices.py
@@ -36,7 +36,7 @@
         self.assertFalse(self.notices.may_send(SERVER, 9.0))
 
     def test_lapsed_entry_brings_nobody_back(self):
-        """Guards against a word forgotten while the store was away."""
+        """Guards against a notice forgotten while the store was away."""
         self.notices.update({OTHER: 1000}, 7.0)
         self.notices.update({SERVER: 1000, OTHER: 1000}, 9.0)
         self.assertFalse(self.notices.may_send(SERVER, 9.0))
@@ -54,7 +54,7 @@
         self.assertTrue(self.notices.may_send(SERVER, 9.0))
 
     def test_word_just_before_a_new_start_is_listed_is_kept(self):
-        """Guards against the word of a new start taken for the old one's."""
+        """Guards against the notice of a new start taken for the old one's."""
         self.notices.update({SERVER: 2000}, 5.5)
         self.assertFalse(self.notices.may_send(SERVER, 5.5))
 
@@ -77,7 +77,7 @@
         self.assertTrue(notices.may_send(SERVER, 12.2))
 
     def test_shorter_pause_does_not_end_a_longer_one(self):
-        """Guards against a pause cut short by a later, smaller word."""
+        """Guards against a pause cut short by a later, smaller notice."""
         notices = backends.new_notices()
         notices.note(SERVER, False, 5.0, 10.0)
         notices.note(SERVER, False, 1.0, 10.5)
@@ -85,8 +85,8 @@
         self.assertAlmostEqual(3.0, notices.pause_s(SERVER, 12.0))
 
 
-class WordsMachine(stateful.RuleBasedStateMachine):
-    """Any order of words, times and restarts; a model holds the two rules."""
+class NoticesMachine(stateful.RuleBasedStateMachine):
+    """Any order of notices, times and restarts; a model holds the two rules."""
 
     def __init__(self):
         super().__init__()
@@ -130,7 +130,7 @@
             self.notices.note_sent(SERVER, self.now)
 
     @stateful.invariant()
-    def words_bind(self):
+    def notices_bind(self):
         if self.said_at is not None or self.now < self.until:
             assert not self.notices.may_send(SERVER, self.now)
 
@@ -141,4 +141,4 @@
             assert self.notices.may_send(SERVER, later)
 
 
-WordsTest = WordsMachine.TestCase
+NoticesTest = NoticesMachine.TestCase
--- a/tests/gateway/test_server_words.py
+++ b/tests/gateway/test_server_notices.py
@@ -13,23 +13,23 @@
     """Servers that run what they get and then leave, or refuse for a time."""
 
     def __init__(self):
-        self.words = {}
+        self.notices = {}
         self.reached = {"desk": 0, "lm": 0, "prep": 0}
         super().__init__()
 
-    def say(self, service, *words):
-        self.words[service] = words
+    def say(self, service, *notices):
+        self.notices[service] = notices
 
     def _answer(self, service, app, environ, start_response):
         if environ["PATH_INFO"] != "/-/stage-free":
             self.reached[service] += 1
-        words = self.words.get(service, ())
-        if any(name == "Retry-After" for name, _ in words):
-            start_response("503 Busy", [*words, ("Savoryspar-Not-Run", "1")])
+        notices = self.notices.get(service, ())
+        if any(name == "Retry-After" for name, _ in notices):
+            start_response("503 Busy", [*notices, ("Savoryspar-Not-Run", "1")])
             return [b""]
 
         def start(status, fields):
-            return start_response(status, [*fields, *words])
+            return start_response(status, [*fields, *notices])
 
         return app(environ, start)
 
@@ -43,7 +43,7 @@
         return self._answer("prep", super().stage, environ, start_response)
 
 
-class ServerWordsTest(node_case.NodeCase):
+class ServerNoticesTest(node_case.NodeCase):
     """Each service has one server, so no other one hides a fault."""
 
     platform_class = SpeakingPlatform
@@ -62,10 +62,10 @@
         ]
         return self.ask("callers", "POST", target, fields, b"x")
 
-    def _reached_after(self, service, target, words):
-        """Returns an answer, and the requests that came after the words."""
+    def _reached_after(self, service, target, notices):
+        """Returns an answer, and the requests that came after the notices."""
         self._ask(target)
-        self.platform.say(service, *words)
+        self.platform.say(service, *notices)
         self._ask(target)
         eventlet.sleep(0.5)
         before = self.platform.reached[service]
@@ -78,9 +78,9 @@
         With one server a service, 34 of 60 plain requests reached it, 33 of
         60 streams and 50 calls of a stage.
         """
-        words = [("Server-Leaving", "1")]
+        notices = [("Server-Leaving", "1")]
         for service, target in (("desk", "/o/1"), ("lm", "/n/1")):
-            answers, reached = self._reached_after(service, target, words)
+            answers, reached = self._reached_after(service, target, notices)
             self.assertEqual(0, reached, service)
             for text in answers:
                 self.assertTrue(text.startswith(b"HTTP/1.1 503"), text)
@@ -88,8 +88,8 @@
 
     def test_stage_server_that_leaves_gets_no_piece(self):
         """Guards against pieces sent to a stage server that leaves."""
-        words = [("Server-Leaving", "1")]
-        answers, reached = self._reached_after("prep", "/n/1", words)
+        notices = [("Server-Leaving", "1")]
+        answers, reached = self._reached_after("prep", "/n/1", notices)
         self.assertEqual(0, reached)
         self.assertTrue(answers[0].startswith(b"HTTP/1.1 503"), answers[0])
 
@@ -99,13 +99,13 @@
         25 of 31 plain requests reached it, 24 streams, and 46 calls of a stage
         for 3 requests; two are allowed.
         """
-        words = [("Retry-After", str(PAUSE_S))]
+        notices = [("Retry-After", str(PAUSE_S))]
         for service, target in (
             ("desk", "/o/1"),
             ("lm", "/n/1"),
             ("prep", "/n/1"),
         ):
-            answers, reached = self._reached_after(service, target, words)
+            answers, reached = self._reached_after(service, target, notices)
             self.assertLessEqual(reached, 2, service)
             for text in answers:
                 self.assertTrue(text.startswith(b"HTTP/1.1 503"), text)
