Log and count the rate limits that backend servers name

Answers are now decoded for it; the newest statement of each server is kept with its age, changes and malformed limits are logged, and two gauges show the limited servers and the requests sent to them. Nothing acts on a limit yet.

Statements are ordered by time: an answer to a request that was sent before the server named a limit does not end the limit.

--- a/savoryspar/backends/connections.py
+++ b/savoryspar/backends/connections.py
@@ -13,6 +13,7 @@
 import urllib3
 from urllib3 import connection
 
+from savoryspar import ratelimits
 from savoryspar.backends import availability, bounded, exceptions, requests
 
 CONNECT_TIMEOUT_S = 0.4
@@ -344,6 +345,7 @@
         "_clock",
         "_decode_facts",
         "_idle",
+        "_limiter",
         "availability",
         "opened",
         "stray_answers",
@@ -354,8 +356,10 @@
         decode_facts: DecodeFacts,
         clock: Callable[[], float],
         server_availability: availability.ServerAvailability,
+        limiter: ratelimits.Limiter,
     ):
         self.availability = server_availability
+        self._limiter = limiter
         self._decode_facts = decode_facts
         self._clock = clock
         # Idle connections with the time of last use and the maximum idle time.
@@ -484,6 +488,8 @@
 
     def _exchange(self, conn: connection.HTTPConnection, call: _Call) -> Answer:
         sock, attempt_id = conn.sock, call.attempt_id
+        sent_at = self._clock()
+        self._limiter.record_send(call.server, sent_at)
         sock.set_limits(self._clock, call.deadline_at, MAX_HEAD_BYTES)
         # urllib3 sets the socket's timeout from this value for each request.
         conn.timeout = max(0.001, call.deadline_at - self._clock())
@@ -514,7 +520,16 @@
                 f"the answer belongs to attempt {facts.attempt_id!r}"
             )
 
-        self.availability.record_answer(call.server, facts, self._clock())
+        now = self._clock()
+        self.availability.record_answer(call.server, facts, now)
+        if not facts.is_misdirected:
+            self._limiter.record_answer(
+                call.server,
+                facts.limit_per_s,
+                facts.invalid_limit,
+                sent_at,
+                now,
+            )
 
         def release(answer: Answer) -> None:
             if is_reusable and not facts.is_closing and not resp.will_close:
@@ -604,6 +619,7 @@
     decode_facts: DecodeFacts,
     clock: Callable[[], float],
     server_availability: availability.ServerAvailability | None = None,
+    limiter: ratelimits.Limiter | None = None,
 ) -> Connections:
     """Returns a client without open connections.
 
@@ -612,9 +628,11 @@
         clock: Monotonic time in seconds.
         server_availability: Availability that servers reported; empty when
             None.
+        limiter: Rate limits that servers named; nothing is limited when None.
     """
     return Connections(
         decode_facts,
         clock,
         server_availability or availability.new_server_availability(),
+        limiter or ratelimits.new_unlimited(),
     )
--- a/savoryspar/backends/requests.py
+++ b/savoryspar/backends/requests.py
@@ -157,6 +157,10 @@
         load: Requests running and waiting at the server, -1 if not stated.
         is_leaving: Whether the server reports that it is leaving.
         pause_s: Pause that the server requests, 0 without one.
+        limit_per_s: Requests per second that the server accepts from all VMs
+            together, None without a valid limit.
+        invalid_limit: Text of a limit that cannot be used, shortened; empty
+            if the limit is valid or absent.
     """
 
     __slots__ = (
@@ -164,10 +168,12 @@
         "has_digest",
         "has_not_run",
         "idle_timeout_s",
+        "invalid_limit",
         "is_closing",
         "is_encoded",
         "is_leaving",
         "is_misdirected",
+        "limit_per_s",
         "load",
         "pause_s",
     )
@@ -184,6 +190,8 @@
         load: int,
         is_leaving: bool = False,
         pause_s: float = 0.0,
+        limit_per_s: float | None = None,
+        invalid_limit: str = "",
     ):
         self.attempt_id = attempt_id
         self.has_not_run = has_not_run
@@ -195,3 +203,5 @@
         self.load = load
         self.is_leaving = is_leaving
         self.pause_s = pause_s
+        self.limit_per_s = limit_per_s
+        self.invalid_limit = invalid_limit
--- a/savoryspar/gateway/counters.py
+++ b/savoryspar/gateway/counters.py
@@ -28,6 +28,9 @@
     "stage_calls": "Batched calls from this VM to stage servers.",
     "stage_pieces": "Pieces in the batched calls from this VM.",
     "stage_waiting": "Pieces waiting in the stage queues of this VM.",
+    "limited_servers": "Backend servers that name a rate limit.",
+    "limited_sends": "Requests from this VM to backend servers that named a"
+    " rate limit.",
     "log_lines_left_out": "Log lines dropped since the start.",
 }
 """Help text by gauge name, without the prefix."""
--- a/savoryspar/gateway/node.py
+++ b/savoryspar/gateway/node.py
@@ -24,6 +24,7 @@
     fleet_watch,
     gatherers,
     gathering,
+    limiting,
     placing,
     plain,
     stage_runner,
@@ -69,6 +70,7 @@
         "_gatherers",
         "_holder",
         "_internal_servers",
+        "_limiter",
         "_members",
         "_metrics",
         "_placer",
@@ -91,8 +93,9 @@
         availability = backends.new_server_availability()
         self._router = _new_router(cfg, availability)
         self._exchange_suspects()
+        self._limiter = limiting.new_fleet_limiter(self._events)
         self._connections = backends.new_connections(
-            platform.decode_answer_facts, clock, availability
+            platform.decode_answer_facts, clock, availability, self._limiter
         )
         self._placer = placing.new_fleet_placer(
             self._router,
@@ -276,13 +279,12 @@
             for entry in usable
         ]
         self._router.replace_servers(live, now)
-        self._connections.availability.update(
-            {
-                (entry.name, entry.address): entry.started_ms
-                for entry in self._server_registry.entries()
-            },
-            now,
-        )
+        starts = {
+            (entry.name, entry.address): entry.started_ms
+            for entry in self._server_registry.entries()
+        }
+        self._connections.availability.update(starts, now)
+        self._limiter.table.update(starts, now)
         self._connections.drop_unlisted([server.key for server in live])
         current = self._holder.current
         if current is not None:
@@ -339,6 +341,8 @@
             "stage_waiting": lambda: sum(
                 len(g.queue) for g in self._all_gatherers()
             ),
+            "limited_servers": lambda: len(self._limiter.table.limited()),
+            "limited_sends": lambda: self._limiter.sends,
             "log_lines_left_out": lambda: self._events.left_out,
         }
         for name, reader in readers.items():
--- a/savoryspar/platform/headers.py
+++ b/savoryspar/platform/headers.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable, Sequence
 from email import utils
 import math
+import re
 
 from savoryspar import backends, log
 
@@ -14,6 +15,7 @@
 INPUTS = "Savoryspar-Inputs"
 KEY = "Savoryspar-Key"
 LEAVING = "Server-Leaving"
+LIMIT = "Server-Limit"
 LOAD = "Savoryspar-Load"
 MODEL = "Savoryspar-Model"
 NOT_RUN = "Savoryspar-Not-Run"
@@ -69,7 +71,7 @@
 
 
 INTERNAL_ANSWER_FIELDS = frozenset(
-    name.lower() for name in (NOT_RUN, LOAD, LEAVING, RETRY_AFTER)
+    name.lower() for name in (NOT_RUN, LOAD, LEAVING, LIMIT, RETRY_AFTER)
 )
 """Answer fields that are for the entry VM only. The entry VM decides when a
 caller may retry, and sends its own ``Retry-After``."""
@@ -82,6 +84,13 @@
 """Maximum pause that one answer of a server may request. After the pause, the
 server gets calls again and may request another one."""
 
+DECIMAL = re.compile(r"\d{1,12}(\.\d{0,12})?|\.\d{1,12}", re.ASCII)
+MAX_LIMIT_PER_S = 1e6
+"""Largest rate limit of a server that is taken as meant, in requests per
+second."""
+MAX_SHOWN_CHARS = 40
+"""Characters of a malformed field that are kept for the log."""
+
 
 def decode_caller_request(
     method: str, target: str, fields: Sequence[tuple[str, str]], body: bytes
@@ -211,6 +220,7 @@
     fields = [*fields]
     found = {name.lower(): value for name, value in fields}
     load = found.get(LOAD.lower(), "").split(",")
+    limit_per_s, invalid_limit = _limit_per_s(fields)
     return backends.AnswerFacts(
         attempt_id=found.get(ATTEMPT_ID.lower(), ""),
         # Status 421 (Misdirected Request) means that another server has the
@@ -226,6 +236,8 @@
         else -1,
         is_leaving=_is_set(found.get(LEAVING.lower(), "")),
         pause_s=_pause_s(fields) if status == 503 else 0.0,
+        limit_per_s=limit_per_s,
+        invalid_limit=invalid_limit,
     )
 
 
@@ -233,6 +245,23 @@
     return value.strip().lower() not in ("", "0", "false")
 
 
+def _limit_per_s(
+    fields: Iterable[tuple[str, str]],
+) -> tuple[float | None, str]:
+    """Returns the lowest valid rate limit, and a malformed one if none is."""
+    texts = [
+        value.strip() for name, value in fields if name.lower() == LIMIT.lower()
+    ]
+    valid = [
+        float(text)
+        for text in texts
+        if DECIMAL.fullmatch(text) and float(text) <= MAX_LIMIT_PER_S
+    ]
+    if valid or not texts:
+        return min(valid, default=None), ""
+    return None, f"{texts[0][:MAX_SHOWN_CHARS]!r}"
+
+
 def _pause_s(fields: Iterable[tuple[str, str]]) -> float:
     """Returns the longest valid pause that an answer requests, or 0."""
     found = [(name.lower(), value.strip()) for name, value in fields]
--- a/tests/platform/test_translation.py
+++ b/tests/platform/test_translation.py
@@ -198,9 +198,39 @@
         for expected, status, fields in cases:
             self.assertEqual(expected, availability(status, *fields), fields)
 
+    def test_limit_of_a_server_is_decoded_and_bounded(self):
+        """Guards against a malformed limit that stops or frees all traffic."""
+        cases = [
+            (None, "", []),
+            (1.5, "", [("server-limit", " 1.5 ")]),
+            (0.0, "", [("Server-Limit", "0")]),
+            (0.5, "", [("Server-Limit", ".5")]),
+            (2.0, "", [("Server-Limit", "3"), ("Server-Limit", "2")]),
+            (2.0, "", [("Server-Limit", "nan"), ("Server-Limit", "2")]),
+            *(
+                (None, f"{text!r:.42}", [("Server-Limit", text)])
+                for text in (
+                    *("", "-1", "nan", "inf", "1e3", "1_0", "+1", "2,5"),
+                    *("1000000.1", "1" * 13, "0x1", "\u0661"),
+                )
+            ),
+        ]
+        for limit_per_s, invalid, fields in cases:
+            facts = platform.decode_answer_facts(200, fields)
+            self.assertEqual(limit_per_s, facts.limit_per_s, fields)
+            self.assertEqual(invalid, facts.invalid_limit, fields)
+        long = platform.decode_answer_facts(200, [("Server-Limit", "9" * 400)])
+        self.assertIsNone(long.limit_per_s)
+        self.assertLess(len(long.invalid_limit), 50)
+
     def test_availability_of_a_server_is_not_forwarded(self):
         """Guards against a caller who attributes the fields to the entry VM."""
-        fields = [("Server-Leaving", "1"), ("Retry-After", "9"), ("X", "y")]
+        fields = [
+            ("Server-Leaving", "1"),
+            ("Server-Limit", "2"),
+            ("Retry-After", "9"),
+            ("X", "y"),
+        ]
         self.assertEqual([("X", "y")], platform.forwarded_headers(fields))
 
     def test_load_and_idle_timeout_are_decoded(self):
