--- a/tests/gateway/node_case.py
+++ b/tests/gateway/node_case.py
@@ -70,19 +70,21 @@
     Attributes:
         received: Savoryspar headers of each request to the desk or the engine.
         addresses: ``IP:port`` of the store and of each server.
+        servers: Names of the servers; each begins with its service.
     """
 
+    servers = ("desk", "lm", "prep")
+
     def __init__(self):
         self.received = []
-        self.addresses = {
-            name: self._serve(app)
-            for name, app in (
-                ("store", self.store),
-                ("desk", self.desk),
-                ("lm", self.engine),
-                ("prep", self.stage),
-            )
-        }
+        self.addresses = {"store": self._serve(self.store)}
+        for name in self.servers:
+            self.addresses[name] = self._serve(self.server_app(name))
+
+    def server_app(self, name):
+        """Returns the WSGI application of a server."""
+        apps = {"desk": self.desk, "lm": self.engine, "prep": self.stage}
+        return apps[service_of(name)]
 
     def _serve(self, app):
         sock = eventlet.listen(("127.0.0.1", 0))
@@ -98,7 +100,7 @@
         elif path == "/-/kv-range":
             entries = [
                 self._item(f"servers/i-{name}", self._entry(name))
-                for name in ("desk", "lm", "prep")
+                for name in self.servers
             ]
             body = {"entries": entries, "truncated": False, "as-of": 9}
         else:
@@ -113,7 +115,7 @@
     def _entry(self, name):
         return json.dumps(
             {
-                "service": name,
+                "service": service_of(name),
                 "addr": self.addresses[name],
                 "zone": "z1",
                 "slots": 4,
@@ -157,6 +159,10 @@
         return [json.dumps({"entries": entries}).encode()]
 
 
+def service_of(server):
+    return server.partition("-")[0]
+
+
 def free_port():
     sock = eventlet.listen(("127.0.0.1", 0))
     port = sock.getsockname()[1]
@@ -165,52 +171,83 @@
 
 
 class NodeCase(testtools.TestCase):
-    """Starts an entry VM process before each test and kills it after."""
+    """Starts entry VM processes before each test and kills them after.
+
+    Attributes:
+        platform: The stand-ins.
+        vm_ports: Ports of each VM by purpose.
+        ports: Ports of the first VM.
+        processes: Process of each VM.
+        process: Process of the first VM.
+    """
 
     platform_class = Platform
+    vm_count = 1
 
     def setUp(self):
         super().setUp()
         self.platform = self.platform_class()
-        self.ports = {
-            name: free_port()
-            for name in ("callers", "ready", "peers", "metrics")
-        }
+        self.vm_ports = [
+            {
+                name: free_port()
+                for name in ("callers", "ready", "peers", "metrics")
+            }
+            for _ in range(self.vm_count)
+        ]
+        self.ports = self.vm_ports[0]
         folder = tempfile.TemporaryDirectory()
         self.addCleanup(folder.cleanup)
-        path = pathlib.Path(folder.name, "entry.ini")
+        self.folder = pathlib.Path(folder.name)
+        self.processes = [None] * self.vm_count
+        self.addCleanup(self._end)
+        for number in range(self.vm_count):
+            self.start_vm(number)
+        self.process = self.processes[0]
+        for ports in self.vm_ports:
+            self.await_ready(ports)
+
+    def start_vm(self, number):
+        """Starts or restarts the process of a VM."""
+        ports = self.vm_ports[number]
+        path = self.folder / f"entry-{number}.ini"
         lines = [
-            f"{name}_address = 127.0.0.1:{port}"
-            for name, port in self.ports.items()
+            f"{name}_address = 127.0.0.1:{port}" for name, port in ports.items()
         ]
+        seeds = ",".join(f"127.0.0.1:{p['peers']}" for p in self.vm_ports)
         path.write_text(
-            "[gateway]\nname = vm-1\nregion = r\nzone = z1\n"
-            "zone_regions = z1:r\ngrace_s = 5\n"
+            f"[gateway]\nname = vm-{number + 1}\nregion = r\nzone = z1\n"
+            f"zone_regions = z1:r\ngrace_s = 5\nseeds = {seeds}\n"
             f"store_address = {self.platform.addresses['store']}\n"
             + "\n".join(lines)
             + "\n[membership]\ntls = no\n",
             "utf-8",
         )
-        self.process = subprocess.Popen(
+        self.processes[number] = subprocess.Popen(
             [sys.executable, "-W", "ignore", "-m", "savoryspar", "serve"],
             cwd=ROOT,
             env={**os.environ, "SAVORYSPAR_NODE_FILE": str(path)},
             stdout=subprocess.DEVNULL,
         )
-        self.addCleanup(self._end)
-        self._await_ready()
 
     def _end(self):
-        self.process.kill()
-        self.process.wait()
+        for process in filter(None, self.processes):
+            process.kill()
+            process.wait()
 
-    def _await_ready(self):
+    def await_ready(self, ports):
+        """Waits until a VM reports that it is ready."""
         with eventlet.Timeout(20.0):
-            while b" 200 " not in self.request("ready", "GET", "/-/readyz"):
+            while b" 200 " not in self.request(
+                "ready", "GET", "/-/readyz", ports=ports
+            ):
                 eventlet.sleep(0.05)
 
-    def request(self, port, method, target, fields=(), body=b""):
-        """Returns the raw response, empty if the connection is refused."""
+    def request(self, port, method, target, fields=(), body=b"", ports=None):
+        """Returns the raw response, empty if the connection is refused.
+
+        ``port`` is the purpose of the port, for example ``callers``, and
+        ``ports`` has the ports of the VM, those of the first one when None.
+        """
         head = [
             f"{method} {target} HTTP/1.1",
             "Host: h.example",
@@ -219,7 +256,7 @@
             *(f"{name}: {value}" for name, value in fields),
         ]
         try:
-            sock = eventlet.connect(("127.0.0.1", self.ports[port]))
+            sock = eventlet.connect(("127.0.0.1", (ports or self.ports)[port]))
         except ConnectionRefusedError:
             return b""
         sock.settimeout(10.0)
