Share the rate limits of backend servers between all entry VMs

Cause: no part of the code read the limit. It is a budget of the whole fleet, and nothing held such a budget for the fleet; each VM only kept bounds of its own.

Change: the live VM with the highest rendezvous weight in the server's zone owns the limit and grants permits from a token bucket; every request to a limited server, repeated ones and calls that free results included, needs one. Connections.send enforces it, so no path can send around it. Requests without a permit go to another server; without another server they wait for a permit in the order of rank and fair share, or are refused at once with the time of the next permit. An owner that reaches a part of the fleet grants that part, a VM that stands in for the owner a quarter, and a new owner starts without tokens. The limit ends with an answer that does not name it, to a request sent later than the newest one that did.

--- a/savoryspar/backends/connections.py
+++ b/savoryspar/backends/connections.py
@@ -308,6 +308,7 @@
         "deadline_at",
         "fields",
         "method",
+        "permit",
         "server",
         "target",
     )
@@ -321,6 +322,7 @@
         body: bytes,
         deadline_at: float,
         attempt_id: str,
+        permit: ratelimits.Permit | None,
     ):
         self.server = server
         self.method = method
@@ -329,6 +331,7 @@
         self.body = body
         self.deadline_at = deadline_at
         self.attempt_id = attempt_id
+        self.permit = permit
 
 
 class Connections:
@@ -336,6 +339,7 @@
 
     Attributes:
         availability: Availability that servers reported.
+        limiter: Rate limits that servers named.
         opened: Connections opened since the process started.
         stray_answers: Answers to other requests that were skipped.
     """
@@ -345,8 +349,8 @@
         "_clock",
         "_decode_facts",
         "_idle",
-        "_limiter",
         "availability",
+        "limiter",
         "opened",
         "stray_answers",
     )
@@ -359,7 +363,7 @@
         limiter: ratelimits.Limiter,
     ):
         self.availability = server_availability
-        self._limiter = limiter
+        self.limiter = limiter
         self._decode_facts = decode_facts
         self._clock = clock
         # Idle connections with the time of last use and the maximum idle time.
@@ -382,6 +386,7 @@
         attempt_id: str = "",
         may_repeat: bool = False,
         is_work: bool = True,
+        permit: ratelimits.Permit | None = None,
     ) -> Answer:
         """Sends a request and returns the answer after its head.
 
@@ -398,10 +403,12 @@
                 connection if a reused one turns out to be closed.
             is_work: Whether the request is work, which leaving and paused
                 servers do not accept. Calls that free results are not.
+            permit: Permit for a server that names a rate limit. Without a
+                valid one, the request is sent only if a permit is free.
 
         Raises:
-            CallRefusedError: There is no connection, or the server accepts no
-                work; nothing was sent.
+            CallRefusedError: There is no connection, the server accepts no
+                work, or its rate limit is reached; nothing was sent.
             CallOutcomeUnknownError: The request may have run.
         """
         now = self._clock()
@@ -415,13 +422,40 @@
         if is_work:
             self.availability.record_send(server, now)
         call = _Call(
-            server, method, target, fields, body, now + timeout_s, attempt_id
+            server,
+            method,
+            target,
+            fields,
+            body,
+            now + timeout_s,
+            attempt_id,
+            permit,
         )
         return self._send(call, may_repeat)
 
+    def _use_permit(self, call: _Call) -> None:
+        """Uses the permit of a call, or another one if that is not valid.
+
+        Raises:
+            CallRefusedError: The rate limit of the server is reached.
+        """
+        now = self._clock()
+        permit = call.permit
+        if permit is None or not permit.is_valid(now):
+            try:
+                permit = self.limiter.acquire(
+                    call.server, ratelimits.PermitRequest(), now
+                )
+            except ratelimits.LimitReachedError as exc:
+                raise exceptions.CallRefusedError(
+                    call.server[0], exc.message, exc.remedy, has_sent=False
+                ) from exc
+        permit.is_used = True
+
     def _send(self, call: _Call, may_repeat: bool) -> Answer:
         """Sends a request, and repeats it on a new connection if allowed."""
         server = call.server
+        self._use_permit(call)
         limit_s = MAX_IDLE_S if may_repeat else MAX_IDLE_NO_REPEAT_S
         conn = self._pop_idle(server, limit_s)
         is_reused = conn is not None
@@ -489,7 +523,7 @@
     def _exchange(self, conn: connection.HTTPConnection, call: _Call) -> Answer:
         sock, attempt_id = conn.sock, call.attempt_id
         sent_at = self._clock()
-        self._limiter.record_send(call.server, sent_at)
+        self.limiter.record_send(call.server, sent_at)
         sock.set_limits(self._clock, call.deadline_at, MAX_HEAD_BYTES)
         # urllib3 sets the socket's timeout from this value for each request.
         conn.timeout = max(0.001, call.deadline_at - self._clock())
@@ -523,7 +557,7 @@
         now = self._clock()
         self.availability.record_answer(call.server, facts, now)
         if not facts.is_misdirected:
-            self._limiter.record_answer(
+            self.limiter.record_answer(
                 call.server,
                 facts.limit_per_s,
                 facts.invalid_limit,
--- a/savoryspar/fleet/server_registry.py
+++ b/savoryspar/fleet/server_registry.py
@@ -139,6 +139,10 @@
             if now - at > TOMBSTONE_TTL_S:
                 del self._tombstones[name]
 
+    def find(self, name: str) -> model.BackendEntry | None:
+        """Returns the entry of a server, also of a lapsed one, or None."""
+        return self._entries.get(name)
+
     def usable(self) -> list[model.BackendEntry]:
         """Returns servers that may get new requests.
 
--- a/savoryspar/gateway/attempts.py
+++ b/savoryspar/gateway/attempts.py
@@ -7,12 +7,15 @@
 
 import hashlib
 
-from savoryspar import backends, log, routing
+from savoryspar import backends, log, ratelimits, routing
 from savoryspar.gateway import model, placing
 
 MAX_REFUSALS = 3
 """Retries after refusals; the next refusal is reported to the caller."""
 FINGERPRINT_BYTES = 16
+PATIENCE_SHARE = 0.5
+"""Share of the time until the deadline that a request may wait for a permit of
+a server that names a rate limit."""
 
 
 class Attempts:
@@ -74,11 +77,15 @@
                 "change the request before sending it again",
             )
         try:
-            placement = self._placer.place(self._new_call(), zone, now)
+            placement = self._place(zone, now)
         except routing.NoServerError as exc:
             raise model.refusal(
                 "no_server", str(exc), max(0.2, exc.retry_after_s)
             ) from exc
+        except ratelimits.LimitReachedError as exc:
+            raise model.refusal(
+                "server_limit", str(exc), max(0.2, exc.retry_after_s)
+            ) from exc
         self._events.decision(
             "server chosen",
             now,
@@ -97,6 +104,63 @@
         )
         return placement
 
+    def _place(self, zone: str, now: float) -> placing.Placement:
+        """Chooses a server with a permit; waits for one if there is no other.
+
+        Raises:
+            NoServerError: No server can accept the call.
+            LimitReachedError: All servers are at their rate limit.
+        """
+        limiter = self._router.limiter
+        call = self._new_call()
+        while True:
+            try:
+                placement = self._placer.place(call, zone, now)
+            except routing.NoServerError:
+                limited = self._router.limited(
+                    self._job.pool, self._excluded, now
+                )
+                if not limited:
+                    raise
+                return self._place_with_wait(limited[0], now)
+            try:
+                placement.permit = limiter.acquire(
+                    placement.server.key, self._permit_request(0.0), now
+                )
+            except ratelimits.LimitReachedError as exc:
+                now = exc.decided_at
+                placement.finish(routing.Outcome.CANCELLED, None, now)
+                call.excluded |= {placement.server.name}
+            else:
+                return placement
+
+    def _place_with_wait(
+        self, server: backends.Server, now: float
+    ) -> placing.Placement:
+        """Waits for a permit of a server, and reserves the server.
+
+        Raises:
+            NoServerError: The server does not accept the call any more.
+            LimitReachedError: No permit is free in time.
+        """
+        patience_s = min(
+            ratelimits.MAX_PATIENCE_S, PATIENCE_SHARE * self._job.left_s(now)
+        )
+        permit = self._router.limiter.acquire(
+            server.key, self._permit_request(max(0.0, patience_s)), now
+        )
+        call = self._new_call()
+        call.server = server.name
+        placement = placing.place_locally(self._router, call, permit.granted_at)
+        placement.permit = permit
+        return placement
+
+    def _permit_request(self, patience_s: float) -> ratelimits.PermitRequest:
+        job = self._job
+        return ratelimits.PermitRequest(
+            job.rank, job.workspace, job.fingerprint, patience_s
+        )
+
     def _new_call(self) -> routing.Call:
         job = self._job
         return routing.Call(
--- a/savoryspar/gateway/counters.py
+++ b/savoryspar/gateway/counters.py
@@ -31,6 +31,13 @@
     "limited_servers": "Backend servers that name a rate limit.",
     "limited_sends": "Requests from this VM to backend servers that named a"
     " rate limit.",
+    "limit_denials": "Permits that this VM was denied because a rate limit was"
+    " reached.",
+    "limit_permits_granted": "Permits that this VM granted to the fleet for"
+    " servers that it owns.",
+    "limit_per_second": "Sum of the rate limits in force.",
+    "limit_share_per_second": "Permits per second that this VM was granted in"
+    " the last 4 s.",
     "log_lines_left_out": "Log lines dropped since the start.",
 }
 """Help text by gauge name, without the prefix."""
--- a/savoryspar/gateway/gathering.py
+++ b/savoryspar/gateway/gathering.py
@@ -12,7 +12,7 @@
 import eventlet
 from eventlet import event
 
-from savoryspar import backends, fleet, log, platform, stages
+from savoryspar import backends, fleet, log, platform, ratelimits, stages
 from savoryspar.gateway import model
 
 OUT_OF_MEMORY_PAUSE_S = 0.05
@@ -98,6 +98,7 @@
         is_running: Whether a green thread dispatches calls to the server.
         sizes: Size in bytes of each stored result by handle.
         expires: When each stored result expires; monotonic seconds.
+        permit: Permit for the next call if the server names a rate limit.
         requested_at: When each stored result was requested; monotonic seconds.
         to_free: Handles of results that the next free call releases.
         wakeup: Ends the wait of the green thread; None if it does not wait.
@@ -114,6 +115,7 @@
         "is_running",
         "pace",
         "paused_until",
+        "permit",
         "requested_at",
         "seen_handles",
         "sizes",
@@ -125,6 +127,7 @@
         self.entry = entry
         self.backoff_s = 0.0
         self.paused_until = 0.0
+        self.permit: ratelimits.Permit | None = None
         self.call_at: float | None = None
         self.expected_s = 0.0
         self.pace = 1.0
@@ -306,7 +309,7 @@
         """
         self._sync_servers()
         usable = self._usable_servers(now)
-        load = _pool_load(usable, now)
+        load = self._pool_load(usable, now)
         wait_s = self.queue.wait_s(group, load, now)
         retry_after_s: float | None = wait_s - (group.deadline_at - now)
         if not usable:
@@ -333,7 +336,7 @@
         None if this gatherer does not have the group.
         """
         now = self._clock()
-        load = _pool_load(self._usable_servers(now), now)
+        load = self._pool_load(self._usable_servers(now), now)
         return next(
             (
                 self.queue.wait_s(group, load, now)
@@ -357,7 +360,7 @@
         """Frees results, including those requested by an earlier gatherer."""
         for handle in handles:
             server = self._server_of(handle)
-            if server is None:
+            if server is None or self._may_expire(server):
                 continue
             if not server.to_free:
                 eventlet.spawn_after(
@@ -366,9 +369,20 @@
             server.to_free.append(handle)
 
     def _free_delay_s(self, server: _Server) -> float:
-        room_bytes = self.queue.pool.room_bytes
-        is_busy = 2 * server.used_bytes(self._clock()) > room_bytes
-        return 0.0 if is_busy else FREE_BATCH_DELAY_S
+        return 0.0 if self._is_half_full(server) else FREE_BATCH_DELAY_S
+
+    def _is_half_full(self, server: _Server) -> bool:
+        used_bytes = server.used_bytes(self._clock())
+        return 2 * used_bytes > self.queue.pool.room_bytes
+
+    def _may_expire(self, server: _Server) -> bool:
+        """Returns whether results may stay until their time to live ends.
+
+        Calls that free results count toward a server's rate limit.
+        """
+        return self._limiter.is_limited(server.key) and not self._is_half_full(
+            server
+        )
 
     def _server_of(self, handle: str) -> _Server | None:
         """Returns the server that stores a result, None if it is unlisted."""
@@ -425,6 +439,38 @@
             self._availability.shortest_pause_s(keys, now) or NO_SERVER_RETRY_S
         )
 
+    @property
+    def _limiter(self) -> ratelimits.Limiter:
+        return self._connections.limiter
+
+    def _pool_load(
+        self, usable: Sequence[_Server], now: float
+    ) -> stages.PoolLoad:
+        """Returns the current load of the usable servers."""
+        return stages.PoolLoad(
+            len(usable),
+            min(
+                (
+                    max(
+                        server.free_in_s(now),
+                        self._limiter.wait_s(server.key, now),
+                    )
+                    for server in usable
+                ),
+                default=0.0,
+            ),
+            sum(server.used_bytes(now) for server in usable),
+            _mean_pace([self._pace(server, now) for server in usable]),
+        )
+
+    def _pace(self, server: _Server, now: float) -> float:
+        """Returns the pace of a server, as far as its rate limit allows."""
+        full_call_s = self.queue.call_s(self.queue.pool.batch)
+        return max(
+            server.pace_at(now),
+            self._limiter.interval_s(server.key, now) / full_call_s,
+        )
+
     @property
     def _availability(self) -> backends.ServerAvailability:
         return self._connections.availability
@@ -460,6 +506,11 @@
                     server.wait(min(QUEUE_POLL_S, pause_s))
                     continue
                 available_bytes = server.available_bytes(self.queue.pool, now)
+                wait_s = self._permit_wait_s(server, available_bytes, now)
+                if wait_s:
+                    server.wait(min(QUEUE_POLL_S, wait_s))
+                    continue
+                now = self._clock()
                 call = self.queue.next_call(now, available_bytes)
                 if call:
                     self._wake_one(now)
@@ -474,6 +525,30 @@
             server.is_running = False
             self._fail_if_no_server()
 
+    def _permit_wait_s(
+        self, server: _Server, available_bytes: float, now: float
+    ) -> float:
+        """Acquires a permit for the next call to a server.
+
+        Returns:
+            Time to wait before the next try, 0 if a call may be sent.
+        """
+        is_needed = (
+            self._limiter.is_limited(server.key)
+            and self.queue.fits(available_bytes)
+            and not (server.permit and server.permit.is_valid(now))
+        )
+        if not is_needed:
+            return 0.0
+        req = ratelimits.PermitRequest(
+            self.queue.rank(), patience_s=QUEUE_POLL_S
+        )
+        try:
+            server.permit = self._limiter.acquire(server.key, req, now)
+        except ratelimits.LimitReachedError as exc:
+            return exc.next_s
+        return 0.0
+
     def _is_listed(self, server: _Server) -> bool:
         """Returns whether this server instance is listed and not leaving."""
         name = server.entry.name
@@ -488,7 +563,7 @@
         if now - self._last_expiry_at < EXPIRY_INTERVAL_S:
             return
         self._last_expiry_at = now
-        load = _pool_load(self._usable_servers(now), now)
+        load = self._pool_load(self._usable_servers(now), now)
         for group in self.queue.expire(now, load):
             self._finish(group, stages.Failure.LATE)
 
@@ -526,6 +601,7 @@
                 platform.encode_run(pieces, now),
                 timeout_s,
                 may_repeat=True,
+                permit=server.permit,
             )
             body = answer.read_all(now + timeout_s)
             if answer.facts.has_not_run:
@@ -653,12 +729,30 @@
             self.free(group.handles())
         done(group, failure)
 
+    def _delay_free(self, server: _Server, delay_s: float) -> None:
+        """Frees results later, except those that expire by then."""
+        retried_at = self._clock() + delay_s
+        server.to_free = [
+            handle
+            for handle in server.to_free
+            if server.expires.get(handle, 0.0) > retried_at
+        ]
+        if server.to_free:
+            eventlet.spawn_after(delay_s, self._send_free, server)
+
     def _send_free(self, server: _Server) -> None:
         pause_s = self._availability.pause_s(server.key, self._clock())
         if pause_s:
             # The server requested a pause; free the results after it.
             eventlet.spawn_after(pause_s, self._send_free, server)
             return
+        try:
+            permit = self._limiter.acquire(
+                server.key, ratelimits.PermitRequest(), self._clock()
+            )
+        except ratelimits.LimitReachedError as exc:
+            self._delay_free(server, exc.next_s)
+            return
         handles, server.to_free = server.to_free, []
         try:
             answer = self._connections.send(
@@ -670,6 +764,7 @@
                 FREE_TIMEOUT_S,
                 may_repeat=True,
                 is_work=False,
+                permit=permit,
             )
             answer.read_all(self._clock() + FREE_TIMEOUT_S)
             now = self._clock()
@@ -691,16 +786,6 @@
             )
 
 
-def _pool_load(usable: Sequence[_Server], now: float) -> stages.PoolLoad:
-    """Returns the current load of the usable servers."""
-    return stages.PoolLoad(
-        len(usable),
-        min((server.free_in_s(now) for server in usable), default=0.0),
-        sum(server.used_bytes(now) for server in usable),
-        _mean_pace([server.pace_at(now) for server in usable]),
-    )
-
-
 def _mean_pace(paces: Sequence[float]) -> float:
     """Returns the harmonic mean, as slower servers run fewer calls."""
     return len(paces) / sum(1.0 / pace for pace in paces) if paces else 1.0
--- a/savoryspar/gateway/limiting.py
+++ b/savoryspar/gateway/limiting.py
@@ -1,41 +1,524 @@
-"""Rate limits of backend servers: what this VM knows and what it sends."""
+"""Shares the rate limits of backend servers between all entry VMs.
 
-from savoryspar import log, ratelimits
+For each server that names a limit, one entry VM, its owner, grants the permits
+of the whole fleet. Every VM computes the same owner from the live members, as
+it does for gatherers and placers, so the gatherer of a stage pool and the
+placer of an engine pool usually own the limits of their servers. A VM that
+does not reach the owner asks the next one, which grants a fraction of the limit
+while it considers the owner live. An owner that reaches a part of the fleet
+only grants that part of the limit; the rest is reserved for the VMs that it
+cannot reach, which may have an owner of their own.
 
+The newest statement of a server travels with each claim and each reply, and is
+broadcast when the limit changes. A process that starts asks its peers for the
+limits that they know.
+"""
+
+import collections
+from collections.abc import Mapping
+import math
+from typing import Any
+
+import eventlet
+from eventlet import event
+
+from savoryspar import fleet, log, membership, ratelimits, stages
+from savoryspar.gateway import model
+
+CLAIM_KIND = "limit_claim"
+REPORT_KIND = "limit_report"
+LIST_KIND = "limit_list"
+CLAIM_TIMEOUT_S = 0.25
+"""Timeout for a reply, beyond the time that the claim may wait; a round trip
+between regions takes 40 ms."""
+OWNER_BACKOFF_S = 1.0
+"""Time for which an owner that did not answer is not asked."""
+MAX_OWNERS = 2
+"""VMs that are asked for one permit."""
+STANDBY_SHARE = 0.25
+"""Share of the limit that a VM grants while another one seems to own it."""
+ADVANCE_INTERVAL_S = 0.1
+"""Longest time between two checks of claims that wait; the limit may change."""
+MIN_ASK_INTERVAL_S = 0.05
+MAX_ASK_INTERVAL_S = 5.0
+"""Bounds of the time for which a VM sends requests elsewhere after a denial
+instead of asking again."""
+ASKS_PER_PERMIT = 4.0
+"""Claims of the fleet per permit when all VMs are denied again and again."""
+SHARE_WINDOW_S = 4.0
+"""Time over which the share of this VM is measured."""
+MAX_SHARE_TIMES = 4096
+BROADCAST_INTERVAL_S = 1.0
+"""Shortest time between two broadcasts about one server, which may name another
+limit in each answer."""
 LOG_INTERVAL_S = 1.0
-"""Shortest time between two log lines about the limit of one server, which may
-name another limit in each answer."""
+"""Shortest time between two log lines about the limit of one server."""
 INVALID_LOG_INTERVAL_S = 10.0
 """Shortest time between two log lines about malformed limits of one server."""
+LEARN_TIMEOUT_S = 10.0
+LEARN_INTERVAL_S = 0.2
+LEARN_PEERS = 3
+"""A process that starts asks this many peers for the limits that they know; it
+looks for peers at this interval until the timeout."""
+MAX_LIMIT_PER_S = 1e6
+MAX_AGE_S = 3600.0
+
+
+class _Usage:
+    """What this VM was granted or denied for one server.
+
+    Attributes:
+        granted_at: Times of the permits of the last seconds.
+        asks_at: When the owner may be asked again; monotonic seconds.
+        denials: Number of denials since the last permit.
+        logged_at, invalid_logged_at: Times of the last log lines.
+        broadcast_at: Time of the last broadcast.
+        is_broadcast_due: Whether a broadcast is scheduled.
+    """
+
+    __slots__ = (
+        "asks_at",
+        "broadcast_at",
+        "denials",
+        "granted_at",
+        "invalid_logged_at",
+        "is_broadcast_due",
+        "logged_at",
+    )
+
+    def __init__(self) -> None:
+        self.granted_at: collections.deque[float] = collections.deque(
+            maxlen=MAX_SHARE_TIMES
+        )
+        self.asks_at = -math.inf
+        self.denials = 0
+        self.logged_at = -math.inf
+        self.invalid_logged_at = -math.inf
+        self.broadcast_at = -math.inf
+        self.is_broadcast_due = False
+
+    def share_per_s(self, now: float) -> float:
+        """Returns the permits per second that this VM was granted."""
+        while self.granted_at and self.granted_at[0] < now - SHARE_WINDOW_S:
+            self.granted_at.popleft()
+        return len(self.granted_at) / SHARE_WINDOW_S
+
+    def share_age_s(self, now: float) -> float | None:
+        """Returns the age of the last permit, None without a recent one."""
+        return round(now - self.granted_at[-1], 2) if self.granted_at else None
 
 
 class FleetLimiter:
-    """Limits of servers; construct with ``new_fleet_limiter``.
+    """Permits of this VM, and of the fleet for the limits that it owns.
 
     Attributes:
         table: Newest statement of each server.
         sends: Requests to servers that name a limit, since the start.
+        denials: Permits that this VM was denied, since the start.
     """
 
     __slots__ = (
+        "_advancing",
+        "_allocators",
+        "_clock",
         "_events",
-        "_invalid_logged_at",
-        "_logged_at",
+        "_members",
+        "_owner_cache",
+        "_server_registry",
+        "_unreachable_until",
+        "_usage",
+        "denials",
         "sends",
         "table",
     )
 
-    def __init__(self, events: log.EventLog):
+    def __init__(
+        self,
+        server_registry: fleet.ServerRegistry,
+        members: membership.Membership,
+        events: log.EventLog,
+        clock: model.Clock,
+    ):
         self.table = ratelimits.new_limit_table()
         self.sends = 0
+        self.denials = 0
+        self._server_registry = server_registry
+        self._members = members
         self._events = events
-        self._logged_at: dict[ratelimits.Server, float] = {}
-        self._invalid_logged_at: dict[ratelimits.Server, float] = {}
+        self._clock = clock
+        self._owner_cache = stages.GathererCache()
+        self._allocators: dict[ratelimits.Server, ratelimits.Allocator] = {}
+        self._usage: collections.defaultdict[ratelimits.Server, _Usage] = (
+            collections.defaultdict(_Usage)
+        )
+        self._unreachable_until: dict[str, float] = {}
+        # Servers whose claims a green thread settles.
+        self._advancing: set[ratelimits.Server] = set()
+        members.handle(CLAIM_KIND, self._serve_claim)
+        members.handle(REPORT_KIND, self._serve_report)
+        members.handle(LIST_KIND, self._serve_list)
+
+    def start(self) -> None:
+        """Starts to ask peers for the limits that they know."""
+        eventlet.spawn(self._learn_limits)
+
+    def update(
+        self, starts: Mapping[ratelimits.Server, int], now: float
+    ) -> None:
+        """Updates the listed servers.
+
+        Args:
+            starts: Start time of each listed server, in Unix milliseconds.
+            now: Monotonic time in seconds.
+        """
+        self.table.update(starts, now)
+        known = self.table.servers() | starts.keys()
+        for by_server in (self._allocators, self._usage):
+            for server in by_server.keys() - known:
+                del by_server[server]
+
+    def is_limited(self, server: ratelimits.Server) -> bool:
+        """Returns whether a server names a limit."""
+        return self.table.limit(server) is not None
+
+    def wait_s(self, server: ratelimits.Server, now: float) -> float:
+        """Returns the estimated time until a permit is free, 0 for none."""
+        if not self.is_limited(server):
+            return 0.0
+        if self._owner(server, frozenset(), now) == self._members.incarnation:
+            allocator = self._allocator(server, now)
+            return allocator.wait_s(self._rate_per_s(server, now), now)
+        return max(0.0, self._usage[server].asks_at - now)
+
+    def interval_s(self, server: ratelimits.Server, now: float) -> float:
+        """Returns the mean time between two permits, 0 without a limit."""
+        if not self.is_limited(server):
+            return 0.0
+        return 1.0 / max(
+            ratelimits.MIN_RATE_PER_S, self._rate_per_s(server, now)
+        )
+
+    def granted(self) -> int:
+        """Returns the permits that this VM granted to the fleet."""
+        return sum(a.granted for a in self._allocators.values())
+
+    def limit_per_s(self) -> float:
+        """Returns the sum of the limits in force."""
+        return sum(s.limit_per_s for s in self.table.limited().values())
+
+    def share_per_s(self) -> float:
+        """Returns the permits per second that this VM was granted lately."""
+        now = self._clock()
+        return sum(
+            self._usage[server].share_per_s(now)
+            for server in self.table.limited()
+        )
+
+    def status(self, now: float) -> dict[str, dict[str, Any]]:
+        """Returns the limits in force by server, for ``/status``."""
+        return {
+            server[0]: self._describe(server, now)
+            for server in self.table.limited()
+        }
+
+    def acquire(
+        self,
+        server: ratelimits.Server,
+        req: ratelimits.PermitRequest,
+        now: float,
+    ) -> ratelimits.Permit:
+        """Returns a permit, after a wait if the request allows one.
+
+        Raises:
+            LimitReachedError: None is free in time.
+        """
+        if not self.is_limited(server):
+            return ratelimits.Permit(now)
+        excluded = frozenset(
+            n for n, until in self._unreachable_until.items() if until > now
+        )
+        reply = None
+        for _ in range(MAX_OWNERS):
+            owner = self._owner(server, excluded, now)
+            if owner == self._members.incarnation:
+                reply = self._claim_here(server, req)
+                break
+            try:
+                reply = self._claim_remotely(server, owner, req)
+                break
+            except membership.PeerUnreachableError as exc:
+                now = self._clock()
+                self._unreachable_until[owner] = now + OWNER_BACKOFF_S
+                excluded |= {owner}
+                self._events.state_change(
+                    "limit owner lost",
+                    now,
+                    server=server[0],
+                    owner=owner,
+                    cause=str(exc),
+                )
+        now = self._clock()
+        usage = self._usage[server]
+        if reply is not None and reply["is_granted"]:
+            usage.denials = 0
+            usage.asks_at = now
+            usage.granted_at.append(now)
+            return ratelimits.Permit(now)
+        raise self._denial(server, reply, now)
+
+    def _denial(
+        self,
+        server: ratelimits.Server,
+        reply: Mapping[str, Any] | None,
+        now: float,
+    ) -> ratelimits.LimitReachedError:
+        usage = self._usage[server]
+        usage.denials += 1
+        self.denials += 1
+        next_s = max(
+            MIN_ASK_INTERVAL_S, reply["next_s"] if reply else OWNER_BACKOFF_S
+        )
+        # With many VMs, most claims would be denied; a VM that was denied
+        # repeatedly asks less often.
+        longest_s = (
+            len(self._members.all_members(now))
+            * self.interval_s(server, now)
+            / ASKS_PER_PERMIT
+        )
+        next_s = min(
+            MAX_ASK_INTERVAL_S,
+            max(next_s, min(next_s * 2.0 ** min(usage.denials, 9), longest_s)),
+        )
+        usage.asks_at = now + next_s
+        details = ", ".join(
+            f"{name} {value}"
+            for name, value in self._describe(server, now).items()
+        )
+        return ratelimits.LimitReachedError(
+            f"the rate limit of server {server[0]} is reached: {details}",
+            reply["retry_s"] if reply else next_s,
+            next_s,
+            now,
+        )
+
+    def _describe(
+        self, server: ratelimits.Server, now: float
+    ) -> dict[str, Any]:
+        """Returns the limit of a server and this VM's share, for operators."""
+        statement = self.table.statement(server)
+        usage = self._usage[server]
+        if statement is None:
+            return {}
+        return {
+            "limit_per_s": statement.limit_per_s,
+            "limit_age_s": round(now - statement.said_at, 2),
+            "share_per_s": usage.share_per_s(now),
+            "share_age_s": usage.share_age_s(now),
+            "visible": round(self._members.visible_share(now), 2),
+            "owner": self._owner(server, frozenset(), now),
+        }
+
+    def _owner(
+        self,
+        server: ratelimits.Server,
+        excluded: frozenset[str],
+        now: float,
+    ) -> str:
+        """Returns the incarnation that grants the permits of a server."""
+        entry = self._server_registry.find(server[0])
+        pool, zone = (entry.service, entry.zone) if entry else (server[0], "")
+        member = self._owner_cache.choose(
+            pool, zone, self._members.all_members(now), excluded
+        )
+        return member.incarnation if member else self._members.incarnation
+
+    def _rate_per_s(self, server: ratelimits.Server, now: float) -> float:
+        """Returns the permits per second that this VM may grant."""
+        rate_per_s = self.table.limit(server) or 0.0
+        if self._owner(server, frozenset(), now) != self._members.incarnation:
+            rate_per_s *= STANDBY_SHARE
+        return rate_per_s * self._members.visible_share(now)
+
+    def _allocator(
+        self, server: ratelimits.Server, now: float
+    ) -> ratelimits.Allocator:
+        allocator = self._allocators.get(server)
+        if allocator is None:
+            allocator = ratelimits.new_allocator(now)
+            self._allocators[server] = allocator
+        return allocator
+
+    def _claim_here(
+        self, server: ratelimits.Server, req: ratelimits.PermitRequest
+    ) -> dict[str, Any]:
+        now = self._clock()
+        if not self.is_limited(server):
+            return self._reply(True, 0.0, server, now)
+        allocator = self._allocator(server, now)
+        claim = ratelimits.Claim(
+            req.rank, req.workspace, req.key, now + req.patience_s
+        )
+        allocator.submit(claim, self._rate_per_s(server, now), now)
+        if claim.is_granted is None:
+            settled = event.Event()
+            claim.notify = lambda: settled.send(None)
+            if server not in self._advancing:
+                self._advancing.add(server)
+                eventlet.spawn(self._advance, server, allocator)
+            try:
+                settled.wait()
+            finally:
+                allocator.discard(claim)
+        return self._reply(
+            bool(claim.is_granted), claim.retry_after_s, server, self._clock()
+        )
+
+    def _advance(
+        self, server: ratelimits.Server, allocator: ratelimits.Allocator
+    ) -> None:
+        """Settles the claims that wait, until none is left."""
+        while allocator.waiting:
+            now = self._clock()
+            if not self.is_limited(server):
+                allocator.release_all()
+                break
+            rate_per_s = self._rate_per_s(server, now)
+            allocator.advance(rate_per_s, now)
+            due_s = allocator.next_grant_s(rate_per_s, now)
+            eventlet.sleep(min(ADVANCE_INTERVAL_S, due_s))
+        self._advancing.discard(server)
+
+    def _reply(
+        self,
+        is_granted: bool,
+        retry_s: float,
+        server: ratelimits.Server,
+        now: float,
+    ) -> dict[str, Any]:
+        next_s = 0.0
+        if not is_granted:
+            next_s = self._allocator(server, now).wait_s(
+                self._rate_per_s(server, now), now
+            )
+        return {
+            "is_granted": is_granted,
+            "retry_s": retry_s,
+            "next_s": next_s,
+            "report": self._report(server, now),
+        }
+
+    def _claim_remotely(
+        self,
+        server: ratelimits.Server,
+        owner: str,
+        req: ratelimits.PermitRequest,
+    ) -> dict[str, Any]:
+        reply = self._members.request(
+            owner,
+            CLAIM_KIND,
+            [
+                self._report(server, self._clock()),
+                req.rank,
+                req.workspace,
+                req.key,
+                req.patience_s,
+            ],
+            CLAIM_TIMEOUT_S + req.patience_s,
+        )
+        self._apply_report(reply["report"], owner)
+        return reply
+
+    def _serve_claim(self, sender: str, body: Any) -> dict[str, Any]:
+        report, rank, workspace, key, patience_s = body
+        server = self._apply_report(report, sender)
+        req = ratelimits.PermitRequest(
+            int(rank),
+            str(workspace),
+            str(key),
+            min(float(patience_s), ratelimits.MAX_PATIENCE_S),
+        )
+        return self._claim_here(server, req)
+
+    def _report(
+        self, server: ratelimits.Server, now: float
+    ) -> list[str | int | float | None]:
+        """Returns the newest statement of a server, for peers."""
+        statement = self.table.statement(server)
+        return [
+            *server,
+            self.table.started_ms(server),
+            statement.limit_per_s if statement else None,
+            now - statement.said_at if statement else MAX_AGE_S,
+        ]
+
+    def _apply_report(self, report: Any, source: str) -> ratelimits.Server:
+        """Records the statement that a peer reported; returns its server.
+
+        Raises:
+            ValueError: The report is malformed.
+        """
+        name, address, started_ms, limit_per_s, age_s = report
+        now = self._clock()
+        server = (str(name), str(address))
+        if limit_per_s is not None and not (
+            0.0 <= float(limit_per_s) <= MAX_LIMIT_PER_S
+        ):
+            raise ValueError(f"{limit_per_s!r:.40} is not a valid rate limit")
+        if not 0.0 <= float(age_s) < MAX_AGE_S:
+            # The peer has no statement, or one that is too old to matter.
+            return server
+        previous = self.table.record_report(
+            server, int(started_ms), limit_per_s, now - float(age_s), source
+        )
+        if previous is not None:
+            self._log_change(server, previous, now)
+        return server
+
+    def _serve_report(self, sender: str, body: Any) -> None:
+        self._apply_report(body, sender)
+
+    def _serve_list(self, sender: str, body: Any) -> dict[str, Any]:
+        del sender, body
+        now = self._clock()
+        return {"limits": [self._report(s, now) for s in self.table.limited()]}
+
+    def _learn_limits(self) -> None:
+        """Asks peers for the limits that they know."""
+        ends_at = self._clock() + LEARN_TIMEOUT_S
+        asked: set[str] = set()
+        while self._clock() < ends_at and len(asked) < LEARN_PEERS:
+            eventlet.sleep(LEARN_INTERVAL_S)
+            members = self._members.all_members(self._clock())
+            peers = {m.incarnation for m in members} - asked
+            for peer in sorted(peers - {self._members.incarnation})[:1]:
+                asked.add(peer)
+                self._learn_from(peer)
+
+    def _learn_from(self, peer: str) -> None:
+        try:
+            reply = self._members.request(
+                peer, LIST_KIND, None, CLAIM_TIMEOUT_S
+            )
+            for report in reply["limits"]:
+                self._apply_report(report, peer)
+        except (
+            membership.PeerUnreachableError,
+            KeyError,
+            TypeError,
+            ValueError,
+        ) as exc:
+            # Servers name their limits in the next answer again.
+            self._events.state_change(
+                "peer gave no limits",
+                self._clock(),
+                peer=peer,
+                cause=repr(exc),
+            )
 
     def record_send(self, server: ratelimits.Server, now: float) -> None:
         """Records that a request is being sent to a server."""
         del now
-        if self.table.limit(server) is not None:
+        if self.is_limited(server):
             self.sends += 1
             self.table.record_send(server)
 
@@ -54,6 +537,24 @@
         previous = self.table.record_answer(server, limit_per_s, sent_at, now)
         if previous is not None:
             self._log_change(server, previous, now)
+            self._schedule_broadcast(server, now)
+
+    def _schedule_broadcast(
+        self, server: ratelimits.Server, now: float
+    ) -> None:
+        usage = self._usage[server]
+        if usage.is_broadcast_due:
+            return
+        usage.is_broadcast_due = True
+        delay_s = max(0.0, usage.broadcast_at + BROADCAST_INTERVAL_S - now)
+        eventlet.spawn_after(delay_s, self._broadcast, server)
+
+    def _broadcast(self, server: ratelimits.Server) -> None:
+        now = self._clock()
+        usage = self._usage[server]
+        usage.is_broadcast_due = False
+        usage.broadcast_at = now
+        self._members.broadcast(REPORT_KIND, self._report(server, now))
 
     def _log_change(
         self,
@@ -61,34 +562,46 @@
         previous: ratelimits.Statement,
         now: float,
     ) -> None:
-        if now - self._logged_at.get(server, -LOG_INTERVAL_S) < LOG_INTERVAL_S:
+        usage = self._usage[server]
+        if now - usage.logged_at < LOG_INTERVAL_S:
             return
-        self._logged_at[server] = now
+        usage.logged_at = now
         statement = self.table.statement(server)
         self._events.state_change(
             "server limit",
             now,
             server=server[0],
-            limit_per_s=statement.limit_per_s,
             previous_per_s=previous.limit_per_s,
-            age_s=round(now - statement.said_at, 3),
-            previous_age_s=round(now - previous.said_at, 3),
+            previous_age_s=round(now - previous.said_at, 2),
             source=statement.source or "answer",
             sends=previous.sends,
+            **self._describe(server, now),
         )
 
     def _log_invalid(
         self, server: ratelimits.Server, text: str, now: float
     ) -> None:
-        last = self._invalid_logged_at.get(server, -INVALID_LOG_INTERVAL_S)
-        if now - last < INVALID_LOG_INTERVAL_S:
+        usage = self._usage[server]
+        if now - usage.invalid_logged_at < INVALID_LOG_INTERVAL_S:
             return
-        self._invalid_logged_at[server] = now
+        usage.invalid_logged_at = now
         self._events.state_change(
             "server limit ignored", now, server=server[0], text=text
         )
 
 
-def new_fleet_limiter(events: log.EventLog) -> FleetLimiter:
-    """Returns a limiter that knows no limits."""
-    return FleetLimiter(events)
+def new_fleet_limiter(
+    server_registry: fleet.ServerRegistry,
+    members: membership.Membership,
+    events: log.EventLog,
+    clock: model.Clock,
+) -> FleetLimiter:
+    """Returns a limiter that knows no limits, with its peer handlers.
+
+    Args:
+        server_registry: The backend servers.
+        members: The other entry VMs.
+        events: Log of the limits.
+        clock: Monotonic time in seconds.
+    """
+    return FleetLimiter(server_registry, members, events, clock)
--- a/savoryspar/gateway/node.py
+++ b/savoryspar/gateway/node.py
@@ -16,6 +16,7 @@
     log,
     membership,
     platform,
+    ratelimits,
     routing,
 )
 from savoryspar.gateway import (
@@ -91,9 +92,11 @@
         self._server_registry = fleet.new_server_registry(self._events)
         self._members = _new_members(cfg, clock())
         availability = backends.new_server_availability()
-        self._router = _new_router(cfg, availability)
+        self._limiter = limiting.new_fleet_limiter(
+            self._server_registry, self._members, self._events, clock
+        )
+        self._router = _new_router(cfg, availability, self._limiter)
         self._exchange_suspects()
-        self._limiter = limiting.new_fleet_limiter(self._events)
         self._connections = backends.new_connections(
             platform.decode_answer_facts, clock, availability, self._limiter
         )
@@ -174,6 +177,7 @@
             seeds=self._cfg.gateway.seeds,
         )
         self._members.start()
+        self._limiter.start()
         self._watch.start()
         self._server.start()
         for server in self._internal_servers:
@@ -261,6 +265,7 @@
                     zone,
                 ), gatherer in self._gatherers.by_pool_and_zone().items()
             },
+            "limits": self._limiter.status(now),
             "routing": self._router.status(now),
         }
 
@@ -284,7 +289,7 @@
             for entry in self._server_registry.entries()
         }
         self._connections.availability.update(starts, now)
-        self._limiter.table.update(starts, now)
+        self._limiter.update(starts, now)
         self._connections.drop_unlisted([server.key for server in live])
         current = self._holder.current
         if current is not None:
@@ -343,6 +348,10 @@
             ),
             "limited_servers": lambda: len(self._limiter.table.limited()),
             "limited_sends": lambda: self._limiter.sends,
+            "limit_denials": lambda: self._limiter.denials,
+            "limit_permits_granted": self._limiter.granted,
+            "limit_per_second": self._limiter.limit_per_s,
+            "limit_share_per_second": self._limiter.share_per_s,
             "log_lines_left_out": lambda: self._events.left_out,
         }
         for name, reader in readers.items():
@@ -378,7 +387,9 @@
 
 
 def _new_router(
-    cfg: conf.Settings, availability: backends.ServerAvailability
+    cfg: conf.Settings,
+    availability: backends.ServerAvailability,
+    limiter: ratelimits.Limiter,
 ) -> routing.Router:
     section = cfg.gateway
     fleet_size = max(MIN_FLEET_SIZE, 3 * len(section.zone_regions))
@@ -399,6 +410,7 @@
             retry_max_tokens=float(max(1, reserve)),
         ),
         availability,
+        limiter,
     )
 
 
--- a/savoryspar/gateway/placing.py
+++ b/savoryspar/gateway/placing.py
@@ -20,6 +20,7 @@
     log,
     membership,
     platform,
+    ratelimits,
     routing,
     stages,
 )
@@ -57,6 +58,7 @@
         reason: Why it was chosen.
         answer_started_at: Monotonic time at which the answer began, None
             before.
+        permit: Permit for the send, None before it was acquired.
     """
 
     __slots__ = (
@@ -64,6 +66,7 @@
         "_notify",
         "_router",
         "answer_started_at",
+        "permit",
         "placer",
         "reason",
         "server",
@@ -82,6 +85,7 @@
         self.placer = placer
         self.reason = reason
         self.answer_started_at: float | None = None
+        self.permit: ratelimits.Permit | None = None
         self._router = router
         self._choice = choice
         self._notify = notify
@@ -135,7 +139,7 @@
             NoServerError: No server can accept the call.
         """
         del zone
-        return _place_locally(self._router, call, now)
+        return place_locally(self._router, call, now)
 
 
 class FleetPlacer:
@@ -217,7 +221,7 @@
                     cause=str(exc),
                 )
         call.zone = ""
-        return _place_locally(self._router, call, self._clock())
+        return place_locally(self._router, call, self._clock())
 
     def _home_zone(self, call: routing.Call, zones: list[str]) -> str:
         """Returns the home zone of the call's prefix, empty for a short one."""
@@ -258,7 +262,7 @@
             call.pool, zone, self._members.all_members(now), unreachable
         )
         if placer is None or placer.incarnation == self._members.incarnation:
-            return _place_locally(self._router, call, now)
+            return place_locally(self._router, call, now)
         body = [
             call.pool,
             zone,
@@ -280,7 +284,7 @@
             self._events.failure(
                 "placer lost", now, call.request_id, zone=zone, cause=str(exc)
             )
-            return _place_locally(self._router, call, self._clock())
+            return place_locally(self._router, call, self._clock())
         if reply["refused_s"] is not None:
             raise routing.NoServerError(
                 call.pool, reply["reason"], reply["refused_s"]
@@ -404,9 +408,14 @@
 Placer = LocalPlacer | FleetPlacer
 
 
-def _place_locally(
+def place_locally(
     router: routing.Router, call: routing.Call, now: float
 ) -> Placement:
+    """Chooses a server with the router of this VM.
+
+    Raises:
+        NoServerError: No server can accept the call.
+    """
     choice = router.choose(call, now)
     return Placement(choice.server, "", choice.reason, router, choice, None)
 
--- a/savoryspar/gateway/plain.py
+++ b/savoryspar/gateway/plain.py
@@ -98,6 +98,7 @@
             job.left_s(now),
             req.attempt_id,
             job.route.may_repeat,
+            permit=placement.permit,
         )
 
     def _handle_answer(
--- a/savoryspar/gateway/streams.py
+++ b/savoryspar/gateway/streams.py
@@ -263,6 +263,7 @@
             job.left_s(now),
             job.req.attempt_id,
             job.route.may_repeat,
+            permit=placement.permit,
         )
 
     def _handle_refusal(self, answer: backends.Answer) -> model.Reply | None:
--- a/savoryspar/membership/service.py
+++ b/savoryspar/membership/service.py
@@ -48,6 +48,7 @@
         "_logger",
         "_upkeep",
         "_view",
+        "_visible_share",
         "connector",
         "heartbeats",
         "reader",
@@ -92,6 +93,7 @@
         self._all_members: tuple[
             tuple[int, frozenset[str]], tuple[model.Record, ...]
         ] = ((-1, frozenset()), ())
+        self._visible_share: tuple[object, float] = ((), 1.0)
         self._is_stopped = False
         self._logger = log.new_logger("membership")
         self.reader = new_reader(
@@ -163,6 +165,23 @@
             self._all_members = (key, (self.records.own_record, *others))
         return self._all_members[1]
 
+    def visible_share(self, now: float) -> float:
+        """Returns the share of the fleet's VMs that this process can reach.
+
+        VMs in zones that are cut off count as out of reach, and so do those
+        that ended without leaving, until they restart or their records expire.
+        """
+        live = self.all_members(now)
+        if self._visible_share[0] is not live:
+            known = {
+                record.name
+                for record in self.records.records.values()
+                if record.state is not model.State.LEFT
+            }
+            names = {record.name for record in live}
+            self._visible_share = (live, len(names) / len(names | known))
+        return self._visible_share[1]
+
     def _reachable_zones(self, now: float) -> frozenset[str]:
         """Returns the own zone and the zones with recent evidence."""
         limit_s = self.records.zone_limit_s()
--- a/savoryspar/ratelimits/__init__.py
+++ b/savoryspar/ratelimits/__init__.py
@@ -3,7 +3,22 @@
 The package decides; it opens no connections and reads no clock.
 """
 
-from savoryspar.ratelimits.limiter import Limiter, Unlimited, new_unlimited
+from savoryspar.ratelimits.allocator import (
+    MIN_RATE_PER_S,
+    Allocator,
+    Claim,
+    new_allocator,
+)
+from savoryspar.ratelimits.exceptions import LimitReachedError
+from savoryspar.ratelimits.limiter import (
+    LOWEST_RANK,
+    MAX_PATIENCE_S,
+    Limiter,
+    Permit,
+    PermitRequest,
+    Unlimited,
+    new_unlimited,
+)
 from savoryspar.ratelimits.table import (
     LimitTable,
     Server,
--- a/savoryspar/ratelimits/limiter.py
+++ b/savoryspar/ratelimits/limiter.py
@@ -1,12 +1,81 @@
-"""What connections to backend servers need from a rate limiter."""
+"""Permits for requests to servers that name a rate limit."""
 
 from typing import Protocol
 
 from savoryspar.ratelimits import table
 
+PERMIT_TTL_S = 0.5
+"""Time within which a permit must be used, as the limit counts arrivals."""
+MAX_PATIENCE_S = 2.0
+"""Longest time that a request waits for a permit."""
+LOWEST_RANK = 1 << 16
+"""Rank of requests that are sent only while nothing else needs a permit."""
+
+
+class Permit:
+    """Allows one request to a server.
+
+    Attributes:
+        granted_at: Monotonic time in seconds.
+        is_used: Whether the request was sent.
+    """
+
+    __slots__ = ("granted_at", "is_used")
+
+    def __init__(self, granted_at: float):
+        self.granted_at = granted_at
+        self.is_used = False
+
+    def is_valid(self, now: float) -> bool:
+        """Returns whether a request may be sent with this permit."""
+        return not self.is_used and now - self.granted_at < PERMIT_TTL_S
+
+
+class PermitRequest:
+    """A request to a server that may need a permit.
+
+    Attributes:
+        rank: Rank of the request, 0 is the most urgent.
+        workspace: Workspace of the request, empty for none.
+        key: Digest that is equal for requests with the same work, or empty.
+        patience_s: Longest time to wait for a permit, in seconds.
+    """
+
+    __slots__ = ("key", "patience_s", "rank", "workspace")
+
+    def __init__(
+        self,
+        rank: int = LOWEST_RANK,
+        workspace: str = "",
+        key: str = "",
+        patience_s: float = 0.0,
+    ):
+        self.rank = rank
+        self.workspace = workspace
+        self.key = key
+        self.patience_s = patience_s
+
 
 class Limiter(Protocol):
-    """Counts requests to servers, and learns limits from their answers."""
+    """Grants permits, and learns limits from the answers of servers."""
+
+    def is_limited(self, server: table.Server) -> bool:
+        """Returns whether a server names a limit."""
+
+    def wait_s(self, server: table.Server, now: float) -> float:
+        """Returns the estimated time until a permit is free, 0 for none."""
+
+    def interval_s(self, server: table.Server, now: float) -> float:
+        """Returns the mean time between two permits, 0 without a limit."""
+
+    def acquire(
+        self, server: table.Server, req: PermitRequest, now: float
+    ) -> Permit:
+        """Returns a permit, after a wait if the request allows one.
+
+        Raises:
+            LimitReachedError: None is free in time.
+        """
 
     def record_send(self, server: table.Server, now: float) -> None:
         """Records that a request is being sent to a server."""
@@ -35,6 +104,24 @@
 
     __slots__ = ()
 
+    def is_limited(self, server: table.Server) -> bool:
+        """Returns False."""
+        return False
+
+    def wait_s(self, server: table.Server, now: float) -> float:
+        """Returns 0."""
+        return 0.0
+
+    def interval_s(self, server: table.Server, now: float) -> float:
+        """Returns 0."""
+        return 0.0
+
+    def acquire(
+        self, server: table.Server, req: PermitRequest, now: float
+    ) -> Permit:
+        """Returns a permit."""
+        return Permit(now)
+
     def record_send(self, server: table.Server, now: float) -> None:
         """Does nothing."""
 
--- a/savoryspar/ratelimits/table.py
+++ b/savoryspar/ratelimits/table.py
@@ -6,7 +6,7 @@
 end the limit, whatever the order in which answers and messages of peers arrive.
 """
 
-from collections.abc import Mapping
+from collections.abc import Mapping, Set
 
 Server = tuple[str, str]
 """ID and address (``IP:port``) of a server."""
@@ -75,6 +75,10 @@
         """Returns the listed start of a server, 0 if it is not listed."""
         return self._starts.get(server, 0)
 
+    def servers(self) -> Set[Server]:
+        """Returns the servers with a statement."""
+        return self._statements.keys()
+
     def limited(self) -> dict[Server, Statement]:
         """Returns the statements of the servers that name a limit."""
         return {
--- a/savoryspar/routing/model.py
+++ b/savoryspar/routing/model.py
@@ -19,6 +19,8 @@
         blocks: Precomputed hashes of the prompt's blocks, or empty.
         prompt_tokens: Length of the prompt in tokens, 0 if unknown.
         zone: Availability zone that the server must be in; empty for any.
+        server: Name of the only server that may run the call, which has a
+            permit for it; empty for any.
         excluded: Names of servers that already failed this stage.
         size_bytes: Expected size of the call and its response.
         is_idempotent: Whether the stage may be retried.
@@ -36,6 +38,7 @@
         "prompt_tokens",
         "rank",
         "request_id",
+        "server",
         "size_bytes",
         "stage",
         "workspace",
@@ -58,7 +61,9 @@
         blocks: Sequence[int] = (),
         prompt_tokens: int = 0,
         zone: str = "",
+        server: str = "",
     ):
+        self.server = server
         self.blocks = blocks
         self.prompt_tokens = prompt_tokens
         self.zone = zone
--- a/savoryspar/routing/router.py
+++ b/savoryspar/routing/router.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable, Sequence
 import zlib
 
-from savoryspar import backends, log
+from savoryspar import backends, log, ratelimits
 from savoryspar.routing import (
     budgets,
     exceptions,
@@ -32,6 +32,7 @@
 
     Attributes:
         availability: Whether servers are leaving or have paused new work.
+        limiter: Rate limits of the servers.
         suspects: Requests suspected of crashing servers.
     """
 
@@ -44,6 +45,7 @@
         "_policy",
         "_pools",
         "availability",
+        "limiter",
         "suspects",
     )
 
@@ -53,8 +55,10 @@
         opts: options.Options,
         policy: policies.Policy,
         availability: backends.ServerAvailability,
+        limiter: ratelimits.Limiter,
     ):
         self.availability = availability
+        self.limiter = limiter
         self._decisions = decisions
         self._opts = opts
         self._policy = policy
@@ -163,8 +167,9 @@
             state
             for state in self._not_leaving(call.pool, call.excluded)
             if call.zone in ("", state.server.zone)
+            and call.server in ("", state.server.name)
         ]
-        states = self._accepting(states, call.pool, now)
+        states = self._accepting(states, call, now)
         probed = selection.due_for_probe(states, call, now)
         if probed is not None:
             state, reason, count = probed, "probe", 1
@@ -343,27 +348,57 @@
             if name not in excluded and name not in self._leaving
         ]
 
+    def limited(
+        self, pool: str, excluded: frozenset[str], now: float
+    ) -> list[backends.Server]:
+        """Returns the servers that accept calls but have no permit free.
+
+        The first one is expected to have a permit first.
+        """
+        waits = [
+            (self.limiter.wait_s(state.server.key, now), state.server)
+            for state in self._not_leaving(pool, excluded)
+            if self.limiter.is_limited(state.server.key)
+            and self.availability.may_send(state.server.key, now)
+        ]
+        return [server for _, server in sorted(waits, key=lambda w: w[0])]
+
     def _accepting(
-        self, states: Sequence[servers.ServerState], pool: str, now: float
+        self,
+        states: Sequence[servers.ServerState],
+        call: model.Call,
+        now: float,
     ) -> Sequence[servers.ServerState]:
-        """Returns the servers that accept new calls.
+        """Returns the servers that accept the call.
 
         Raises:
-            NoServerError: All servers are leaving or have paused new work.
+            NoServerError: All servers are leaving, have paused new work or
+                have no permit free.
         """
-        accepting = [
+        available = [
             state
             for state in states
             if self.availability.may_send(state.server.key, now)
         ]
+        accepting = [
+            state
+            for state in available
+            if call.server or not self.limiter.wait_s(state.server.key, now)
+        ]
         if states and not accepting:
+            waits = [
+                self.limiter.wait_s(state.server.key, now)
+                for state in available
+            ]
             pause_s = self.availability.shortest_pause_s(
                 [state.server.key for state in states], now
             )
             raise exceptions.NoServerError(
-                pool,
-                "all servers are leaving or have paused new work",
-                pause_s or selection.RETRY_AFTER_S,
+                call.pool,
+                "all servers are leaving, have paused new work or are at their"
+                " rate limit",
+                min(filter(None, [pause_s, *waits]), default=0.0)
+                or selection.RETRY_AFTER_S,
             )
         return accepting
 
@@ -385,6 +420,7 @@
     decisions: log.DecisionLog,
     opts: options.Options | None = None,
     availability: backends.ServerAvailability | None = None,
+    limiter: ratelimits.Limiter | None = None,
 ) -> Router:
     """Creates a router without servers.
 
@@ -393,6 +429,7 @@
         opts: Location and settings; the defaults when None.
         availability: Whether servers accept new work; when None, all do at
             first.
+        limiter: Rate limits of the servers; nothing is limited when None.
     """
     opts = opts or options.Options()
     seed = zlib.crc32(opts.name.encode())
@@ -401,4 +438,5 @@
         opts,
         policies.new_policy(opts, seed),
         availability or backends.new_server_availability(),
+        limiter or ratelimits.new_unlimited(),
     )
--- a/savoryspar/stages/batching.py
+++ b/savoryspar/stages/batching.py
@@ -192,6 +192,10 @@
         """Returns the expected duration of a call."""
         return self.pool.call_s + pieces * self.pool.piece_s
 
+    def rank(self) -> int:
+        """Returns the most urgent rank of the queued groups, 0 if empty."""
+        return min((g.rank for g in self._groups.values()), default=0)
+
     def fits(self, room_bytes: float) -> bool:
         """Returns whether the result of any queued piece fits.
 
--- a/tests/gateway/test_streams.py
+++ b/tests/gateway/test_streams.py
@@ -57,8 +57,8 @@
     def __init__(self, answers):
         self._answers = list(answers)
 
-    def send(self, *args):
-        del args
+    def send(self, *args, permit):
+        del args, permit
         return self._answers.pop(0)
 
 
