--- a/savoryspar/bench/catalog.py
+++ b/savoryspar/bench/catalog.py
@@ -13,6 +13,7 @@
     routing,
     scheduling,
     scheduling_decisions,
+    server_limits,
     state,
     zones,
 )
@@ -40,6 +41,7 @@
     "leaving": routing.leaving,
     "ejection": routing.ejection,
     "limits": routing.limits,
+    "server-limits": server_limits.server_limits,
     "decision-time": decisions.decision_time,
     "subsets": decisions.subset_balance,
     "config-spread": membership.configuration_spread,
--- a/savoryspar/gateway/limiting.py
+++ b/savoryspar/gateway/limiting.py
@@ -185,7 +185,7 @@
         """Returns the estimated time until a permit is free, 0 for none."""
         if not self.is_limited(server):
             return 0.0
-        if self._owner(server, frozenset(), now) == self._members.incarnation:
+        if self.owner(server, now) == self._members.incarnation:
             allocator = self._allocator(server, now)
             return allocator.wait_s(self._rate_per_s(server, now), now)
         return max(0.0, self._usage[server].asks_at - now)
@@ -239,7 +239,7 @@
         )
         reply = None
         for _ in range(MAX_OWNERS):
-            owner = self._owner(server, excluded, now)
+            owner = self.owner(server, now, excluded)
             if owner == self._members.incarnation:
                 reply = self._claim_here(server, req)
                 break
@@ -315,16 +315,22 @@
             "share_per_s": usage.share_per_s(now),
             "share_age_s": usage.share_age_s(now),
             "visible": round(self._members.visible_share(now), 2),
-            "owner": self._owner(server, frozenset(), now),
+            "owner": self.owner(server, now),
         }
 
-    def _owner(
+    def owner(
         self,
         server: ratelimits.Server,
-        excluded: frozenset[str],
         now: float,
+        excluded: frozenset[str] = frozenset(),
     ) -> str:
-        """Returns the incarnation that grants the permits of a server."""
+        """Returns the incarnation that grants the permits of a server.
+
+        Args:
+            server: The server.
+            now: Monotonic time in seconds.
+            excluded: Incarnations that did not respond.
+        """
         entry = self._server_registry.find(server[0])
         pool, zone = (entry.service, entry.zone) if entry else (server[0], "")
         member = self._owner_cache.choose(
@@ -335,7 +341,7 @@
     def _rate_per_s(self, server: ratelimits.Server, now: float) -> float:
         """Returns the permits per second that this VM may grant."""
         rate_per_s = self.table.limit(server) or 0.0
-        if self._owner(server, frozenset(), now) != self._members.incarnation:
+        if self.owner(server, now) != self._members.incarnation:
             rate_per_s *= STANDBY_SHARE
         return rate_per_s * self._members.visible_share(now)
 
