Test the whole path when the only server of a service names a limit

Three VM processes, 40 requests per second and a limit of 1 per second at a plain server, an engine and a stage server: the rest is refused with Retry-After, at least 80% of the limit is used, work resumes when the limit ends, and malformed limits change nothing.

--- a/tests/gateway/test_server_limits.py
+++ b/tests/gateway/test_server_limits.py
@@ -11,6 +11,8 @@
 REQUESTS_PER_S = 40
 LOAD_S = 9.0
 WINDOW_S = 4.0
+BOUND = 1.5 * LIMIT_PER_S * WINDOW_S + 5
+"""Requests that the platform allows in a window."""
 NOTICE_S = 0.5
 """Time after which a VM that relayed an answer with a limit must keep it."""
 
@@ -60,9 +62,8 @@
         )
 
 
-class ServerLimitTest(node_case.NodeCase):
-    platform_class = LimitingPlatform
-    vm_count = 4
+class LimitCase(node_case.NodeCase):
+    """Sends requests to several VMs and collects the answers."""
 
     def setUp(self):
         super().setUp()
@@ -85,7 +86,7 @@
             )
         )
 
-    def _load(self, target, duration_s):
+    def load(self, target, duration_s):
         """Sends requests at a steady rate, evenly over all VMs."""
         pool = eventlet.GreenPool(200)
         ends_at = time.monotonic() + duration_s
@@ -94,15 +95,17 @@
             eventlet.sleep(1.0 / REQUESTS_PER_S)
         pool.waitall()
 
+
+class ServerLimitTest(LimitCase):
+    platform_class = LimitingPlatform
+    vm_count = 4
+
     def _check_limit(self, server, target):
-        self._load(target, 1.0)
+        self.load(target, 1.0)
         self.platform.limits[server] = LIMIT_PER_S
         self.answers.clear()
-        self._load(target, LOAD_S)
-        self.assertLessEqual(
-            self.platform.worst_window(server),
-            1.5 * LIMIT_PER_S * WINDOW_S + 5,
-        )
+        self.load(target, LOAD_S)
+        self.assertLessEqual(self.platform.worst_window(server), BOUND)
         served = sum(a.startswith(b"HTTP/1.1 200") for a in self.answers)
         self.assertGreaterEqual(served, 0.95 * len(self.answers))
 
@@ -122,3 +125,71 @@
     def test_fleet_keeps_limit_of_stage_server(self):
         """Guards against calls that run or free pieces above the limit."""
         self._check_limit("prep-1", "/n/1")
+
+
+class SingleServerPlatform(LimitingPlatform):
+    """One server for each service."""
+
+    servers = ("desk", "lm", "prep")
+
+
+class AllServersLimitedTest(LimitCase):
+    """The only server of a service names a limit, so work must be refused."""
+
+    platform_class = SingleServerPlatform
+    vm_count = 3
+
+    def _check_refusals(self, server, target):
+        self.load(target, 1.0)
+        self.platform.limits[server] = LIMIT_PER_S
+        self.load(target, 1.0)
+        self.answers.clear()
+        self.load(target, LOAD_S)
+        self.assertLessEqual(self.platform.worst_window(server), BOUND)
+        served = 0
+        for text in self.answers:
+            head = text.partition(b"\r\n\r\n")[0]
+            if head.startswith(b"HTTP/1.1 200"):
+                served += 1
+                continue
+            self.assertTrue(head.startswith(b"HTTP/1.1 503"), head)
+            self.assertIn(b"\r\nRetry-After: ", head)
+        return served
+
+    def test_plain_requests_above_the_limit_are_refused(self):
+        """Guards against requests that are held, lost or sent all the same."""
+        served = self._check_refusals("desk", "/o/1")
+        self.assertGreaterEqual(served, 0.8 * LIMIT_PER_S * LOAD_S)
+
+    def test_streams_above_the_limit_are_refused(self):
+        """Guards against streams that are held, lost or sent all the same."""
+        served = self._check_refusals("lm", "/n/1")
+        self.assertGreaterEqual(served, 0.8 * LIMIT_PER_S * LOAD_S)
+
+    def test_pieces_above_the_limit_are_refused(self):
+        """Guards against pieces that are held, lost or sent all the same.
+
+        A call has up to four pieces, so more requests are served than calls
+        are allowed.
+        """
+        served = self._check_refusals("prep", "/n/1")
+        self.assertGreaterEqual(served, 2.0 * LIMIT_PER_S * LOAD_S)
+
+    def test_work_resumes_when_the_limit_ends(self):
+        """Guards against a limit that outlasts its server's need for it."""
+        self.platform.limits["desk"] = LIMIT_PER_S
+        self.load("/o/1", 3.0)
+        del self.platform.limits["desk"]
+        self.load("/o/1", 2.0)
+        self.answers.clear()
+        self.load("/o/1", 2.0)
+        served = [a.startswith(b"HTTP/1.1 200") for a in self.answers]
+        self.assertGreaterEqual(sum(served), 0.95 * len(served))
+
+    def test_malformed_limits_change_nothing(self):
+        """Guards against a server that stops traffic by a malformed field."""
+        for text in ("", "-1", "nan", "9" * 400, "1e400"):
+            self.platform.limits["desk"] = text
+            self.load("/o/1", 0.5)
+        served = [a.startswith(b"HTTP/1.1 200") for a in self.answers]
+        self.assertEqual(len(served), sum(served))
