End limits although peers exchange old reports; keep reachable servers so

Found by reading the change. The age in a report leaves out the time between VMs, so a limit that peers passed around was renewed by each exchange: with enough claims its time ran past the requests whose answers should have ended it. A report of the same limit now counts only if it is newer by 1 s. The test fails without this.

A request refused for its server's rate limit counted as an unreachable server, which took the server out of the pool; it is a cancelled call now.

--- a/savoryspar/backends/__init__.py
+++ b/savoryspar/backends/__init__.py
@@ -18,6 +18,7 @@
     BackendError,
     CallOutcomeUnknownError,
     CallRefusedError,
+    RateLimitedError,
     StreamBrokenError,
 )
 from savoryspar.backends.model import Server, StageCall, StageResult
--- a/savoryspar/backends/connections.py
+++ b/savoryspar/backends/connections.py
@@ -407,8 +407,9 @@
                 valid one, the request is sent only if a permit is free.
 
         Raises:
-            CallRefusedError: There is no connection, the server accepts no
-                work, or its rate limit is reached; nothing was sent.
+            CallRefusedError: There is no connection, or the server accepts no
+                work; nothing was sent.
+            RateLimitedError: Its rate limit is reached; nothing was sent.
             CallOutcomeUnknownError: The request may have run.
         """
         now = self._clock()
@@ -437,7 +438,7 @@
         """Uses the permit of a call, or another one if that is not valid.
 
         Raises:
-            CallRefusedError: The rate limit of the server is reached.
+            RateLimitedError: The rate limit of the server is reached.
         """
         now = self._clock()
         permit = call.permit
@@ -447,7 +448,7 @@
                     call.server, ratelimits.PermitRequest(), now
                 )
             except ratelimits.LimitReachedError as exc:
-                raise exceptions.CallRefusedError(
+                raise exceptions.RateLimitedError(
                     call.server[0], exc.message, exc.remedy, has_sent=False
                 ) from exc
         permit.is_used = True
--- a/savoryspar/backends/exceptions.py
+++ b/savoryspar/backends/exceptions.py
@@ -31,6 +31,10 @@
     """The call did not run: no connection, or the server rejected it."""
 
 
+class RateLimitedError(CallRefusedError):
+    """The call was not sent, as the rate limit of the server is reached."""
+
+
 class CallOutcomeUnknownError(BackendError):
     """The call may have run: its answer was lost or late."""
 
--- a/savoryspar/gateway/attempts.py
+++ b/savoryspar/gateway/attempts.py
@@ -5,6 +5,7 @@
 that may run twice according to their route are retried.
 """
 
+import functools
 import hashlib
 
 from savoryspar import backends, log, ratelimits, routing
@@ -238,6 +239,19 @@
         self._router.suspects.record_success(self._job.fingerprint, now)
 
 
+@functools.singledispatch
+def refused_outcome(exc: backends.CallRefusedError) -> routing.Outcome:
+    """Returns the outcome of a call that was not sent."""
+    del exc
+    return routing.Outcome.UNREACHABLE
+
+
+@refused_outcome.register
+def _(exc: backends.RateLimitedError) -> routing.Outcome:
+    del exc
+    return routing.Outcome.CANCELLED
+
+
 def prompt_blocks(req: backends.CallerRequest) -> tuple[int, ...]:
     """Returns the hashes of the blocks of the shared prompt prefix.
 
--- a/savoryspar/gateway/gathering.py
+++ b/savoryspar/gateway/gathering.py
@@ -610,6 +610,9 @@
                 return
             results = platform.decode_results(body, len(pieces))
             server.check_unique(results)
+        except backends.RateLimitedError:
+            self._requeue(call, is_failure=False)
+            return
         except backends.BackendError as exc:
             self._handle_failure(server, call, exc)
             return
--- a/savoryspar/gateway/plain.py
+++ b/savoryspar/gateway/plain.py
@@ -55,7 +55,7 @@
                 raise
             except backends.CallRefusedError as exc:
                 reply, has_not_run, cause = None, True, str(exc)
-                outcome = routing.Outcome.UNREACHABLE
+                outcome = attempts.refused_outcome(exc)
             except backends.CallOutcomeUnknownError as exc:
                 reply, has_not_run, cause = None, False, str(exc)
                 job_attempts.record_send()
--- a/savoryspar/gateway/streams.py
+++ b/savoryspar/gateway/streams.py
@@ -224,7 +224,7 @@
                 outcome = routing.Outcome.OK
                 self._attempts.report_success(forwarder._clock())
         except backends.CallRefusedError as exc:
-            outcome, has_not_run = routing.Outcome.UNREACHABLE, True
+            outcome, has_not_run = attempts.refused_outcome(exc), True
             cause = str(exc)
         except backends.CallOutcomeUnknownError as exc:
             outcome, cause = routing.Outcome.FAILED, str(exc)
--- a/savoryspar/ratelimits/table.py
+++ b/savoryspar/ratelimits/table.py
@@ -18,6 +18,10 @@
 MAX_LISTING_DELAY_S = 1.0
 """Age up to which a statement is kept when a restart of its server is listed:
 the new instance may have made it."""
+REFRESH_S = 1.0
+"""Least time by which a peer's report of the same limit must be newer to count.
+The age in a report leaves out its time between VMs. A statement that is passed
+around would otherwise seem to be made again and again, and never end."""
 MAX_UNLISTED = 256
 """Servers that are not listed for which statements are kept."""
 
@@ -136,6 +140,10 @@
             return None
         if known_ms is None and self._unlisted() >= MAX_UNLISTED:
             return None
+        known = self._statements.get(server)
+        is_same = known is not None and known.limit_per_s == limit_per_s
+        if is_same and said_at < known.said_at + REFRESH_S:
+            return None
         return self._record(server, limit_per_s, said_at, source)
 
     def _record(
--- a/tests/ratelimits/test_allocator.py
+++ b/tests/ratelimits/test_allocator.py
@@ -132,6 +132,7 @@
         owner.allocator.release_all()
         self.assertEqual([True] * 3, [claim.is_granted for claim in claims])
 
+    @hypothesis.settings(derandomize=True, deadline=None, max_examples=300)
     @hypothesis.given(
         st.sampled_from((0.3, 1.0, 5.0, 50.0)),
         st.lists(
@@ -161,6 +162,7 @@
             1.25 * limit_per_s * WINDOW_S + 2,
         )
 
+    @hypothesis.settings(derandomize=True, deadline=None, max_examples=300)
     @hypothesis.given(
         st.sampled_from((0.5, 1.0, 5.0, 50.0)),
         st.lists(st.sampled_from((0.3, 1.0, 2.5, 5.0)), max_size=8),
--- a/tests/ratelimits/test_table.py
+++ b/tests/ratelimits/test_table.py
@@ -51,12 +51,25 @@
         self.table.update({}, now=200.0)
         self.assertIsNone(self.table.limit(SERVER))
 
+    def test_reports_passed_around_do_not_renew_a_limit(self):
+        """Guards against a limit that never ends while peers exchange it.
+
+        Each report seems newer by the time that it took between two VMs.
+        """
+        self.table.record_answer(SERVER, 2.0, sent_at=9.0, now=10.0)
+        for number in range(1, 100):
+            said_at = self.table.statement(SERVER).said_at + 0.02 * number
+            self.table.record_report(SERVER, 0, 2.0, min(said_at, 10.9), "peer")
+        self.table.record_answer(SERVER, None, sent_at=10.5, now=11.5)
+        self.assertIsNone(self.table.limit(SERVER))
+
     def test_statements_about_unknown_servers_are_bounded(self):
         """Guards against memory that grows with a peer's reports."""
         for number in range(1000):
             self.table.record_report((f"x{number}", "a:1"), 0, 1.0, 1.0, "p")
         self.assertLessEqual(len(self.table.limited()), 256)
 
+    @hypothesis.settings(derandomize=True, deadline=None, max_examples=100)
     @hypothesis.given(st.permutations(range(5)))
     def test_order_of_reports_does_not_matter(self, order):
         """Guards against VMs that end with different limits."""
