Name, change and end rate limits of servers in the soak

Servers name limits of 0, 0.5, 1, 5 or 20 requests per second for 2 to 12 s beside the other faults, and the checker compares the arrivals from all VMs with the limit.

--- a/savoryspar/platform/standin.py
+++ b/savoryspar/platform/standin.py
@@ -186,6 +186,11 @@
     return [(headers.NOT_RUN, "1")]
 
 
+def encode_limit(limit_per_s: float) -> list[tuple[str, str]]:
+    """Returns the answer fields of a server that names a rate limit."""
+    return [(headers.LIMIT, f"{limit_per_s:g}")]
+
+
 def serve_stage_call(
     body: bytes, new_handle: Callable[[str, int, int], str]
 ) -> tuple[bytes, int]:
--- a/savoryspar/soak/checker.py
+++ b/savoryspar/soak/checker.py
@@ -6,6 +6,14 @@
 from savoryspar.platform import standin
 from savoryspar.soak import environment
 
+LIMIT_WINDOW_S = 4.0
+LIMIT_FACTOR = 1.5
+LIMIT_SLACK = 5
+"""The platform allows one and a half times a server's rate limit in a window,
+and some requests more."""
+LIMIT_NOTICE_S = 0.5
+"""Time after a server first named a limit from which it is checked."""
+
 EVENT = re.compile(rb"id: (\d+)\ndata: (\S+)\n\n")
 
 
@@ -70,6 +78,68 @@
     return violations
 
 
+def find_exceeded_limits(
+    servers: Iterable[environment.BackendServer], until: float
+) -> list[str]:
+    """Returns a line for each period in which a server's limit was exceeded.
+
+    Args:
+        servers: All backend servers.
+        until: End of the soak; monotonic seconds.
+    """
+    return [
+        f"a rate limit was exceeded: {server.entry.name} named"
+        f" {period.limit_per_s:g} per second and got {worst} requests"
+        f" in {LIMIT_WINDOW_S:g} s; allowed {allowed:g}"
+        for server in servers
+        for period in server.limit_periods
+        for allowed in [
+            LIMIT_SLACK + LIMIT_FACTOR * LIMIT_WINDOW_S * period.limit_per_s
+        ]
+        for worst in [_worst_window(server, period, until)]
+        if worst > allowed
+    ]
+
+
+def _worst_window(
+    server: environment.BackendServer,
+    period: environment.LimitPeriod,
+    until: float,
+) -> int:
+    if period.named_at is None:
+        return 0
+    return worst_window(
+        server.arrivals,
+        period.named_at + LIMIT_NOTICE_S,
+        period.ended_at or until,
+        server.held_until,
+    )
+
+
+def worst_window(
+    arrivals: Iterable[float],
+    since: float,
+    until: float,
+    held_until: Iterable[float],
+) -> int:
+    """Returns the most arrivals in a window of ``LIMIT_WINDOW_S``.
+
+    Windows in which a proxy may have delivered requests that it had held back
+    are skipped.
+    """
+    times = [at for at in arrivals if since <= at < until]
+    return max(
+        (
+            sum(start <= at < start + LIMIT_WINDOW_S for at in times)
+            for start in times
+            if not any(
+                start <= at <= start + LIMIT_WINDOW_S for at in held_until
+            )
+        ),
+        default=0,
+    )
+
+
 def _check_answer(
     answer: Answer, run_records: environment.RunRecords, stable_from: float
 ) -> Iterable[str]:
--- a/savoryspar/soak/environment.py
+++ b/savoryspar/soak/environment.py
@@ -121,6 +121,23 @@
         self.sends: collections.Counter[str] = collections.Counter()
 
 
+class LimitPeriod:
+    """A time in which a server names a rate limit.
+
+    Attributes:
+        limit_per_s: The limit.
+        named_at: Monotonic time of the first answer that names it, None before.
+        ended_at: Monotonic time at which it ended, None before.
+    """
+
+    __slots__ = ("ended_at", "limit_per_s", "named_at")
+
+    def __init__(self, limit_per_s: float):
+        self.limit_per_s = limit_per_s
+        self.named_at: float | None = None
+        self.ended_at: float | None = None
+
+
 class BackendServer:
     """One backend server behind a proxy that injects faults.
 
@@ -128,6 +145,11 @@
         proxy: Proxy that forwards all connections to the server.
         entry: Entry of the server in the store.
         is_refusing: Whether it refuses ``REFUSED_SHARE`` of the requests.
+        limit_periods: Times in which it named a rate limit; the last one may
+            not have ended.
+        arrivals: Monotonic times of all requests and calls.
+        held_until: Monotonic times until which faults of the proxy may deliver
+            requests late.
     """
 
     def __init__(
@@ -136,6 +158,9 @@
         self._run_records = run_records
         self._rng = random.Random(seed)
         self.is_refusing = True
+        self.limit_periods: list[LimitPeriod] = []
+        self.arrivals: list[float] = []
+        self.held_until: list[float] = []
         sock = eventlet.listen(("127.0.0.1", 0))
         eventlet.spawn(
             wsgi.server, sock, self._handle_request, log_output=False
@@ -154,7 +179,33 @@
             0,
         )
 
+    def set_limit(self, limit_per_s: float | None) -> None:
+        """Names another rate limit from now on, or none."""
+        if self._period is not None:
+            self._period.ended_at = time.monotonic()
+        if limit_per_s is not None:
+            self.limit_periods.append(LimitPeriod(limit_per_s))
+
+    @property
+    def _period(self) -> LimitPeriod | None:
+        """Period that has not ended, None without one."""
+        periods = self.limit_periods[-1:]
+        return periods[0] if periods and not periods[0].ended_at else None
+
     def _handle_request(self, environ: Any, start_response: Any) -> Any:
+        self.arrivals.append(time.monotonic())
+
+        def start(status: str, fields: list[tuple[str, str]]) -> Any:
+            period = self._period
+            if period is None:
+                return start_response(status, fields)
+            period.named_at = period.named_at or time.monotonic()
+            limit = standin.encode_limit(period.limit_per_s)
+            return start_response(status, [*fields, *limit])
+
+        return self._answer(environ, start)
+
+    def _answer(self, environ: Any, start_response: Any) -> Any:
         send = standin.Send(environ)
         if send.path in (platform.STAGE_RUN_PATH, platform.STAGE_FREE_PATH):
             body, count = standin.serve_stage_call(
--- a/savoryspar/soak/fault_injector.py
+++ b/savoryspar/soak/fault_injector.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 import random
 import signal
+import time
 
 import eventlet
 
@@ -15,6 +16,9 @@
 so they overlap."""
 DURATION_S = (0.5, 3.0)
 """Range of the duration of a fault."""
+LIMITS_PER_S = (0.0, 0.5, 1.0, 5.0, 20.0)
+LIMIT_DURATION_FACTOR = 4.0
+"""Limits last longer than faults, so that several faults meet one."""
 SETTLING_S = 4.0
 """Time after a fault in which answers may still be truncated: connections that
 a fault broke are detected by timeouts of up to 2.5 s."""
@@ -66,6 +70,8 @@
             self._disrupt_proxy,
             self._crash_server,
             self._drain_server,
+            self._limit_server,
+            self._limit_server,
             self._publish_configuration,
             self._publish_configuration,
         )
@@ -154,6 +160,7 @@
         self._record(f"{server.entry.name}: {faults}", duration_s, *self._vms)
         server.proxy.change(faults)
         eventlet.sleep(duration_s)
+        server.held_until.append(time.monotonic())
         server.proxy.change(
             dict.fromkeys(faults, 0.0)
             if "cut" not in faults
@@ -175,6 +182,19 @@
         eventlet.sleep(duration_s)
         publish_server(self._store, server)
 
+    def _limit_server(self, duration_s: float) -> None:
+        """Makes a server name a rate limit, and end it later."""
+        server = self._rng.choice(self._servers)
+        limit_per_s = self._rng.choice(LIMITS_PER_S)
+        duration_s *= LIMIT_DURATION_FACTOR
+        self._record(
+            f"{server.entry.name} names a limit of {limit_per_s:g} per second",
+            duration_s,
+        )
+        server.set_limit(limit_per_s)
+        eventlet.sleep(duration_s)
+        server.set_limit(None)
+
     def _publish_configuration(self, duration_s: float) -> None:
         self._record("a configuration is written", duration_s)
         self._publish()
--- a/savoryspar/soak/runs.py
+++ b/savoryspar/soak/runs.py
@@ -99,6 +99,7 @@
         faults_ended_at = now()
         for server in servers:
             server.is_refusing = False
+            server.set_limit(None)
         eventlet.sleep(FAULT_FREE_S)
         all_callers.stop()
         for thread in threads:
@@ -111,6 +112,7 @@
         all_callers.answers, run_records, injector.stable_from
     )
     violations += all_callers.regressions
+    violations += checker.find_exceeded_limits(servers, time.monotonic())
     violations += _find_unserved_routes(
         all_callers.answers, faults_ended_at + RECOVERY_TIMEOUT_S
     )
