Answer requests that the grace time does not suffice for

Cause: a request that still ran at the end of the grace time was closed with the process. Its route allows more time than the grace does, and nobody answered it.

Change: shortly before the end, each request whose response has not begun gets 503 if nothing was sent to a server, else 502. A send whose outcome is open counts as possibly run. The new test of a process with a silent engine got an empty answer before.

--- a/savoryspar/gateway/app.py
+++ b/savoryspar/gateway/app.py
@@ -4,6 +4,7 @@
 from typing import Any
 import zlib
 
+import eventlet
 from eventlet import wsgi
 
 from savoryspar import backends, fleet, http, log, platform
@@ -32,6 +33,14 @@
 StartResponse = Callable[[str, list[tuple[str, str]]], Callable[[bytes], Any]]
 
 
+class GraceEndedError(BaseException):
+    """The process ends; raised in the green thread of a running request.
+
+    It derives from ``BaseException`` so that ``except Exception`` does not
+    catch it and keep the request running.
+    """
+
+
 class GatewayApp:
     """Serves callers; construct it with ``new_gateway_app``.
 
@@ -49,6 +58,7 @@
         "_holder",
         "_plain",
         "_streams",
+        "_threads",
         "is_stopping",
         "running",
     )
@@ -72,6 +82,8 @@
         self.is_stopping = False
         self._draining_since = 0.0
         self._ends_at = 0.0
+        # Green threads of the requests that are being served.
+        self._threads: set[Any] = set()
 
     def __call__(
         self, environ: dict[str, Any], start_response: StartResponse
@@ -79,6 +91,8 @@
         """Serves one request (PEP 3333)."""
         received_at = self._clock()
         self.running += 1
+        thread = eventlet.getcurrent()
+        self._threads.add(thread)
         sock = environ["eventlet.input"].get_socket()
         attempt_id, route = "", ""
         job = None
@@ -116,6 +130,19 @@
             )
             wsgi.WSGI_LOCAL.already_handled = True
             return []
+        except GraceEndedError:
+            failure = _grace_ended_error()
+            if head.is_sent:
+                return self._abort_response(
+                    attempt_id, route, failure, received_at
+                )
+            return self._answer_failure(
+                _to_gateway_error(failure, job),
+                attempt_id,
+                route,
+                received_at,
+                start_response,
+            )
         except Exception as exc:
             # Left to the WSGI server, the 500 would not appear in the log.
             failure = model.GatewayError(
@@ -134,6 +161,15 @@
             )
         finally:
             self.running -= 1
+            self._threads.discard(thread)
+
+    def end_requests(self) -> None:
+        """Ends the requests that still run, as the process is about to end.
+
+        Those without a response get an error instead of a closed connection.
+        """
+        for thread in [*self._threads]:
+            eventlet.kill(thread, GraceEndedError())
 
     def _abort_response(
         self, attempt_id: str, route: str, exc: Exception, received_at: float
@@ -331,7 +367,11 @@
         return model.GatewayError(
             "400 Bad Request", "bad_request", exc.message, exc.remedy
         )
-    if job is None or not job.sends or not exc.status.startswith("503"):
+    if (
+        job is None
+        or not (job.sends or job.is_sending)
+        or not exc.status.startswith("503")
+    ):
         return exc
     return model.GatewayError(
         "502 Bad Gateway",
@@ -342,6 +382,14 @@
     )
 
 
+def _grace_ended_error() -> model.GatewayError:
+    error = model.refusal(
+        "stopping", "this entry VM has shut down", STOPPING_RETRY_S
+    )
+    error.is_closing = True
+    return error
+
+
 class _ResponseHead:
     """Wraps ``start_response`` and records whether it was called."""
 
--- a/savoryspar/gateway/model.py
+++ b/savoryspar/gateway/model.py
@@ -29,12 +29,14 @@
         version: Version of the configuration that admitted the request.
         fingerprint: Digest that is equal for requests with the same work.
         sends: Number of sends after which the request may have run.
+        is_sending: Whether a send has begun whose outcome is not known yet.
     """
 
     __slots__ = (
         "abandon_at",
         "deadline_at",
         "fingerprint",
+        "is_sending",
         "objective_at",
         "pool",
         "rank",
@@ -70,6 +72,7 @@
         self.version = version
         self.fingerprint = fingerprint
         self.sends = 0
+        self.is_sending = False
         self.abandon_at = deadline_at
         if route.kind is fleet.RouteKind.STREAM:
             self.abandon_at = min(
--- a/savoryspar/gateway/node.py
+++ b/savoryspar/gateway/node.py
@@ -40,8 +40,11 @@
 BALANCER_NOTICE_S = 2.3
 """Time after SIGTERM during which new connections are accepted: the balancer
 checks readiness once a second and removes a VM after two failures."""
-STOP_MARGIN_S = 0.3
+STOP_MARGIN_S = 0.4
 """Subtracted from the grace period, so that the process ends before SIGKILL."""
+FINAL_ANSWERS_S = 0.15
+"""Time to write the answers of requests that the grace period does not suffice
+for; part of ``STOP_MARGIN_S``."""
 SUSPECT_KIND = "suspect"
 MIN_FLEET_SIZE = 3
 """Lower bound of the estimated fleet size, three VMs for each zone, by which
@@ -186,7 +189,8 @@
     def stop(self) -> None:
         """Reports not ready, drains requests and stops the servers.
 
-        Requests that still run at the end of the grace period are cut off.
+        Requests that still run at the end of the grace period get an error, and
+        streams that have begun are cut off.
         """
         now = self._clock()
         ends_at = now + self._cfg.gateway.grace_s - STOP_MARGIN_S
@@ -202,12 +206,14 @@
             self._app.running or self._gatherers.unfinished()
         ) and self._clock() < ends_at:
             eventlet.sleep(DRAIN_POLL_S)
+        cut_off = self._app.running
+        if cut_off:
+            self._app.end_requests()
+            eventlet.sleep(FINAL_ANSWERS_S)
         with eventlet.Timeout(max(0.0, ends_at - self._clock()), False):
             self._server.stop()
         self._members.stop(self._clock())
-        self._events.state_change(
-            "stopped", self._clock(), cut_off=self._app.running
-        )
+        self._events.state_change("stopped", self._clock(), cut_off=cut_off)
 
     def unready_reason(self) -> str:
         """Returns why the process is not ready, or an empty string."""
--- a/savoryspar/gateway/plain.py
+++ b/savoryspar/gateway/plain.py
@@ -65,6 +65,7 @@
                     job_attempts.report_crash(placement, self._clock())
             finally:
                 placement.finish(outcome, facts, self._clock())
+            job.is_sending = False
             now = self._clock()
             if outcome is routing.Outcome.OK:
                 job_attempts.report_success(now)
@@ -89,6 +90,7 @@
                 server.name, job.left_s(now), job.workspace, None, (), None
             ),
         )
+        job.is_sending = True
         return self._connections.send(
             server.key,
             req.method,
--- a/savoryspar/gateway/streams.py
+++ b/savoryspar/gateway/streams.py
@@ -238,6 +238,7 @@
                 answer.close()
             facts = answer.facts if answer is not None else None
             placement.finish(outcome, facts, forwarder._clock())
+        self._job.is_sending = False
         return outcome, reply, has_not_run, cause
 
     def _send(self, placement: placing.Placement) -> backends.Answer:
@@ -254,6 +255,7 @@
                 self._splitter.last_id,
             ),
         )
+        job.is_sending = True
         return forwarder._connections.send(
             placement.server.key,
             job.req.method,
--- a/tests/gateway/node_case.py
+++ b/tests/gateway/node_case.py
@@ -183,6 +183,7 @@
 
     platform_class = Platform
     vm_count = 1
+    grace_s = 5
 
     def setUp(self):
         super().setUp()
@@ -216,7 +217,8 @@
         seeds = ",".join(f"127.0.0.1:{p['peers']}" for p in self.vm_ports)
         path.write_text(
             f"[gateway]\nname = vm-{number + 1}\nregion = r\nzone = z1\n"
-            f"zone_regions = z1:r\ngrace_s = 5\nseeds = {seeds}\n"
+            f"zone_regions = z1:r\ngrace_s = {self.grace_s}\n"
+            f"seeds = {seeds}\n"
             f"store_address = {self.platform.addresses['store']}\n"
             + "\n".join(lines)
             + "\n[membership]\ntls = no\n",
--- a/tests/gateway/test_node.py
+++ b/tests/gateway/test_node.py
@@ -4,6 +4,42 @@
 
 from tests.gateway import node_case
 
+FIELDS = [
+    ("Savoryspar-Attempt-Id", "a1"),
+    ("Savoryspar-Key", "key-1"),
+    ("Savoryspar-Deadline-Ms", "9000"),
+]
+
+
+class SilentPlatform(node_case.Platform):
+    """An engine that does not answer."""
+
+    def engine(self, environ, start_response):
+        eventlet.sleep(20.0)
+        return super().engine(environ, start_response)
+
+
+class ShutdownTest(node_case.NodeCase):
+    platform_class = SilentPlatform
+    grace_s = 3
+
+    def test_request_is_answered_at_the_end_of_the_grace_time(self):
+        """Guards against a request that is cut off without an answer.
+
+        A process that got SIGTERM accepted a stream 1.9 s later; no server
+        answered, and at the end of the grace time the connection was closed
+        (twdoa-spar mix --seed 830151529200, LOST).
+        """
+        stream = eventlet.spawn(
+            self.request, "callers", "POST", "/n/1", FIELDS, b"note"
+        )
+        eventlet.sleep(0.3)
+        self.process.terminate()
+        with eventlet.Timeout(10.0):
+            answer = stream.wait()
+        # The engine may have run it, so the answer promises nothing.
+        self.assertTrue(answer.startswith(b"HTTP/1.1 502"), answer)
+
 
 class NodeTest(node_case.NodeCase):
     def test_orders_and_streams_are_answered(self):
