Separate the exchange of limits from the permits; bound waits for an owner

limiting.py held both. Found by reading: a claim that moved from a lost owner to the next one waited its whole time again, and a claim could wait for an allocator that had been replaced; both are bounded now.

--- a/savoryspar/gateway/limiting.py
+++ b/savoryspar/gateway/limiting.py
@@ -8,10 +8,6 @@
 while it considers the owner live. An owner that reaches a part of the fleet
 only grants that part of the limit; the rest is reserved for the VMs that it
 cannot reach, which may have an owner of their own.
-
-The newest statement of a server travels with each claim and each reply, and is
-broadcast when the limit changes. A process that starts asks its peers for the
-limits that they know.
 """
 
 import collections
@@ -23,11 +19,9 @@
 from eventlet import event
 
 from savoryspar import fleet, log, membership, ratelimits, stages
-from savoryspar.gateway import model
+from savoryspar.gateway import limit_reports, model
 
 CLAIM_KIND = "limit_claim"
-REPORT_KIND = "limit_report"
-LIST_KIND = "limit_list"
 CLAIM_TIMEOUT_S = 0.25
 """Timeout for a reply, beyond the time that the claim may wait; a round trip
 between regions takes 40 ms."""
@@ -48,20 +42,6 @@
 SHARE_WINDOW_S = 4.0
 """Time over which the share of this VM is measured."""
 MAX_SHARE_TIMES = 4096
-BROADCAST_INTERVAL_S = 1.0
-"""Shortest time between two broadcasts about one server, which may name another
-limit in each answer."""
-LOG_INTERVAL_S = 1.0
-"""Shortest time between two log lines about the limit of one server."""
-INVALID_LOG_INTERVAL_S = 10.0
-"""Shortest time between two log lines about malformed limits of one server."""
-LEARN_TIMEOUT_S = 10.0
-LEARN_INTERVAL_S = 0.2
-LEARN_PEERS = 3
-"""A process that starts asks this many peers for the limits that they know; it
-looks for peers at this interval until the timeout."""
-MAX_LIMIT_PER_S = 1e6
-MAX_AGE_S = 3600.0
 
 
 class _Usage:
@@ -71,20 +51,9 @@
         granted_at: Times of the permits of the last seconds.
         asks_at: When the owner may be asked again; monotonic seconds.
         denials: Number of denials since the last permit.
-        logged_at, invalid_logged_at: Times of the last log lines.
-        broadcast_at: Time of the last broadcast.
-        is_broadcast_due: Whether a broadcast is scheduled.
     """
 
-    __slots__ = (
-        "asks_at",
-        "broadcast_at",
-        "denials",
-        "granted_at",
-        "invalid_logged_at",
-        "is_broadcast_due",
-        "logged_at",
-    )
+    __slots__ = ("asks_at", "denials", "granted_at")
 
     def __init__(self) -> None:
         self.granted_at: collections.deque[float] = collections.deque(
@@ -92,10 +61,6 @@
         )
         self.asks_at = -math.inf
         self.denials = 0
-        self.logged_at = -math.inf
-        self.invalid_logged_at = -math.inf
-        self.broadcast_at = -math.inf
-        self.is_broadcast_due = False
 
     def share_per_s(self, now: float) -> float:
         """Returns the permits per second that this VM was granted."""
@@ -112,7 +77,7 @@
     """Permits of this VM, and of the fleet for the limits that it owns.
 
     Attributes:
-        table: Newest statement of each server.
+        reports: What servers said of their limits.
         sends: Requests to servers that name a limit, since the start.
         denials: Permits that this VM was denied, since the start.
     """
@@ -128,8 +93,8 @@
         "_unreachable_until",
         "_usage",
         "denials",
+        "reports",
         "sends",
-        "table",
     )
 
     def __init__(
@@ -139,7 +104,8 @@
         events: log.EventLog,
         clock: model.Clock,
     ):
-        self.table = ratelimits.new_limit_table()
+        self.reports = limit_reports.new_limit_reports(members, events, clock)
+        self.reports.describe = self._describe
         self.sends = 0
         self.denials = 0
         self._server_registry = server_registry
@@ -155,12 +121,10 @@
         # Servers whose claims a green thread settles.
         self._advancing: set[ratelimits.Server] = set()
         members.handle(CLAIM_KIND, self._serve_claim)
-        members.handle(REPORT_KIND, self._serve_report)
-        members.handle(LIST_KIND, self._serve_list)
 
     def start(self) -> None:
         """Starts to ask peers for the limits that they know."""
-        eventlet.spawn(self._learn_limits)
+        eventlet.spawn(self.reports.learn)
 
     def update(
         self, starts: Mapping[ratelimits.Server, int], now: float
@@ -173,9 +137,17 @@
         """
         self.table.update(starts, now)
         known = self.table.servers() | starts.keys()
-        for by_server in (self._allocators, self._usage):
-            for server in by_server.keys() - known:
-                del by_server[server]
+        for server in self._usage.keys() - known:
+            del self._usage[server]
+        for server in self._allocators.keys() - known:
+            if not self._allocators[server].waiting:
+                del self._allocators[server]
+        self.reports.keep_only(known)
+
+    @property
+    def table(self) -> ratelimits.LimitTable:
+        """Newest statement of each server."""
+        return self.reports.table
 
     def is_limited(self, server: ratelimits.Server) -> bool:
         """Returns whether a server names a limit."""
@@ -238,17 +210,20 @@
             n for n, until in self._unreachable_until.items() if until > now
         )
         reply = None
+        until = now + req.patience_s
         for _ in range(MAX_OWNERS):
             owner = self.owner(server, now, excluded)
-            if owner == self._members.incarnation:
-                reply = self._claim_here(server, req)
-                break
+            patience_s = max(0.0, until - now)
             try:
-                reply = self._claim_remotely(server, owner, req)
+                reply = self._claim(server, owner, req, patience_s)
                 break
             except membership.PeerUnreachableError as exc:
                 now = self._clock()
-                self._unreachable_until[owner] = now + OWNER_BACKOFF_S
+                self._unreachable_until = {
+                    n: at
+                    for n, at in self._unreachable_until.items()
+                    if at > now
+                } | {owner: now + OWNER_BACKOFF_S}
                 excluded |= {owner}
                 self._events.state_change(
                     "limit owner lost",
@@ -354,15 +329,55 @@
             self._allocators[server] = allocator
         return allocator
 
+    def _claim(
+        self,
+        server: ratelimits.Server,
+        owner: str,
+        req: ratelimits.PermitRequest,
+        patience_s: float,
+    ) -> dict[str, Any]:
+        """Claims a permit from the owner, which may be this VM.
+
+        Raises:
+            PeerUnreachableError: The owner did not reply.
+        """
+        if owner == self._members.incarnation:
+            return self._claim_here(server, req, patience_s)
+        reply = self._members.request(
+            owner,
+            CLAIM_KIND,
+            [
+                self.reports.encode(server, self._clock()),
+                req.rank,
+                req.workspace,
+                req.key,
+                patience_s,
+            ],
+            CLAIM_TIMEOUT_S + patience_s,
+        )
+        self.reports.apply(reply["report"], owner, self._clock())
+        return reply
+
+    def _serve_claim(self, sender: str, body: Any) -> dict[str, Any]:
+        report, rank, workspace, key, patience_s = body
+        server = self.reports.apply(report, sender, self._clock())
+        req = ratelimits.PermitRequest(int(rank), str(workspace), str(key))
+        return self._claim_here(
+            server, req, min(float(patience_s), ratelimits.MAX_PATIENCE_S)
+        )
+
     def _claim_here(
-        self, server: ratelimits.Server, req: ratelimits.PermitRequest
+        self,
+        server: ratelimits.Server,
+        req: ratelimits.PermitRequest,
+        patience_s: float,
     ) -> dict[str, Any]:
         now = self._clock()
         if not self.is_limited(server):
             return self._reply(True, 0.0, server, now)
         allocator = self._allocator(server, now)
         claim = ratelimits.Claim(
-            req.rank, req.workspace, req.key, now + req.patience_s
+            req.rank, req.workspace, req.key, now + patience_s
         )
         allocator.submit(claim, self._rate_per_s(server, now), now)
         if claim.is_granted is None:
@@ -372,7 +387,8 @@
                 self._advancing.add(server)
                 eventlet.spawn(self._advance, server, allocator)
             try:
-                settled.wait()
+                with eventlet.Timeout(patience_s + CLAIM_TIMEOUT_S, False):
+                    settled.wait()
             finally:
                 allocator.discard(claim)
         return self._reply(
@@ -410,117 +426,9 @@
             "is_granted": is_granted,
             "retry_s": retry_s,
             "next_s": next_s,
-            "report": self._report(server, now),
+            "report": self.reports.encode(server, now),
         }
 
-    def _claim_remotely(
-        self,
-        server: ratelimits.Server,
-        owner: str,
-        req: ratelimits.PermitRequest,
-    ) -> dict[str, Any]:
-        reply = self._members.request(
-            owner,
-            CLAIM_KIND,
-            [
-                self._report(server, self._clock()),
-                req.rank,
-                req.workspace,
-                req.key,
-                req.patience_s,
-            ],
-            CLAIM_TIMEOUT_S + req.patience_s,
-        )
-        self._apply_report(reply["report"], owner)
-        return reply
-
-    def _serve_claim(self, sender: str, body: Any) -> dict[str, Any]:
-        report, rank, workspace, key, patience_s = body
-        server = self._apply_report(report, sender)
-        req = ratelimits.PermitRequest(
-            int(rank),
-            str(workspace),
-            str(key),
-            min(float(patience_s), ratelimits.MAX_PATIENCE_S),
-        )
-        return self._claim_here(server, req)
-
-    def _report(
-        self, server: ratelimits.Server, now: float
-    ) -> list[str | int | float | None]:
-        """Returns the newest statement of a server, for peers."""
-        statement = self.table.statement(server)
-        return [
-            *server,
-            self.table.started_ms(server),
-            statement.limit_per_s if statement else None,
-            now - statement.said_at if statement else MAX_AGE_S,
-        ]
-
-    def _apply_report(self, report: Any, source: str) -> ratelimits.Server:
-        """Records the statement that a peer reported; returns its server.
-
-        Raises:
-            ValueError: The report is malformed.
-        """
-        name, address, started_ms, limit_per_s, age_s = report
-        now = self._clock()
-        server = (str(name), str(address))
-        if limit_per_s is not None and not (
-            0.0 <= float(limit_per_s) <= MAX_LIMIT_PER_S
-        ):
-            raise ValueError(f"{limit_per_s!r:.40} is not a valid rate limit")
-        if not 0.0 <= float(age_s) < MAX_AGE_S:
-            # The peer has no statement, or one that is too old to matter.
-            return server
-        previous = self.table.record_report(
-            server, int(started_ms), limit_per_s, now - float(age_s), source
-        )
-        if previous is not None:
-            self._log_change(server, previous, now)
-        return server
-
-    def _serve_report(self, sender: str, body: Any) -> None:
-        self._apply_report(body, sender)
-
-    def _serve_list(self, sender: str, body: Any) -> dict[str, Any]:
-        del sender, body
-        now = self._clock()
-        return {"limits": [self._report(s, now) for s in self.table.limited()]}
-
-    def _learn_limits(self) -> None:
-        """Asks peers for the limits that they know."""
-        ends_at = self._clock() + LEARN_TIMEOUT_S
-        asked: set[str] = set()
-        while self._clock() < ends_at and len(asked) < LEARN_PEERS:
-            eventlet.sleep(LEARN_INTERVAL_S)
-            members = self._members.all_members(self._clock())
-            peers = {m.incarnation for m in members} - asked
-            for peer in sorted(peers - {self._members.incarnation})[:1]:
-                asked.add(peer)
-                self._learn_from(peer)
-
-    def _learn_from(self, peer: str) -> None:
-        try:
-            reply = self._members.request(
-                peer, LIST_KIND, None, CLAIM_TIMEOUT_S
-            )
-            for report in reply["limits"]:
-                self._apply_report(report, peer)
-        except (
-            membership.PeerUnreachableError,
-            KeyError,
-            TypeError,
-            ValueError,
-        ) as exc:
-            # Servers name their limits in the next answer again.
-            self._events.state_change(
-                "peer gave no limits",
-                self._clock(),
-                peer=peer,
-                cause=repr(exc),
-            )
-
     def record_send(self, server: ratelimits.Server, now: float) -> None:
         """Records that a request is being sent to a server."""
         del now
@@ -537,62 +445,8 @@
         now: float,
     ) -> None:
         """Records the rate limit in the head of an answer."""
-        if invalid_limit:
-            self._log_invalid(server, invalid_limit, now)
-            return
-        previous = self.table.record_answer(server, limit_per_s, sent_at, now)
-        if previous is not None:
-            self._log_change(server, previous, now)
-            self._schedule_broadcast(server, now)
-
-    def _schedule_broadcast(
-        self, server: ratelimits.Server, now: float
-    ) -> None:
-        usage = self._usage[server]
-        if usage.is_broadcast_due:
-            return
-        usage.is_broadcast_due = True
-        delay_s = max(0.0, usage.broadcast_at + BROADCAST_INTERVAL_S - now)
-        eventlet.spawn_after(delay_s, self._broadcast, server)
-
-    def _broadcast(self, server: ratelimits.Server) -> None:
-        now = self._clock()
-        usage = self._usage[server]
-        usage.is_broadcast_due = False
-        usage.broadcast_at = now
-        self._members.broadcast(REPORT_KIND, self._report(server, now))
-
-    def _log_change(
-        self,
-        server: ratelimits.Server,
-        previous: ratelimits.Statement,
-        now: float,
-    ) -> None:
-        usage = self._usage[server]
-        if now - usage.logged_at < LOG_INTERVAL_S:
-            return
-        usage.logged_at = now
-        statement = self.table.statement(server)
-        self._events.state_change(
-            "server limit",
-            now,
-            server=server[0],
-            previous_per_s=previous.limit_per_s,
-            previous_age_s=round(now - previous.said_at, 2),
-            source=statement.source or "answer",
-            sends=previous.sends,
-            **self._describe(server, now),
-        )
-
-    def _log_invalid(
-        self, server: ratelimits.Server, text: str, now: float
-    ) -> None:
-        usage = self._usage[server]
-        if now - usage.invalid_logged_at < INVALID_LOG_INTERVAL_S:
-            return
-        usage.invalid_logged_at = now
-        self._events.state_change(
-            "server limit ignored", now, server=server[0], text=text
+        self.reports.record_answer(
+            server, limit_per_s, invalid_limit, sent_at, now
         )
 
 
--- a/tests/gateway/test_limiting.py
+++ b/tests/gateway/test_limiting.py
@@ -5,10 +5,10 @@
 
 from savoryspar import fleet, membership
 from savoryspar.bench import limit_fleet
-from savoryspar.gateway import limiting
+from savoryspar.gateway import limit_reports, limiting
 from tests.gateway import event_logs
 
-SERVER = ("i-1", "10.0.0.1:80")
+SERVER = limit_fleet.SERVER
 
 
 class SharedLimitTest(testtools.TestCase):
@@ -113,7 +113,7 @@
         """Guards against a limit that a faulty peer makes up."""
         members = Peer()
         limiter = self.limiter(members)
-        report = members.handlers[limiting.REPORT_KIND]
+        report = members.handlers[limit_reports.REPORT_KIND]
         nan = float("nan")
         for limit_per_s, age_s in (
             *((-1.0, 0.0), (nan, 0.0), (1e9, 0.0), ("x", 0.0)),
