Confirm a blocked request at the peers before its caller is answered

KNOWN-RED: three engines crashed where two may, in 3 to 4 of 36 runs of test_resends_crash_two_engines_at_most at a load of 25 to 30 on 6 cores.

Cause, inferred from reading: the record of the second crash was broadcast, and the caller was answered without waiting for it; a resend to another entry VM could arrive first.

Change: a record that blocks a request is also sent to each live peer (32 at most, the own zone first) and confirmed, for at most 0.5 s, before the caller is answered.

--- a/savoryspar/cli/suspects.py
+++ b/savoryspar/cli/suspects.py
@@ -13,30 +13,78 @@
 
 BROADCAST_KIND = "suspect"
 LIST_REQUEST_KIND = "suspect_list"
+RECORD_REQUEST_KIND = "suspect_record"
+RECORD_TIMEOUT_S = 0.5
+"""Time for which the caller of a request that crashed a second server waits
+until the peers have confirmed the record."""
+MAX_CONFIRMING_PEERS = 32
+"""Peers that confirm a record; those of the own zone first."""
 LIST_TIMEOUT_S = 2.0
 FETCH_TIMEOUT_S = 3.0
 """Time after which a process becomes ready although no peer has answered."""
 POLL_INTERVAL_S = 0.05
 
+logger = log.new_logger("routing")
+
 
 def share_suspects(
     suspects: routing.CrashSuspects, members: membership.Membership
 ) -> None:
-    """Broadcasts each crash to peers from now on, and imports theirs."""
+    """Sends each crash to peers from now on, and imports theirs.
+
+    A record that blocks a request is confirmed by the peers before the caller
+    is answered, who may resend the request to another entry VM at once.
+    """
+
+    def publish(record: dict[str, Any]) -> None:
+        members.broadcast(BROADCAST_KIND, record)
+        if record["is_blocked"]:
+            _await_confirmations(members, record)
 
-    def import_record(sender: str, record: dict[str, Any]) -> None:
+    def import_record(sender: str, record: dict[str, Any]) -> dict[str, Any]:
         del sender
         suspects.import_record(record, time.monotonic())
+        return {}
 
     def list_records(sender: str, body: Any) -> dict[str, Any]:
         del sender, body
         return {"records": suspects.records(time.monotonic())}
 
-    suspects.publish = lambda record: members.broadcast(BROADCAST_KIND, record)
+    suspects.publish = publish
     members.handle(BROADCAST_KIND, import_record)
+    members.handle(RECORD_REQUEST_KIND, import_record)
     members.handle(LIST_REQUEST_KIND, list_records)
 
 
+def _await_confirmations(
+    members: membership.Membership, record: dict[str, Any]
+) -> None:
+    """Sends a record to the peers one by one and waits for their replies."""
+    live = members.all_members(time.monotonic())
+    peers = sorted(
+        (m for m in live if m.incarnation != members.incarnation),
+        key=lambda m: m.zone != live[0].zone,
+    )[:MAX_CONFIRMING_PEERS]
+    pile = eventlet.GreenPile(MAX_CONFIRMING_PEERS)
+    for peer in peers:
+        pile.spawn(_send_record, members, peer.incarnation, record)
+    for cause in filter(None, pile):
+        logger.warning(f"Crash record not confirmed. {cause}")
+
+
+def _send_record(
+    members: membership.Membership, incarnation: str, record: dict[str, Any]
+) -> str:
+    """Returns why a peer did not confirm a record, empty if it did."""
+    try:
+        members.request(
+            incarnation, RECORD_REQUEST_KIND, record, RECORD_TIMEOUT_S
+        )
+    except membership.PeerUnreachableError as exc:
+        return str(exc)
+    return ""
+
+
 class SuspectFetch:
     """Fetches the crashes recorded before this process started from a peer.
 
@@ -47,14 +95,13 @@
         is_done: Whether a peer has answered, or waiting for one has ended.
     """
 
-    __slots__ = ("_logger", "_members", "_suspects", "is_done")
+    __slots__ = ("_members", "_suspects", "is_done")
 
     def __init__(
         self, suspects: routing.CrashSuspects, members: membership.Membership
     ):
         self._suspects = suspects
         self._members = members
-        self._logger = log.new_logger("routing")
         self.is_done = False
 
     def run(self, now: float) -> None:
@@ -77,7 +124,7 @@
                 peers[0].incarnation, LIST_REQUEST_KIND, {}, LIST_TIMEOUT_S
             )
         except membership.PeerUnreachableError as exc:
-            self._logger.warning(f"Cannot fetch crash suspects. {exc}")
+            logger.warning(f"Cannot fetch crash suspects. {exc}")
             return False
         for record in reply["records"]:
             self._suspects.import_record(record, now)
