--- a/savoryspar/gateway/app.py
+++ b/savoryspar/gateway/app.py
@@ -55,10 +55,10 @@
         "_draining_since",
         "_ends_at",
         "_events",
+        "_heads",
         "_holder",
         "_plain",
         "_streams",
-        "_threads",
         "is_stopping",
         "running",
     )
@@ -82,8 +82,8 @@
         self.is_stopping = False
         self._draining_since = 0.0
         self._ends_at = 0.0
-        # Green threads of the requests that are being served.
-        self._threads: set[Any] = set()
+        # Response heads by green thread of the requests that are being served.
+        self._heads: dict[Any, _ResponseHead] = {}
 
     def __call__(
         self, environ: dict[str, Any], start_response: StartResponse
@@ -92,11 +92,10 @@
         received_at = self._clock()
         self.running += 1
         thread = eventlet.getcurrent()
-        self._threads.add(thread)
         sock = environ["eventlet.input"].get_socket()
         attempt_id, route = "", ""
         job = None
-        head = _ResponseHead(start_response)
+        head = self._heads[thread] = _ResponseHead(start_response)
         try:
             req = self._read_request(environ)
             attempt_id = req.attempt_id
@@ -161,15 +160,16 @@
             )
         finally:
             self.running -= 1
-            self._threads.discard(thread)
+            del self._heads[thread]
 
     def end_requests(self) -> None:
-        """Ends the requests that still run, as the process is about to end.
+        """Answers the requests without a response with an error.
 
-        Those without a response get an error instead of a closed connection.
+        The process is about to end, which would close their connections.
         """
-        for thread in [*self._threads]:
-            eventlet.kill(thread, GraceEndedError())
+        for thread, head in [*self._heads.items()]:
+            if not head.is_sent:
+                eventlet.kill(thread, GraceEndedError())
 
     def _abort_response(
         self, attempt_id: str, route: str, exc: Exception, received_at: float
--- a/tests/gateway/test_streams.py
+++ b/tests/gateway/test_streams.py
@@ -2,8 +2,8 @@
 
 import testtools
 
-from savoryspar import backends, fleet, log, routing
-from savoryspar.gateway import model, placing, streams
+from savoryspar import backends, fleet, log, routing, stages
+from savoryspar.gateway import model, placing, stage_runner, streams
 from tests.gateway import event_logs, requests
 
 EVENT = b"id: %d\ndata: x\n\n"
@@ -53,6 +53,17 @@
         self.closed_at = self._clock.now
 
 
+class MissingInputAnswer(ScriptedAnswer):
+    """States that an input is gone, so the request did not run."""
+
+    status = 409
+    facts = backends.AnswerFacts("", True, False, False, False, False, None, -1)
+
+    def discard_rest(self, deadline_at):
+        self.is_complete = True
+        return ""
+
+
 class ScriptedConnections:
     def __init__(self, answers):
         self._answers = list(answers)
@@ -72,6 +83,7 @@
 
     def __init__(self):
         self.runs = 0
+        self.max_runs = 9
         self.freed = []
 
     def run_chain(self, chain, request_id, consumer_zone):
@@ -79,6 +91,8 @@
         if chain.is_done:
             return
         self.runs += 1
+        if self.runs > self.max_runs:
+            raise stage_runner.StageError(stages.Failure.LATE, 1.0)
         chain.finish(0, [f"h{self.runs}"])
 
     def free(self, handles):
@@ -112,18 +126,25 @@
 
     def relay(self, *bodies, pieces=(), **route):
         """Relays scripted answers; returns the last one and any error."""
-        answers = [ScriptedAnswer(self.clock, parts) for parts in bodies]
+        return self.relay_answers(
+            [ScriptedAnswer(self.clock, parts) for parts in bodies],
+            FakeStages(),
+            pieces,
+            **route,
+        )
+
+    def relay_answers(self, answers, fake_stages, pieces, **route):
         router = routing.new_router(
             log.new_decision_log(0.0), routing.Options(policy="timed")
         )
         router.replace_servers(
             [
                 backends.Server(f"s{n}", f"a:{n}", "r", "z", "engines")
-                for n in range(len(bodies))
+                for n in range(len(answers))
             ],
             0.0,
         )
-        self.stages = FakeStages()
+        self.stages = fake_stages
         forwarder = streams.new_stream_forwarder(
             Holder(),
             router,
@@ -137,7 +158,7 @@
         new_route = requests.route(
             objective_s=1.0, gap_objective_s=0.3, timeout_s=60.0, **route
         )
-        job = model.Job(
+        self.job = job = model.Job(
             requests.caller_request(pieces=pieces),
             new_route,
             "engines",
@@ -155,6 +176,23 @@
             return answers[-1], exc
         return answers[-1], None
 
+    def test_request_whose_input_is_gone_is_refused_as_not_run(self):
+        """Guards against a 502 where callers may safely retry.
+
+        The engine stated that it did not run the request, and the stages could
+        not run again in time.
+        """
+        fake_stages = FakeStages()
+        fake_stages.max_runs = 1
+        _, exc = self.relay_answers(
+            [MissingInputAnswer(self.clock, [])],
+            fake_stages,
+            (1,),
+            stages=(fleet.Stage("prep", (), 1000),),
+        )
+        self.assertTrue(exc.status.startswith("503"))
+        self.assertFalse(self.job.is_sending or self.job.sends)
+
     def test_slow_stream_within_its_gap_limit_completes(self):
         """Guards against a timeout on the whole stream instead of its gaps."""
         parts = [(2.5, EVENT % number) for number in range(20)]
