--- a/savoryspar/bench/limit_fleet.py
+++ b/savoryspar/bench/limit_fleet.py
@@ -101,7 +101,6 @@
         incarnation: Incarnation of its process.
         is_running: Whether its process runs.
         is_frozen: Whether its process is suspended.
-        cut_at: When it was cut off from other sides, None if it is not.
         side: VMs with different sides cannot reach each other.
         changed_at: When it last became unresponsive or started.
     """
--- a/savoryspar/soak/checker.py
+++ b/savoryspar/soak/checker.py
@@ -120,21 +120,23 @@
     arrivals: Iterable[float],
     since: float,
     until: float,
-    held_until: Iterable[float],
+    held: Iterable[float],
 ) -> int:
     """Returns the most arrivals in a window of ``LIMIT_WINDOW_S``.
 
-    Windows in which a proxy may have delivered requests that it had held back
-    are skipped.
+    Args:
+        arrivals: Times of all requests.
+        since: Start of the first window.
+        until: End of the last window.
+        held: Times at which a proxy may have delivered requests that it had
+            held back; windows that contain one are skipped.
     """
     times = [at for at in arrivals if since <= at < until]
     return max(
         (
             sum(start <= at < start + LIMIT_WINDOW_S for at in times)
             for start in times
-            if not any(
-                start <= at <= start + LIMIT_WINDOW_S for at in held_until
-            )
+            if not any(start <= at <= start + LIMIT_WINDOW_S for at in held)
         ),
         default=0,
     )
--- a/tests/soak/test_checker.py
+++ b/tests/soak/test_checker.py
@@ -83,3 +83,23 @@
         )
         self.assertEqual(0, len(self.violations(truncated)))
         self.assertEqual(1, len(self.violations(truncated, stable_from=0.5)))
+
+
+class LimitTest(testtools.TestCase):
+    def test_arrivals_above_a_limit_are_found(self):
+        """Guards against a checker that accepts any number of requests."""
+        arrivals = [10.0 + 0.25 * n for n in range(17)]
+        self.assertEqual(
+            16, checker.worst_window(arrivals, since=9.0, until=99.0, held=())
+        )
+        self.assertEqual(
+            8, checker.worst_window(arrivals, since=9.0, until=12.0, held=())
+        )
+
+    def test_requests_that_a_proxy_held_back_are_left_out(self):
+        """Guards against a violation that the soak itself causes."""
+        arrivals = [*range(10), *([20.0] * 9)]
+        self.assertEqual(
+            4,
+            checker.worst_window(arrivals, since=0.0, until=99.0, held=[20.0]),
+        )
