Treat a malformed reply of a limit's owner as no reply

Found by reading: a malformed reply of a peer raised KeyError, TypeError or ValueError in the request, which was answered 500. The next owner is asked now. A thread that settles claims also gives its mark back if it fails.

--- a/savoryspar/gateway/limiting.py
+++ b/savoryspar/gateway/limiting.py
@@ -217,7 +217,13 @@
             try:
                 reply = self._claim(server, owner, req, patience_s)
                 break
-            except membership.PeerUnreachableError as exc:
+            except (
+                membership.PeerUnreachableError,
+                KeyError,
+                TypeError,
+                ValueError,
+            ) as exc:
+                # The reply is missing or malformed.
                 now = self._clock()
                 self._unreachable_until = {
                     n: at
@@ -230,7 +236,7 @@
                     now,
                     server=server[0],
                     owner=owner,
-                    cause=str(exc),
+                    cause=repr(exc),
                 )
         now = self._clock()
         usage = self._usage[server]
@@ -399,16 +405,18 @@
         self, server: ratelimits.Server, allocator: ratelimits.Allocator
     ) -> None:
         """Settles the claims that wait, until none is left."""
-        while allocator.waiting:
-            now = self._clock()
-            if not self.is_limited(server):
-                allocator.release_all()
-                break
-            rate_per_s = self._rate_per_s(server, now)
-            allocator.advance(rate_per_s, now)
-            due_s = allocator.next_grant_s(rate_per_s, now)
-            eventlet.sleep(min(ADVANCE_INTERVAL_S, due_s))
-        self._advancing.discard(server)
+        try:
+            while allocator.waiting:
+                now = self._clock()
+                if not self.is_limited(server):
+                    allocator.release_all()
+                    break
+                rate_per_s = self._rate_per_s(server, now)
+                allocator.advance(rate_per_s, now)
+                due_s = allocator.next_grant_s(rate_per_s, now)
+                eventlet.sleep(min(ADVANCE_INTERVAL_S, due_s))
+        finally:
+            self._advancing.discard(server)
 
     def _reply(
         self,
--- a/tests/gateway/test_limiting.py
+++ b/tests/gateway/test_limiting.py
@@ -3,7 +3,7 @@
 import eventlet
 import testtools
 
-from savoryspar import fleet, membership
+from savoryspar import fleet, membership, ratelimits
 from savoryspar.bench import limit_fleet
 from savoryspar.gateway import limit_reports, limiting
 from tests.gateway import event_logs
@@ -127,6 +127,20 @@
         report("peer", [*SERVER, 9, 1.0, 0.5])
         self.assertTrue(limiter.is_limited(SERVER))
 
+    def test_malformed_reply_of_the_owner_is_a_denial(self):
+        """Guards against a request that fails for a peer's faulty reply."""
+        for reply in ({}, {"is_granted": True, "report": [1]}, 7):
+            members = Peer(reply, live=("peer",))
+            limiter = self.limiter(members)
+            limiter.record_answer(SERVER, 1.0, "", self.now, self.now)
+            self.assertRaises(
+                ratelimits.LimitReachedError,
+                limiter.acquire,
+                SERVER,
+                ratelimits.PermitRequest(),
+                self.now,
+            )
+
     def test_zone_that_is_cut_off_uses_only_its_part(self):
         """Guards against two sides of a cut that each use the whole limit."""
         members = Peer(live=("own",), known=4)
