--- a/savoryspar/soak/runs.py
+++ b/savoryspar/soak/runs.py
@@ -16,6 +16,8 @@
 SERVERS = {"orders": 2, "lookups": 2, "engines": 3, "stages": 2}
 FAULT_FREE_S = 8.0
 """Time without faults at the end of a soak."""
+PORTS = range(20_000, 32_000)
+"""Ports of VMs; Linux uses 32768 and above for outgoing connections."""
 RECOVERY_TIMEOUT_S = 5.0
 """Time after the last fault from which every VM must serve each route; stricter
 than the 12 s that the platform requires."""
@@ -138,9 +140,18 @@
 
 
 def _free_ports(count: int) -> list[int]:
-    """Returns unused TCP ports."""
-    listeners = [eventlet.listen(("127.0.0.1", 0)) for _ in range(count)]
-    ports = [listener.getsockname()[1] for listener in listeners]
-    for listener in listeners:
-        listener.close()
-    return ports
+    """Returns unused TCP ports outside the range of outgoing connections.
+
+    The ports of a killed VM are free until it starts again, and an outgoing
+    connection of any process could take one of them.
+    """
+    candidates = random.SystemRandom().sample(PORTS, len(PORTS))
+    return list(itertools.islice(filter(_is_free, candidates), count))
+
+
+def _is_free(port: int) -> bool:
+    try:
+        eventlet.listen(("127.0.0.1", port)).close()
+    except OSError:
+        return False
+    return True
