--- a/savoryspar/bench/catalog.py
+++ b/savoryspar/bench/catalog.py
@@ -13,7 +13,7 @@
     routing,
     scheduling,
     scheduling_decisions,
-    server_limits,
+    shared_limits,
     state,
     zones,
 )
@@ -41,7 +41,7 @@
     "leaving": routing.leaving,
     "ejection": routing.ejection,
     "limits": routing.limits,
-    "server-limits": server_limits.server_limits,
+    "shared-limits": shared_limits.shared_limits,
     "decision-time": decisions.decision_time,
     "subsets": decisions.subset_balance,
     "config-spread": membership.configuration_spread,
--- a/savoryspar/bench/scenarios/server_limits.py
+++ b/savoryspar/bench/scenarios/shared_limits.py
@@ -11,7 +11,7 @@
 MIN_USE_AFTER_FAULT = ">= 0.5"
 
 
-def server_limits(seed: int) -> list[results.Row]:
+def shared_limits(seed: int) -> list[results.Row]:
     """Measures how the limit of one server is kept and used."""
     cases = [
         *((size, limit, "steady") for size, limit in STEADY_FLEETS),
@@ -30,7 +30,7 @@
         label = f"{size} VMs, {limit:g} per second, {fault}"
         rows.append(
             results.new_row(
-                "server-limits",
+                "shared-limits",
                 f"worst 4 s as a ratio of the allowed, {label}",
                 "ratio",
                 "<= 1",
@@ -40,7 +40,7 @@
         )
         rows.append(
             results.new_row(
-                "server-limits",
+                "shared-limits",
                 f"limit used, {label}",
                 "ratio",
                 MIN_USE_STEADY if fault == "steady" else MIN_USE_AFTER_FAULT,
