--- a/savoryspar/gateway/limit_reports.py
+++ b/savoryspar/gateway/limit_reports.py
@@ -31,7 +31,6 @@
 LEARN_PEERS = 3
 """A process that starts asks this many peers for the limits that they know; it
 looks for peers at this interval until the timeout."""
-MAX_LIMIT_PER_S = 1e6
 MAX_AGE_S = 3600.0
 
 Describe = Callable[[ratelimits.Server, float], dict[str, Any]]
@@ -144,7 +143,7 @@
         name, address, started_ms, limit_per_s, age_s = report
         server = (str(name), str(address))
         if limit_per_s is not None and not (
-            0.0 <= float(limit_per_s) <= MAX_LIMIT_PER_S
+            0.0 <= float(limit_per_s) <= ratelimits.MAX_LIMIT_PER_S
         ):
             raise ValueError(f"{limit_per_s!r:.40} is not a valid rate limit")
         if not 0.0 <= float(age_s) < MAX_AGE_S:
--- a/savoryspar/platform/headers.py
+++ b/savoryspar/platform/headers.py
@@ -5,7 +5,7 @@
 import math
 import re
 
-from savoryspar import backends, log
+from savoryspar import backends, log, ratelimits
 
 logger = log.new_logger("platform")
 
@@ -85,9 +85,6 @@
 server gets calls again and may request another one."""
 
 DECIMAL = re.compile(r"\d{1,12}(\.\d{0,12})?|\.\d{1,12}", re.ASCII)
-MAX_LIMIT_PER_S = 1e6
-"""Largest rate limit of a server that is taken as meant, in requests per
-second."""
 MAX_SHOWN_CHARS = 40
 """Characters of a malformed field that are kept for the log."""
 
@@ -255,7 +252,7 @@
     valid = [
         float(text)
         for text in texts
-        if DECIMAL.fullmatch(text) and float(text) <= MAX_LIMIT_PER_S
+        if DECIMAL.fullmatch(text) and float(text) <= ratelimits.MAX_LIMIT_PER_S
     ]
     if valid or not texts:
         return min(valid, default=None), ""
--- a/savoryspar/ratelimits/__init__.py
+++ b/savoryspar/ratelimits/__init__.py
@@ -20,6 +20,7 @@
     new_unlimited,
 )
 from savoryspar.ratelimits.table import (
+    MAX_LIMIT_PER_S,
     LimitTable,
     Server,
     Statement,
--- a/savoryspar/ratelimits/table.py
+++ b/savoryspar/ratelimits/table.py
@@ -11,6 +11,8 @@
 Server = tuple[str, str]
 """ID and address (``IP:port``) of a server."""
 
+MAX_LIMIT_PER_S = 1e6
+"""Largest rate limit that is taken as meant, in requests per second."""
 RETENTION_S = 120.0
 """Time for which the statements of servers that are no longer listed are kept.
 An entry may expire and return during an outage of the store, without a restart
