Log the parts and the version behind each crash of a server

The versions of a server's software and models are decoded from its entry, and peers pass them on beside the entries, which earlier versions still read.

--- a/savoryspar/backends/model.py
+++ b/savoryspar/backends/model.py
@@ -12,18 +12,26 @@
         address: ``IP:port``.
         region, zone: Location of the server.
         pool: Name of its pool.
+        version: Versions of its software and models, empty if unknown.
     """
 
-    __slots__ = ("address", "name", "pool", "region", "zone")
+    __slots__ = ("address", "name", "pool", "region", "version", "zone")
 
     def __init__(
-        self, name: str, address: str, region: str, zone: str, pool: str
+        self,
+        name: str,
+        address: str,
+        region: str,
+        zone: str,
+        pool: str,
+        version: str = "",
     ):
         self.name = name
         self.address = address
         self.region = region
         self.zone = zone
         self.pool = pool
+        self.version = version
 
     @property
     def key(self) -> tuple[str, str]:
--- a/savoryspar/fleet/model.py
+++ b/savoryspar/fleet/model.py
@@ -329,6 +329,7 @@
         is_draining: Whether it accepts no new requests.
         started_ms: Unix time of its start, in milliseconds, 0 if unknown.
         revision: Revision of the store at which the entry last changed.
+        version: Versions of its software and models, empty if unknown.
     """
 
     __slots__ = (
@@ -339,6 +340,7 @@
         "service",
         "slots",
         "started_ms",
+        "version",
         "zone",
     )
 
@@ -352,6 +354,7 @@
         is_draining: bool,
         started_ms: int,
         revision: int,
+        version: str = "",
     ):
         self.name = name
         self.service = service
@@ -361,3 +364,4 @@
         self.is_draining = is_draining
         self.started_ms = started_ms
         self.revision = revision
+        self.version = version
--- a/savoryspar/fleet/server_registry.py
+++ b/savoryspar/fleet/server_registry.py
@@ -67,6 +67,7 @@
             and known.is_draining == entry.is_draining
             and known.started_ms == entry.started_ms
             and known.address == entry.address
+            and known.version == entry.version
         )
         if is_same:
             return
--- a/savoryspar/gateway/attempts.py
+++ b/savoryspar/gateway/attempts.py
@@ -227,6 +227,22 @@
 
     def report_crash(self, placement: placing.Placement, now: float) -> None:
         """Records that a server crashed while it ran the request."""
+        job = self._job
+        answer_started_at = placement.answer_started_at
+        self._events.failure(
+            "server crashed",
+            now,
+            job.req.attempt_id,
+            server=placement.server.name,
+            version=placement.server.version,
+            pool=job.pool,
+            model=job.req.model,
+            parts=[part.identifier for part in job.req.prompt_parts[:-1]],
+            fingerprint=job.fingerprint,
+            answered_s=None
+            if answer_started_at is None
+            else round(now - answer_started_at, 3),
+        )
         self._router.suspects.record_crash(
             self._job.fingerprint,
             placement.server.name,
--- a/savoryspar/gateway/fleet_watch.py
+++ b/savoryspar/gateway/fleet_watch.py
@@ -399,8 +399,10 @@
         now = self._clock()
         if reply["document"]:
             self._apply_configuration(reply["document"], f"peer {peer}", now)
+        # Processes of earlier versions send none.
+        versions = reply.get("versions", {})
         for body in reply["servers"]:
-            entry = fleet.BackendEntry(*body)
+            entry = fleet.BackendEntry(*body, versions.get(body[0], ""))
             self._server_registry.put(entry, f"peer {peer}", now)
         for name, revision in reply["removed"]:
             self._server_registry.remove(name, revision, f"peer {peer}", now)
@@ -424,6 +426,10 @@
                 ]
                 for entry in self._server_registry.entries()
             ],
+            "versions": {
+                entry.name: entry.version
+                for entry in self._server_registry.entries()
+            },
             "removed": self._server_registry.removals(),
         }
 
--- a/savoryspar/gateway/node.py
+++ b/savoryspar/gateway/node.py
@@ -286,6 +286,7 @@
                 regions.get(entry.zone, entry.zone),
                 entry.zone,
                 entry.service,
+                entry.version,
             )
             for entry in usable
         ]
--- a/savoryspar/gateway/placing.py
+++ b/savoryspar/gateway/placing.py
@@ -297,7 +297,15 @@
             self._notify(placer.incarnation, kind, [number, *values])
 
         now = self._clock()
-        server = backends.Server(name, address, region, zone, call.pool)
+        entry = self._server_registry.find(name)
+        server = backends.Server(
+            name,
+            address,
+            region,
+            zone,
+            call.pool,
+            entry.version if entry else "",
+        )
         availability = self._router.availability
         if self._server_registry.is_leaving(name) or not availability.may_send(
             server.key, now
--- a/savoryspar/log/catalog.py
+++ b/savoryspar/log/catalog.py
@@ -22,6 +22,7 @@
     "request failed": "A request failed, was refused or was cancelled.",
     "results not freed": "Results stay on a stage server until they expire.",
     "server chosen": "A server was selected for a request, with the reason.",
+    "server crashed": "A server broke its connection during a request.",
     "server limit": "A backend server's rate limit began, changed or ended.",
     "server limit ignored": "A backend server named a malformed rate limit.",
     "settings refused": "Changed settings are invalid; the old ones remain.",
--- a/savoryspar/platform/documents.py
+++ b/savoryspar/platform/documents.py
@@ -19,6 +19,7 @@
 }
 DRAINING_BY_STATE = {"ready": False, "draining": True}
 """Whether a server is draining, by the state in its entry."""
+MAX_VERSION_CHARS = 200
 
 
 def decode_configuration(document: bytes) -> fleet.Configuration:
@@ -150,6 +151,7 @@
         if type(slots) is not int or type(started_ms) is not int:
             raise TypeError("slots and born must be integers")
         is_draining = DRAINING_BY_STATE[item["state"]]
+        version = _version(item)
     except (ValueError, KeyError, TypeError, AttributeError) as exc:
         raise fleet.DocumentError(
             f"the entry of {name} cannot be decoded: {exc!r}",
@@ -164,4 +166,20 @@
         is_draining=is_draining,
         started_ms=started_ms,
         revision=revision,
+        version=version,
     )
+
+
+def _version(item: Mapping[str, Any]) -> str:
+    """Returns the versions of a server's software and of its models.
+
+    They only tell servers apart, so malformed ones make a version of their own.
+    """
+    models = item.get("models")
+    weights = [
+        f"{loaded.get('name')}:{loaded.get('version')}"
+        for loaded in (models if isinstance(models, list) else ())
+        if isinstance(loaded, dict)
+    ]
+    text = " ".join([str(item.get("version", "")), *sorted(weights)])
+    return text.strip()[:MAX_VERSION_CHARS]
--- a/savoryspar/platform/standin.py
+++ b/savoryspar/platform/standin.py
@@ -132,6 +132,7 @@
             "slots": entry.slots,
             "state": "draining" if entry.is_draining else "ready",
             "born": entry.started_ms,
+            "version": entry.version,
         }
     ).encode()
 
--- a/tests/gateway/test_attempts.py
+++ b/tests/gateway/test_attempts.py
@@ -12,6 +12,7 @@
 
     def __init__(self, name):
         self.server = backends.Server(name, "127.0.0.1:1", "r", "z", "p")
+        self.answer_started_at = None
 
 
 class AttemptsCase(testtools.TestCase):
--- a/tests/platform/test_translation.py
+++ b/tests/platform/test_translation.py
@@ -106,6 +106,15 @@
     def decode(self, *fields):
         return platform.decode_caller_request("POST", "/a/%2f", fields, b"")
 
+    def test_versions_of_software_and_models_are_told_apart(self):
+        """Guards against a fault of one version that is charged to another."""
+        models = [{"name": "m", "version": 2}, "junk"]
+        self.assertEqual("", decode_entry().version)
+        self.assertEqual(
+            "v1 m:2", decode_entry(version="v1", models=models).version
+        )
+        self.assertEqual("v2", decode_entry(version="v2", models=3).version)
+
     def test_system_fields_are_never_forwarded(self):
         """Guards against callers that set fields reserved for the entry VM."""
         req = self.decode(
