--- a/tests/gateway/node_case.py
+++ b/tests/gateway/node_case.py
@@ -71,8 +71,10 @@
         received: Savoryspar headers of each request to the desk or the engine.
         addresses: ``IP:port`` of the store and of each server.
         servers: Names of the servers; each begins with its service.
+        configuration: Configuration in the store.
     """
 
+    configuration = CONFIGURATION
     servers = ("desk", "lm", "prep")
 
     def __init__(self):
@@ -95,7 +97,7 @@
         path, query = environ["PATH_INFO"], environ["QUERY_STRING"]
         start_response("200 OK", [("Content-Type", "application/json")])
         if path == "/-/kv-key":
-            value = json.dumps(CONFIGURATION).encode()
+            value = json.dumps(self.configuration).encode()
             body = {**self._item("op/config", value), "as-of": 9}
         elif path == "/-/kv-range":
             entries = [
