Charge crashes to shared parts of prompts, over the whole fleet

Callers saw streams cut and 502 while requests with one part in their prompts ended engine after engine. The cause: a crash was charged to a digest of the whole request, so requests that share a part but are not alike never added up; and records were broadcast without a reply, nor asked for at a start.

Now each crash is reported with the parts of every request that was on the server. A part that runs sound elsewhere is cleared; one that does not is a suspect and runs alone, one at a time over the fleet, at the engine with the least load. A crash during such a trial, with two different requests, blocks requests with the suspected parts of the trial. Peers are asked what they saw run sound, and told, before the caller is answered; a VM asks a peer before it is ready, and records are compared in pairs. The package blame decides without network or clock. The exchange in gateway/node.py and the loop over peers in cli/suspects.py give way to membership.ask_peers.

--- a/savoryspar/cli/suspects.py
+++ b/savoryspar/cli/suspects.py
@@ -60,29 +60,17 @@
     members: membership.Membership, record: dict[str, Any]
 ) -> None:
     """Sends a record to the peers one by one and waits for their replies."""
-    live = members.all_members(time.monotonic())
-    peers = sorted(
-        (m for m in live if m.incarnation != members.incarnation),
-        key=lambda m: m.zone != live[0].zone,
-    )[:MAX_CONFIRMING_PEERS]
-    pile = eventlet.GreenPile(MAX_CONFIRMING_PEERS)
-    for peer in peers:
-        pile.spawn(_send_record, members, peer.incarnation, record)
-    for cause in filter(None, pile):
-        logger.warning(f"Crash record not confirmed. {cause}")
-
-
-def _send_record(
-    members: membership.Membership, incarnation: str, record: dict[str, Any]
-) -> str:
-    """Returns why a peer did not confirm a record, empty if it did."""
-    try:
-        members.request(
-            incarnation, RECORD_REQUEST_KIND, record, RECORD_TIMEOUT_S
-        )
-    except membership.PeerUnreachableError as exc:
-        return str(exc)
-    return ""
+    replies = membership.ask_peers(
+        members,
+        RECORD_REQUEST_KIND,
+        record,
+        RECORD_TIMEOUT_S,
+        MAX_CONFIRMING_PEERS,
+        time.monotonic(),
+    )
+    for _, reply in replies:
+        if isinstance(reply, membership.PeerUnreachableError):
+            logger.warning(f"Crash record not confirmed. {reply}")
 
 
 class SuspectFetch:
--- a/savoryspar/gateway/attempts.py
+++ b/savoryspar/gateway/attempts.py
@@ -8,28 +8,41 @@
 import functools
 import hashlib
 
-from savoryspar import backends, log, ratelimits, routing
-from savoryspar.gateway import model, placing
+import eventlet
+
+from savoryspar import backends, blame, log, ratelimits, routing
+from savoryspar.gateway import blaming, model, placing
 
 MAX_REFUSALS = 3
 """Retries after refusals; the next refusal is reported to the caller."""
 FINGERPRINT_BYTES = 16
 PATIENCE_SHARE = 0.5
 """Share of the time until the deadline that a request may wait for a permit of
-a server that names a rate limit."""
+a server that names a rate limit, or to run alone."""
+MAX_TRIAL_WAIT_S = 3.0
+"""Longest time that a suspect waits until it may run alone."""
+TRIAL_POLL_S = 0.05
+"""Interval at which a suspect asks whether it may run alone; what other trials
+show may decide on it first."""
+TRIAL_RETRY_S = 1.0
+"""Time after which a caller may retry whose request waited in vain."""
 
 
 class Attempts:
     """Chooses the servers for one request and limits its retries."""
 
     __slots__ = (
+        "_blame",
         "_blocks",
+        "_clock",
         "_events",
         "_excluded",
         "_job",
         "_placer",
         "_refused",
         "_router",
+        "_suspected",
+        "_work",
     )
 
     def __init__(
@@ -37,12 +50,26 @@
         job: model.Job,
         router: routing.Router,
         placer: placing.Placer,
+        crash_blame: blaming.FleetBlame,
         events: log.EventLog,
+        clock: model.Clock,
     ):
         self._job = job
         self._router = router
         self._placer = placer
+        self._blame = crash_blame
         self._events = events
+        self._clock = clock
+        # Suspected parts for which the last server was chosen, None if the
+        # request did not run alone.
+        self._suspected: frozenset[str] | None = None
+        self._work = blame.new_work(
+            job.fingerprint,
+            job.workspace,
+            job.pool,
+            job.req.model,
+            (part.identifier for part in job.req.prompt_parts[:-1]),
+        )
         self._excluded: frozenset[str] = frozenset()
         self._refused = 0
         self._blocks = prompt_blocks(job.req)
@@ -69,16 +96,8 @@
                 because it crashed servers.
         """
         job = self._job
-        verdict = self._router.suspects.check(job.fingerprint, now)
-        if verdict is routing.Verdict.BLOCKED:
-            raise model.GatewayError(
-                "503 Service Unavailable",
-                "crashes_servers",
-                "the request crashed the backend servers that ran it",
-                "change the request before sending it again",
-            )
         try:
-            placement = self._place(zone, now)
+            placement = self._place_as_assessed(zone, now)
         except routing.NoServerError as exc:
             raise model.refusal(
                 "no_server", str(exc), max(0.2, exc.retry_after_s)
@@ -105,7 +124,76 @@
         )
         return placement
 
-    def _place(self, zone: str, now: float) -> placing.Placement:
+    def check(self, now: float) -> None:
+        """Checks that the request is not known to crash servers.
+
+        Raises:
+            GatewayError: It is.
+        """
+        self._assess(now)
+
+    def _assess(self, now: float) -> tuple[blame.Finding, frozenset[str]]:
+        """Returns what is known of the request, and the servers to avoid.
+
+        Raises:
+            GatewayError: The request crashes servers.
+        """
+        found, avoided = self._blame.find_servers(
+            self._work, self._job.pool, now
+        )
+        if found.verdict is blame.Verdict.BLOCKED:
+            raise self._blame.refusal(found, now)
+        return found, avoided
+
+    def _place_as_assessed(self, zone: str, now: float) -> placing.Placement:
+        """Chooses a server; a suspect waits until it may run alone.
+
+        Raises:
+            GatewayError: The request crashes servers, or other suspects run.
+            NoServerError: No server can accept the call.
+            LimitReachedError: All servers are at their rate limit.
+        """
+        until = now + min(
+            MAX_TRIAL_WAIT_S, PATIENCE_SHARE * self._job.left_s(now)
+        )
+        while True:
+            found, avoided = self._assess(now)
+            self._suspected = None
+            if found.verdict is blame.Verdict.CLEAR:
+                return self._place(zone, avoided, self._clock())
+            call = self._new_call(avoided)
+            placement = self._blame.trials.begin(call, self._clock())
+            if placement is not None:
+                self._suspected = found.parts
+                return self._with_permit(placement)
+            if now >= until:
+                raise model.refusal(
+                    "trial_wait",
+                    "a part of the prompt may crash servers, and other requests"
+                    " are tried first",
+                    TRIAL_RETRY_S,
+                )
+            eventlet.sleep(TRIAL_POLL_S)
+            now = self._clock()
+
+    def _with_permit(self, placement: placing.Placement) -> placing.Placement:
+        """Adds a permit to the placement of a trial.
+
+        Raises:
+            LimitReachedError: The server is at its rate limit.
+        """
+        try:
+            placement.permit = self._router.limiter.acquire(
+                placement.server.key, self._permit_request(0.0), self._clock()
+            )
+        except ratelimits.LimitReachedError as exc:
+            placement.finish(routing.Outcome.CANCELLED, None, exc.decided_at)
+            raise
+        return placement
+
+    def _place(
+        self, zone: str, avoided: frozenset[str], now: float
+    ) -> placing.Placement:
         """Chooses a server with a permit; waits for one if there is no other.
 
         Raises:
@@ -113,13 +201,13 @@
             LimitReachedError: All servers are at their rate limit.
         """
         limiter = self._router.limiter
-        call = self._new_call()
+        call = self._new_call(avoided)
         while True:
             try:
                 placement = self._placer.place(call, zone, now)
             except routing.NoServerError:
                 limited = self._router.limited(
-                    self._job.pool, self._excluded, now
+                    self._job.pool, self._excluded | avoided, now
                 )
                 if not limited:
                     raise
@@ -162,7 +250,7 @@
             job.rank, job.workspace, job.fingerprint, patience_s
         )
 
-    def _new_call(self) -> routing.Call:
+    def _new_call(self, avoided: frozenset[str] = frozenset()) -> routing.Call:
         job = self._job
         return routing.Call(
             job.req.attempt_id,
@@ -172,7 +260,7 @@
             job.pool,
             job.req.model,
             "",
-            self._excluded,
+            self._excluded | avoided,
             is_idempotent=job.route.may_repeat,
             blocks=self._blocks,
             prompt_tokens=job.req.prompt_tokens,
@@ -243,16 +331,17 @@
             if answer_started_at is None
             else round(now - answer_started_at, 3),
         )
-        self._router.suspects.record_crash(
-            self._job.fingerprint,
+        self._blame.report_crash(
+            self._work,
             placement.server.name,
+            placement.server.version,
+            self._suspected,
             now,
-            was_exclusive=True,
         )
 
-    def report_success(self, now: float) -> None:
-        """Clears the request of suspicion for crashes during earlier runs."""
-        self._router.suspects.record_success(self._job.fingerprint, now)
+    def report_success(self, placement: placing.Placement, now: float) -> None:
+        """Clears the request and its parts of earlier crashes."""
+        self._blame.report_sound(self._work, placement.server.version, now)
 
 
 @functools.singledispatch
--- /dev/null
+++ b/savoryspar/gateway/blaming.py
@@ -0,0 +1,476 @@
+"""Shares with peers which requests and parts of prompts crash servers.
+
+A VM that observes a crash asks its peers whether they saw the parts of the
+request run sound, and tells all of them, before the caller is answered. A VM
+that starts asks its peers before it sends requests. While crashes are recent,
+VMs compare their records in pairs, so that those that were cut off catch up.
+"""
+
+from collections.abc import Iterable
+import itertools
+import random
+from typing import Any
+
+import eventlet
+
+from savoryspar import blame, fleet, log, membership
+from savoryspar.gateway import model, trials
+
+REPORT_KIND = "crash_report"
+LIST_KIND = "crash_list"
+REPORT_TIMEOUT_S = 0.3
+"""Timeout for the replies to a report; a round trip between regions takes
+40 ms."""
+MAX_ASKED_PEERS = 32
+"""Peers that reply to a report; those of the own zone first."""
+LIST_TIMEOUT_S = 0.5
+LEARN_TIMEOUT_S = 1.5
+"""Time after which a VM that started serves although no peer has replied."""
+LEARN_INTERVAL_S = 0.05
+COMPARE_INTERVAL_S = 2.0
+SLOW_COMPARE_INTERVAL_S = 30.0
+RECENT_S = 120.0
+"""Time after a crash in which records are compared more often."""
+MAX_LISTED = 64
+"""Reports in one message."""
+BROADCASTS_PER_S = 20.0
+"""Reports that a VM broadcasts without a reply, in a flood of crashes."""
+MAX_AGE_S = 86400.0
+
+
+class FleetBlame:
+    """Crashes that this VM and its peers observed.
+
+    Attributes:
+        table: The crashes and sound runs.
+        trials: Places the requests that must run alone.
+        refusals: Requests that were refused because they crash servers.
+        is_ready: Whether peers were asked for their records.
+    """
+
+    __slots__ = (
+        "_broadcast_tokens",
+        "_broadcast_tokens_at",
+        "_clock",
+        "_events",
+        "_known",
+        "_members",
+        "_numbers",
+        "_rng",
+        "_server_registry",
+        "is_ready",
+        "refusals",
+        "table",
+        "trials",
+    )
+
+    def __init__(
+        self,
+        server_registry: fleet.ServerRegistry,
+        members: membership.Membership,
+        trial_placer: trials.TrialPlacer,
+        events: log.EventLog,
+        clock: model.Clock,
+    ):
+        self.trials = trial_placer
+        self.table = blame.new_crash_table()
+        self.refusals = 0
+        self.is_ready = False
+        self._server_registry = server_registry
+        self._members = members
+        self._events = events
+        self._clock = clock
+        self._numbers = itertools.count(1)
+        self._rng = random.Random(members.incarnation)
+        self._broadcast_tokens = BROADCASTS_PER_S
+        self._broadcast_tokens_at = 0.0
+        # Suspects and blocked parts as of the last log line.
+        self._known: dict[tuple[frozenset[str], str], blame.Verdict] = {}
+        members.handle(REPORT_KIND, self._serve_report)
+        members.handle(LIST_KIND, self._serve_list)
+
+    def start(self, has_peers: bool) -> None:
+        """Starts to ask peers for their records, and to compare them.
+
+        Args:
+            has_peers: Whether the settings name other VMs.
+        """
+        self.is_ready = not has_peers
+        if has_peers:
+            eventlet.spawn(self._learn)
+        eventlet.spawn(self._compare_records)
+
+    def find_servers(
+        self, work: blame.Work, pool: str, now: float
+    ) -> tuple[blame.Finding, frozenset[str]]:
+        """Assesses a request at the servers of a pool.
+
+        Returns:
+            The verdict, and the names of the servers that must not run the
+            request: a part may crash servers of one version only. For a
+            request that is blocked at all of them, no names.
+        """
+        while not self.is_ready:
+            eventlet.sleep(LEARN_INTERVAL_S)
+        if not self.table:
+            return blame.Finding(blame.Verdict.CLEAR), frozenset()
+        versions: dict[str, set[str]] = {}
+        for zone in self._server_registry.zones_of(pool):
+            for entry in self._server_registry.usable_in(pool, zone):
+                versions.setdefault(entry.version, set()).add(entry.name)
+        findings = {
+            version: self.table.assess(work, version, now)
+            for version in versions or {"": set()}
+        }
+        order = [*blame.Verdict]
+        best = min(
+            findings.values(), key=lambda found: order.index(found.verdict)
+        )
+        excluded = [
+            names
+            for version, names in versions.items()
+            if findings[version].verdict is not best.verdict
+        ]
+        return best, frozenset(itertools.chain.from_iterable(excluded))
+
+    def refusal(self, found: blame.Finding, now: float) -> model.GatewayError:
+        """Returns the error for a request that is blocked.
+
+        There is no time after which it would be accepted.
+        """
+        self.refusals += 1
+        cause = (
+            f"parts {', '.join(sorted(found.parts))} of its prompt"
+            if found.parts
+            else "it"
+        )
+        return model.GatewayError(
+            "503 Service Unavailable",
+            "crashes_servers",
+            f"{cause} crashed the backend servers that ran it:"
+            f" {self._describe(found.reports, now)}",
+            "change the request before sending it again",
+        )
+
+    def report_crash(
+        self,
+        work: blame.Work,
+        server: str,
+        version: str,
+        suspected: frozenset[str] | None,
+        now: float,
+    ) -> None:
+        """Records the crash of a server, and tells the peers.
+
+        Args:
+            work: A request that was on the server.
+            server: Name of the server.
+            version: Its version.
+            suspected: The suspected parts of a request that ran alone, None
+                for another request.
+            now: Monotonic time in seconds.
+        """
+        if suspected is not None:
+            work = blame.Work(work.fingerprint, work.workspace, suspected)
+        own = self._members.incarnation
+        report = blame.CrashReport(
+            f"{own}-{next(self._numbers)}",
+            server,
+            version,
+            work,
+            now,
+            suspected is not None,
+            own,
+        )
+        self.table.record_crash(report, now)
+        found = self.table.assess(work, version, now)
+        if found.verdict is not blame.Verdict.CLEAR:
+            self._ask_peers(report)
+        elif not self._take_broadcast_token(now):
+            return
+        now = self._clock()
+        self._members.broadcast(REPORT_KIND, self._encode([report], now))
+        self._log_changes(now)
+
+    def report_sound(self, work: blame.Work, version: str, now: float) -> None:
+        """Records that a request ran to its end."""
+        suspected = self.table.suspected_parts(work, version, now)
+        cleared = self.table.record_sound(work, version, now) & suspected
+        if cleared:
+            self._members.broadcast(
+                REPORT_KIND,
+                {"reports": [], "sound": self._encode_sound(cleared, now)},
+            )
+            self._log_changes(now)
+
+    def suspect_count(self) -> int:
+        """Returns the number of suspected parts."""
+        return len(self.table.suspects(self._clock()))
+
+    def blocked_count(self) -> int:
+        """Returns the number of sets of parts that block requests."""
+        return len(self.table.blocked(self._clock()))
+
+    def status(self, now: float) -> dict[str, Any]:
+        """Returns the suspected and blocked parts, for ``/status``."""
+        return {
+            "suspects": sorted(map(list, self.table.suspects(now))),
+            "blocked": [
+                [sorted(parts), version]
+                for parts, version in self.table.blocked(now)
+            ],
+        }
+
+    def _ask_peers(self, report: blame.CrashReport) -> None:
+        """Sends a report to peers, and applies what they know of its parts."""
+        now = self._clock()
+        body = self._encode([report], now)
+        for peer, reply in membership.ask_peers(
+            self._members,
+            REPORT_KIND,
+            body,
+            REPORT_TIMEOUT_S,
+            MAX_ASKED_PEERS,
+            now,
+        ):
+            self._apply_reply(peer, reply)
+
+    def _apply_reply(
+        self, peer: str, reply: dict | membership.PeerUnreachableError
+    ) -> bool:
+        """Applies the records in a reply; returns whether it is valid."""
+        now = self._clock()
+        try:
+            if isinstance(reply, membership.PeerUnreachableError):
+                raise reply
+            self._apply(reply, now)
+        except (
+            membership.PeerUnreachableError,
+            KeyError,
+            TypeError,
+            ValueError,
+        ) as exc:
+            # Comparing the records later makes up for it.
+            self._events.state_change(
+                "peer gave no crashes", now, peer=peer, cause=repr(exc)
+            )
+            return False
+        return True
+
+    def _apply(self, body: Any, now: float) -> None:
+        """Records the reports and the sound runs that a peer sent.
+
+        Raises:
+            KeyError, TypeError, ValueError: The message is malformed.
+        """
+        for item in body["reports"][:MAX_LISTED]:
+            self.table.record_crash(_decode_report(item, now), now)
+        for part, version, age_s in body["sound"]:
+            self.table.record_sound_part(
+                str(part), str(version), "", now - _age_s(age_s)
+            )
+
+    def _encode(
+        self, reports: Iterable[blame.CrashReport], now: float
+    ) -> dict[str, list]:
+        listed = [*itertools.islice(reports, MAX_LISTED)]
+        parts = frozenset(
+            itertools.chain.from_iterable(r.work.parts for r in listed)
+        )
+        return {
+            "reports": [_encode_report(report, now) for report in listed],
+            "sound": self._encode_sound(parts, now),
+        }
+
+    def _encode_sound(self, parts: Iterable[str], now: float) -> list[list]:
+        return [
+            [part, version, now - at]
+            for part, version, at in self.table.sound_parts(parts)
+        ]
+
+    def _serve_report(self, sender: str, body: Any) -> dict[str, Any]:
+        del sender
+        now = self._clock()
+        self._apply(body, now)
+        self._log_changes(now)
+        parts = frozenset(
+            str(part)
+            for item in body["reports"]
+            for part in _decode_report(item, now).work.parts
+        )
+        return {"reports": [], "sound": self._encode_sound(parts, now)}
+
+    def _serve_list(self, sender: str, body: Any) -> dict[str, Any]:
+        del sender
+        now = self._clock()
+        self._apply(body, now)
+        return self._encode(self.table.reports(), now)
+
+    def _learn(self) -> None:
+        """Asks one peer after another for its records, until one replies."""
+        ends_at = self._clock() + LEARN_TIMEOUT_S
+        asked: set[str] = set()
+        while not self.is_ready and self._clock() < ends_at:
+            now = self._clock()
+            peers = [
+                member.incarnation
+                for member in self._members.view(now).members
+                if member.incarnation not in asked
+            ]
+            if peers:
+                asked.add(peers[0])
+                self.is_ready = self._exchange(peers[0])
+            else:
+                eventlet.sleep(LEARN_INTERVAL_S)
+        self.is_ready = True
+
+    def _exchange(self, peer: str) -> bool:
+        """Exchanges records with a peer; returns whether it replied."""
+        body = self._encode(self.table.reports(), self._clock())
+        try:
+            reply = self._members.request(peer, LIST_KIND, body, LIST_TIMEOUT_S)
+        except membership.PeerUnreachableError as exc:
+            return self._apply_reply(peer, exc)
+        return self._apply_reply(peer, reply)
+
+    def _compare_records(self) -> None:
+        compared_at = self._clock()
+        while True:
+            eventlet.sleep(COMPARE_INTERVAL_S)
+            now = self._clock()
+            self.table.expire(now)
+            self._log_changes(now)
+            interval_s = (
+                COMPARE_INTERVAL_S
+                if self.table.is_recent(RECENT_S, now)
+                else SLOW_COMPARE_INTERVAL_S
+            )
+            peers = self._members.view(now).members
+            if self.table and peers and now - compared_at >= interval_s:
+                compared_at = now
+                self._exchange(self._rng.choice(peers).incarnation)
+
+    def _take_broadcast_token(self, now: float) -> bool:
+        gained = (now - self._broadcast_tokens_at) * BROADCASTS_PER_S
+        self._broadcast_tokens = min(
+            BROADCASTS_PER_S, self._broadcast_tokens + gained
+        )
+        self._broadcast_tokens_at = now
+        if self._broadcast_tokens < 1.0:
+            return False
+        self._broadcast_tokens -= 1.0
+        return True
+
+    def _log_changes(self, now: float) -> None:
+        """Logs the parts whose verdict has changed."""
+        current = {
+            (frozenset({part}), version): blame.Verdict.SUSPECT
+            for part, version in self.table.suspects(now)
+        }
+        current |= dict.fromkeys(self.table.blocked(now), blame.Verdict.BLOCKED)
+        for key in self._known.keys() | current.keys():
+            verdict = current.get(key, blame.Verdict.CLEAR)
+            if verdict is self._known.get(key, blame.Verdict.CLEAR):
+                continue
+            parts, version = key
+            reports = [
+                report
+                for report in self.table.reports()
+                if parts <= report.work.parts
+            ]
+            self._events.state_change(
+                "part blamed",
+                now,
+                parts=sorted(parts),
+                version=version,
+                verdict=verdict.value,
+                crashes=self._describe(reports, now),
+            )
+        self._known = current
+
+    def _describe(
+        self, reports: Iterable[blame.CrashReport], now: float
+    ) -> str:
+        return ", ".join(
+            f"{report.server} {now - report.at:.1f} s ago"
+            f"{' alone' if report.is_trial else ''} (told by {report.source})"
+            for report in itertools.islice(reports, 8)
+        )
+
+
+def _encode_report(report: blame.CrashReport, now: float) -> list:
+    work = report.work
+    return [
+        report.report_id,
+        report.server,
+        report.version,
+        work.fingerprint,
+        work.workspace,
+        sorted(work.parts),
+        now - report.at,
+        report.is_trial,
+        report.source,
+    ]
+
+
+def _decode_report(body: Any, now: float) -> blame.CrashReport:
+    """Returns the report that a peer sent.
+
+    Raises:
+        TypeError, ValueError: It is malformed.
+    """
+    (
+        report_id,
+        server,
+        version,
+        fingerprint,
+        workspace,
+        parts,
+        age_s,
+        is_trial,
+        source,
+    ) = body
+    if len(parts) > blame.MAX_PARTS:
+        raise ValueError(f"a report has {len(parts)} parts")
+    return blame.CrashReport(
+        str(report_id),
+        str(server),
+        str(version),
+        blame.Work(
+            str(fingerprint), str(workspace), frozenset(map(str, parts))
+        ),
+        now - _age_s(age_s),
+        bool(is_trial),
+        str(source),
+    )
+
+
+def _age_s(value: Any) -> float:
+    """Returns an age in seconds.
+
+    Raises:
+        TypeError, ValueError: It is no number or out of range.
+    """
+    age_s = float(value)
+    if not 0.0 <= age_s < MAX_AGE_S:
+        raise ValueError(f"{value!r:.40} is not a valid age")
+    return age_s
+
+
+def new_fleet_blame(
+    server_registry: fleet.ServerRegistry,
+    members: membership.Membership,
+    trial_placer: trials.TrialPlacer,
+    events: log.EventLog,
+    clock: model.Clock,
+) -> FleetBlame:
+    """Returns records without crashes, with their peer handlers.
+
+    Args:
+        server_registry: The backend servers.
+        members: The other entry VMs.
+        trial_placer: Places the requests that must run alone.
+        events: Log of the parts that are suspected or blocked.
+        clock: Monotonic time in seconds.
+    """
+    return FleetBlame(server_registry, members, trial_placer, events, clock)
--- a/savoryspar/gateway/counters.py
+++ b/savoryspar/gateway/counters.py
@@ -38,6 +38,12 @@
     "limit_per_second": "Sum of the rate limits in force.",
     "limit_share_per_second": "Permits per second that this VM was granted in"
     " the last 4 s.",
+    "suspected_parts": "Parts of prompts that are suspected of crashing"
+    " backend servers.",
+    "blocked_parts": "Sets of parts of prompts that requests are refused for.",
+    "blocked_requests": "Requests that were refused because they crash backend"
+    " servers.",
+    "trials": "Requests of this VM that ran alone as suspects.",
     "log_lines_left_out": "Log lines dropped since the start.",
 }
 """Help text by gauge name, without the prefix."""
--- a/savoryspar/gateway/node.py
+++ b/savoryspar/gateway/node.py
@@ -21,6 +21,7 @@
 )
 from savoryspar.gateway import (
     app,
+    blaming,
     counters,
     fleet_watch,
     gatherers,
@@ -30,6 +31,7 @@
     plain,
     stage_runner,
     streams,
+    trials,
 )
 
 MAX_CONNECTIONS = 2000
@@ -45,7 +47,6 @@
 FINAL_ANSWERS_S = 0.15
 """Time to write the answers of requests that the grace period does not suffice
 for; part of ``STOP_MARGIN_S``."""
-SUSPECT_KIND = "suspect"
 MIN_FLEET_SIZE = 3
 """Lower bound of the estimated fleet size, three VMs for each zone, by which
 the retry budget is divided."""
@@ -67,6 +68,7 @@
 
     __slots__ = (
         "_app",
+        "_blame",
         "_cfg",
         "_clock",
         "_connections",
@@ -99,7 +101,19 @@
             self._server_registry, self._members, self._events, clock
         )
         self._router = _new_router(cfg, availability, self._limiter)
-        self._exchange_suspects()
+        self._blame = blaming.new_fleet_blame(
+            self._server_registry,
+            self._members,
+            trials.new_trial_placer(
+                self._router,
+                self._server_registry,
+                self._members,
+                self._events,
+                clock,
+            ),
+            self._events,
+            clock,
+        )
         self._connections = backends.new_connections(
             platform.decode_answer_facts, clock, availability, self._limiter
         )
@@ -139,12 +153,17 @@
         self._app = app.new_gateway_app(
             self._holder,
             plain.new_plain_forwarder(
-                self._router, self._connections, self._events, clock
+                self._router,
+                self._blame,
+                self._connections,
+                self._events,
+                clock,
             ),
             streams.new_stream_forwarder(
                 self._holder,
                 self._router,
                 self._placer,
+                self._blame,
                 self._stage_runner,
                 self._connections,
                 self._events,
@@ -181,6 +200,12 @@
         )
         self._members.start()
         self._limiter.start()
+        self._blame.start(
+            any(
+                seed != self._cfg.gateway.peers_address
+                for seed in self._cfg.gateway.seeds
+            )
+        )
         self._watch.start()
         self._server.start()
         for server in self._internal_servers:
@@ -223,6 +248,8 @@
             return "no configuration"
         if not self._server_registry.usable():
             return "no backend servers"
+        if not self._blame.is_ready:
+            return "no peer told of crashes yet"
         return ""
 
     def reload(self, cfg: conf.Settings) -> None:
@@ -272,6 +299,7 @@
                 ), gatherer in self._gatherers.by_pool_and_zone().items()
             },
             "limits": self._limiter.status(now),
+            "crashes": self._blame.status(now),
             "routing": self._router.status(now),
         }
 
@@ -305,18 +333,6 @@
                 limits.header_timeout_s, limits.idle_timeout_s
             )
 
-    def _exchange_suspects(self) -> None:
-        suspects, members = self._router.suspects, self._members
-
-        def import_record(sender: str, record: dict[str, Any]) -> None:
-            del sender
-            suspects.import_record(record, self._clock())
-
-        suspects.publish = lambda record: members.broadcast(
-            SUSPECT_KIND, record
-        )
-        members.handle(SUSPECT_KIND, import_record)
-
     def _answer_ready(
         self, environ: dict[str, Any], start_response: app.StartResponse
     ) -> Iterable[bytes]:
@@ -359,6 +375,10 @@
             "limit_permits_granted": self._limiter.granted,
             "limit_per_second": self._limiter.limit_per_s,
             "limit_share_per_second": self._limiter.share_per_s,
+            "suspected_parts": self._blame.suspect_count,
+            "blocked_parts": self._blame.blocked_count,
+            "blocked_requests": lambda: self._blame.refusals,
+            "trials": lambda: self._blame.trials.begun,
             "log_lines_left_out": lambda: self._events.left_out,
         }
         for name, reader in readers.items():
--- a/savoryspar/gateway/plain.py
+++ b/savoryspar/gateway/plain.py
@@ -1,7 +1,7 @@
 """Forwards requests that have a single response body."""
 
 from savoryspar import backends, log, platform, routing
-from savoryspar.gateway import attempts, model, placing
+from savoryspar.gateway import attempts, blaming, model, placing
 
 
 class PlainForwarder:
@@ -10,15 +10,24 @@
     An answer that is too large to buffer is relayed as it arrives.
     """
 
-    __slots__ = ("_clock", "_connections", "_events", "_placer", "_router")
+    __slots__ = (
+        "_blame",
+        "_clock",
+        "_connections",
+        "_events",
+        "_placer",
+        "_router",
+    )
 
     def __init__(
         self,
         router: routing.Router,
+        crash_blame: blaming.FleetBlame,
         connections: backends.Connections,
         events: log.EventLog,
         clock: model.Clock,
     ):
+        self._blame = crash_blame
         self._router = router
         self._placer = placing.new_local_placer(router)
         self._connections = connections
@@ -38,38 +47,25 @@
             BrokenStreamError: A relayed answer broke off after its head.
         """
         job_attempts = attempts.Attempts(
-            job, self._router, self._placer, self._events
+            job,
+            self._router,
+            self._placer,
+            self._blame,
+            self._events,
+            self._clock,
         )
         while True:
             placement = job_attempts.choose(self._clock())
-            outcome = routing.Outcome.CANCELLED
-            facts = None
-            try:
-                answer = self._send(job, placement)
-                facts = answer.facts
-                reply, outcome, has_not_run, cause = self._handle_answer(
-                    job, answer, start_response
-                )
-            except model.BrokenStreamError:
-                outcome = routing.Outcome.FAILED
-                raise
-            except backends.CallRefusedError as exc:
-                reply, has_not_run, cause = None, True, str(exc)
-                outcome = attempts.refused_outcome(exc)
-            except backends.CallOutcomeUnknownError as exc:
-                reply, has_not_run, cause = None, False, str(exc)
-                job_attempts.record_send()
-                outcome = routing.Outcome.FAILED
-                if exc.is_crash:
-                    outcome = routing.Outcome.CRASHED
-                    job_attempts.report_crash(placement, self._clock())
-            finally:
-                placement.finish(outcome, facts, self._clock())
-            job.is_sending = False
+            reply, outcome, has_not_run, cause = self._try_server(
+                job, placement, start_response
+            )
             now = self._clock()
             if outcome is routing.Outcome.OK:
-                job_attempts.report_success(now)
+                job_attempts.report_success(placement, now)
                 return reply
+            if outcome is routing.Outcome.CRASHED:
+                job_attempts.report_crash(placement, now)
+                now = self._clock()
             if job_attempts.acquire_retry(placement, has_not_run, cause, now):
                 continue
             if reply is not None:
@@ -78,6 +74,43 @@
                 raise model.refusal("servers_full", cause, 0.3)
             raise _lost_answer_error(job, cause, now)
 
+    def _try_server(
+        self,
+        job: model.Job,
+        placement: placing.Placement,
+        start_response: model.StartResponse,
+    ) -> tuple[model.Reply | None, routing.Outcome, bool, str]:
+        """Sends a request to a server; returns as ``_classify_answer`` does.
+
+        Raises:
+            BrokenStreamError: A relayed answer broke off after its head.
+        """
+        reply, has_not_run, cause = None, False, ""
+        outcome = routing.Outcome.CANCELLED
+        facts = None
+        try:
+            answer = self._send(job, placement)
+            facts = answer.facts
+            reply, outcome, has_not_run, cause = self._handle_answer(
+                job, answer, start_response
+            )
+        except model.BrokenStreamError:
+            outcome = routing.Outcome.FAILED
+            raise
+        except backends.CallRefusedError as exc:
+            has_not_run, cause = True, str(exc)
+            outcome = attempts.refused_outcome(exc)
+        except backends.CallOutcomeUnknownError as exc:
+            cause = str(exc)
+            job.sends += 1
+            outcome = routing.Outcome.FAILED
+            if exc.is_crash:
+                outcome = routing.Outcome.CRASHED
+        finally:
+            placement.finish(outcome, facts, self._clock())
+        job.is_sending = False
+        return reply, outcome, has_not_run, cause
+
     def _send(
         self, job: model.Job, placement: placing.Placement
     ) -> backends.Answer:
@@ -222,9 +255,10 @@
 
 def new_plain_forwarder(
     router: routing.Router,
+    crash_blame: blaming.FleetBlame,
     connections: backends.Connections,
     events: log.EventLog,
     clock: model.Clock,
 ) -> PlainForwarder:
     """Returns a forwarder that uses the given components."""
-    return PlainForwarder(router, connections, events, clock)
+    return PlainForwarder(router, crash_blame, connections, events, clock)
--- a/savoryspar/gateway/streams.py
+++ b/savoryspar/gateway/streams.py
@@ -3,7 +3,14 @@
 from collections.abc import Callable
 
 from savoryspar import backends, fleet, log, platform, routing, stages
-from savoryspar.gateway import attempts, events, model, placing, stage_runner
+from savoryspar.gateway import (
+    attempts,
+    blaming,
+    events,
+    model,
+    placing,
+    stage_runner,
+)
 
 FIRST_EVENT_S = 0.1
 """Time from the end of prefill to the first event on a busy engine."""
@@ -17,6 +24,7 @@
     """Forwards stream requests; construct with ``new_stream_forwarder``."""
 
     __slots__ = (
+        "_blame",
         "_clock",
         "_connections",
         "_events",
@@ -31,11 +39,13 @@
         holder: fleet.ConfigurationHolder,
         router: routing.Router,
         placer: placing.Placer,
+        crash_blame: blaming.FleetBlame,
         runner: stage_runner.StageRunner,
         connections: backends.Connections,
         event_log: log.EventLog,
         clock: model.Clock,
     ):
+        self._blame = crash_blame
         self._holder = holder
         self._router = router
         self._placer = placer
@@ -125,18 +135,26 @@
         self._is_started = False
         self._write: Callable[[bytes], None] = lambda data: None
         self._attempts = attempts.Attempts(
-            job, forwarder._router, forwarder._placer, forwarder._events
+            job,
+            forwarder._router,
+            forwarder._placer,
+            forwarder._blame,
+            forwarder._events,
+            forwarder._clock,
         )
         self._zone = self._attempts.preferred_zone(forwarder._clock())
 
     def run(self) -> model.Reply | None:
         clock = self._forwarder._clock
+        self._attempts.check(clock())
         self._run_stages()
         while True:
             placement = self._choose()
             outcome, reply, has_not_run, cause = self._try_engine(placement)
             if outcome is routing.Outcome.OK:
                 return reply
+            if outcome is routing.Outcome.CRASHED:
+                self._attempts.report_crash(placement, clock())
             now = clock()
             if self._attempts.acquire_retry(placement, has_not_run, cause, now):
                 self._splitter.discard_partial()
@@ -223,7 +241,7 @@
                 self._attempts.record_send()
                 self._relay(placement, answer)
                 outcome = routing.Outcome.OK
-                self._attempts.report_success(forwarder._clock())
+                self._attempts.report_success(placement, forwarder._clock())
         except backends.CallRefusedError as exc:
             outcome, has_not_run = attempts.refused_outcome(exc), True
             cause = str(exc)
@@ -233,7 +251,6 @@
                 self._attempts.record_send()
             if exc.is_crash:
                 outcome = routing.Outcome.CRASHED
-                self._attempts.report_crash(placement, forwarder._clock())
         finally:
             if answer is not None and not answer.is_complete:
                 answer.close()
@@ -357,6 +374,7 @@
     holder: fleet.ConfigurationHolder,
     router: routing.Router,
     placer: placing.Placer,
+    crash_blame: blaming.FleetBlame,
     runner: stage_runner.StageRunner,
     connections: backends.Connections,
     event_log: log.EventLog,
@@ -364,5 +382,12 @@
 ) -> StreamForwarder:
     """Returns a forwarder that uses the given components."""
     return StreamForwarder(
-        holder, router, placer, runner, connections, event_log, clock
+        holder,
+        router,
+        placer,
+        crash_blame,
+        runner,
+        connections,
+        event_log,
+        clock,
     )
--- a/savoryspar/log/catalog.py
+++ b/savoryspar/log/catalog.py
@@ -14,6 +14,8 @@
     "limit owner lost": "The VM that grants a server's permits is lost.",
     "no more tries": "A send failed and the request may not be retried.",
     "peer gave no limits": "Fetching known rate limits from a peer failed.",
+    "part blamed": "A part of prompts was suspected, blocked or cleared.",
+    "peer gave no crashes": "Fetching records of crashes from a peer failed.",
     "peer gave no fleet": "Fetching the store's contents from a peer failed.",
     "placer lost": "The VM that places requests for a zone did not answer.",
     "placer not told": "Reporting the outcome of a send to a placer failed.",
@@ -44,6 +46,9 @@
     "store watch begins": "This VM starts to watch the store.",
     "store watch failed": "An unexpected error occurred in the store watch.",
     "store watch ends": "Other VMs of the zone watch the store for this one.",
+    "trial begins": "A request that may crash its server runs alone.",
+    "trial ends": "A request that ran alone has ended.",
+    "trial owner lost": "The VM that places a pool's trials did not answer.",
     "zone has no server": "No server of a zone can accept the request.",
 }
 """Description of each event."""
--- a/savoryspar/membership/__init__.py
+++ b/savoryspar/membership/__init__.py
@@ -10,6 +10,7 @@
     PeerUnreachableError,
 )
 from savoryspar.membership.model import Member, Record, State, View
+from savoryspar.membership.polls import ask_peers
 from savoryspar.membership.reader import Reader
 from savoryspar.membership.service import Membership, new_membership
 from savoryspar.membership.topology import zone_hops
--- a/savoryspar/routing/router.py
+++ b/savoryspar/routing/router.py
@@ -203,6 +203,69 @@
         )
         return choice
 
+    def quietest(
+        self,
+        pool: str,
+        zones: Sequence[str],
+        excluded: frozenset[str],
+        now: float,
+    ) -> backends.Server:
+        """Returns the server with the least load that may run a trial.
+
+        A server that has just crashed is not used, because a connection reset
+        while its process ends would be mistaken for a second crash.
+
+        Args:
+            pool: Pool of the server.
+            zones: Availability zones in the order of preference.
+            excluded: Names of servers that must not run it.
+            now: Monotonic time in seconds.
+
+        Raises:
+            NoServerError: No server accepts calls.
+        """
+        usable = [
+            state
+            for state in self._not_leaving(pool, excluded)
+            if state.is_settled(now)
+            and (not state.health.is_out or state.health.may_probe(now))
+            and self.availability.may_send(state.server.key, now)
+            and not self.limiter.wait_s(state.server.key, now)
+        ]
+        if not usable:
+            raise exceptions.NoServerError(
+                pool, "no server may run a trial", selection.RETRY_AFTER_S
+            )
+        order = {zone: number for number, zone in enumerate(zones)}
+        return min(
+            usable,
+            key=lambda s: (
+                order.get(s.server.zone, len(order)),
+                s.health.is_out,
+                s.load(now),
+                s.server.name,
+            ),
+        ).server
+
+    def reserve(self, choice: model.Choice, until: float, now: float) -> None:
+        """Keeps other calls away from the server of a call for a time.
+
+        The last server of a pool that is not reserved stays open.
+
+        Args:
+            choice: The choice for the call that runs alone.
+            until: Monotonic time at which the reservation ends.
+            now: Monotonic time in seconds.
+        """
+        others = self._not_leaving(
+            choice.call.pool, frozenset({choice.server.name})
+        )
+        if any(
+            not state.is_reserved(now) and not state.health.is_out
+            for state in others
+        ):
+            choice.state.drained_until = until
+
     def record_answer_start(self, choice: model.Choice, now: float) -> None:
         """Records that an answer started, so its prompt is prefilled."""
         if choice.answer_started_at is None:
--- a/tests/gateway/test_streams.py
+++ b/tests/gateway/test_streams.py
@@ -4,7 +4,7 @@
 
 from savoryspar import backends, fleet, log, routing, stages
 from savoryspar.gateway import model, placing, stage_runner, streams
-from tests.gateway import event_logs, requests
+from tests.gateway import event_logs, lone_vm, requests
 
 EVENT = b"id: %d\ndata: x\n\n"
 
@@ -149,6 +149,7 @@
             Holder(),
             router,
             placing.new_local_placer(router),
+            lone_vm.new_blame(router, self.events, self.clock),
             self.stages,
             ScriptedConnections(answers),
             self.events,
