Charge a crash to the request lost on a reused connection

A request that may be repeated is sent again when its reused connection breaks. If the server then refused the new connection, the loss did not count as a crash, so that a request that crashes its server was not even a suspect. The extended test fails on the code before.

--- a/savoryspar/backends/connections.py
+++ b/savoryspar/backends/connections.py
@@ -486,7 +486,8 @@
                 f"no answer: {cause!r}",
                 "the request may have run; check the server",
                 has_sent=True,
-                is_crash=cause is exc and not isinstance(exc, NON_CRASH_ERRORS),
+                is_crash=not isinstance(exc, NON_CRASH_ERRORS)
+                and not isinstance(cause, exceptions.RateLimitedError),
             ) from cause
         except BaseException:
             # The caller disconnected; closing cancels the request at the
--- a/tests/backends/test_connections.py
+++ b/tests/backends/test_connections.py
@@ -203,6 +203,8 @@
             may_repeat=True,
         )
         self.assertTrue(exc.has_sent)
+        # Otherwise the crash would be charged to nobody.
+        self.assertTrue(exc.is_crash, exc)
         self.assertEqual(2, len(server.requests))
 
     def test_target_is_sent_unchanged(self):
