Reject answers whose head or framing ends with the connection

Callers got 200 with an empty body, framed as whole, when a server closed in the middle of the head of its answer; a stream ended as complete without its rest, also when it was resumed. The cause: http.client takes the end of the connection for the end of the head, of a chunk size and of trailers. Responses of backend servers, of the store and of the configuration service now read lines that must end with a line feed. A load report that ends within a line is refused.

--- a/savoryspar/backends/__init__.py
+++ b/savoryspar/backends/__init__.py
@@ -31,3 +31,4 @@
     CallerRequest,
     PromptPart,
 )
+from savoryspar.backends.strict import new_strict_pool_manager
--- a/savoryspar/backends/bounded.py
+++ b/savoryspar/backends/bounded.py
@@ -12,7 +12,8 @@
 
 import eventlet
 from eventlet import greenio
-from urllib3 import connection
+
+from savoryspar.backends import strict
 
 YIELD_BYTES = 1 << 17
 """Bytes read without blocking after which other green threads run. A server
@@ -96,7 +97,7 @@
     address: str,
     options: Iterable[tuple[int, int, int]],
     timeout_s: float,
-) -> connection.HTTPConnection:
+) -> strict.StrictConnection:
     """Opens a connection whose socket is a ``BoundedSocket``.
 
     Args:
@@ -108,7 +109,7 @@
         OSError, ValueError: The connection cannot be opened.
     """
     host, _, port = address.rpartition(":")
-    conn = connection.HTTPConnection(host, int(port))
+    conn = strict.StrictConnection(host, int(port))
     sock = BoundedSocket(socket.AF_INET, socket.SOCK_STREAM)
     try:
         for option in options:
--- a/savoryspar/backends/connections.py
+++ b/savoryspar/backends/connections.py
@@ -14,7 +14,13 @@
 from urllib3 import connection
 
 from savoryspar import ratelimits
-from savoryspar.backends import availability, bounded, exceptions, requests
+from savoryspar.backends import (
+    availability,
+    bounded,
+    exceptions,
+    requests,
+    strict,
+)
 
 CONNECT_TIMEOUT_S = 0.4
 """A round trip between regions takes 40 ms; a lost SYN is sent again after 1 s,
@@ -630,7 +636,7 @@
         raise http.client.HTTPException("a stray answer has no length")
     while resp.length and resp.read1(READ_BYTES):
         pass
-    answer = http.client.HTTPResponse(sock, method=method)
+    answer = strict.StrictResponse(sock, method=method)
     answer.fp.close()
     answer.fp, resp.fp = resp.fp, None
     answer.begin()
--- a/savoryspar/backends/guarded.py
+++ b/savoryspar/backends/guarded.py
@@ -5,13 +5,15 @@
 import threading
 
 import urllib3
-from urllib3 import connection, connectionpool
+from urllib3 import connectionpool
+
+from savoryspar.backends import strict
 
 _pending = threading.local()
 """The check for the next request of the current green thread."""
 
 
-class GuardedConnection(connection.HTTPConnection):
+class GuardedConnection(strict.StrictConnection):
     """Runs the check after connecting and before the first byte is sent."""
 
     def send(self, data: object) -> None:
--- a/savoryspar/backends/reports.py
+++ b/savoryspar/backends/reports.py
@@ -47,6 +47,8 @@
     Raises:
         ValueError: The text is not a load report.
     """
+    if not text.endswith("\n"):
+        raise ValueError("the load report ends within a line")
     lines = (line.split() for line in text.splitlines())
     values = {line[0]: line[1] for line in lines if len(line) == 2}
     try:
--- a/savoryspar/discovery/config.py
+++ b/savoryspar/discovery/config.py
@@ -6,6 +6,7 @@
 import eventlet
 import urllib3
 
+from savoryspar import backends
 from savoryspar.discovery import budget, exceptions
 
 CONNECT_TIMEOUT_S = 1.0
@@ -98,6 +99,6 @@
     """
     return ConfigClient(
         url,
-        urllib3.PoolManager(maxsize=4, block=False),
+        backends.new_strict_pool_manager(maxsize=4, block=False),
         budget.CallBudget(calls_per_s, burst_calls, time.monotonic()),
     )
--- a/savoryspar/discovery/vms.py
+++ b/savoryspar/discovery/vms.py
@@ -9,6 +9,7 @@
 
 import urllib3
 
+from savoryspar import backends
 from savoryspar.discovery import exceptions
 
 CONNECT_TIMEOUT_S = 1.0
@@ -111,4 +112,6 @@
 
 def new_vm_list_client(url: str) -> VmListClient:
     """Returns a client with its own connections."""
-    return VmListClient(url, urllib3.PoolManager(maxsize=1, block=False))
+    return VmListClient(
+        url, backends.new_strict_pool_manager(maxsize=1, block=False)
+    )
