Do not take a late refusal for the answer to the next request

Callers were told 503 'not run' for requests that a server had run or was running: a faulty server wrote an earlier refusal, without an attempt ID, on the kept connection where the next answer was due. The cause: an answer without an ID was taken for the current request's. Now a refusal without an ID on a reused connection, and any answer without one on a connection whose answers named their attempts, leaves the outcome unknown and closes the connection.

--- a/savoryspar/backends/bounded.py
+++ b/savoryspar/backends/bounded.py
@@ -31,9 +31,12 @@
         is_reset: Whether the peer reset the connection, which the base class
             reports as end of file. A body without a length ends with its
             connection and is complete only if that was closed normally.
+        names_attempts: Whether an answer on the connection named the attempt
+            that it belongs to.
     """
 
     is_reset = False
+    names_attempts = False
     _clock: Callable[[], float] | None = None
     _deadline_at = math.inf
     _bytes_left = math.inf
--- a/savoryspar/backends/connections.py
+++ b/savoryspar/backends/connections.py
@@ -66,7 +66,15 @@
     http.client.HTTPException,
     urllib3.exceptions.HTTPError,
 )
-NON_CRASH_ERRORS = (TimeoutError, bounded.TooManyBytesError)
+
+
+class UnidentifiedAnswerError(http.client.HTTPException):
+    """An answer that may belong to an earlier request of its connection."""
+
+
+NO_REPEAT_ERRORS = (TimeoutError, bounded.TooManyBytesError)
+"""Errors after which a request is not sent again on a new connection."""
+NON_CRASH_ERRORS = (*NO_REPEAT_ERRORS, UnidentifiedAnswerError)
 """Errors that do not suggest that the request crashed the server."""
 
 
@@ -470,7 +478,7 @@
             left_s = call.deadline_at - self._clock()
             conn = self._open(server, min(CONNECT_TIMEOUT_S, left_s))
         try:
-            return self._exchange(conn, call)
+            return self._exchange(conn, call, is_reused)
         except CONNECTION_ERRORS as exc:
             conn.close()
             left_s = call.deadline_at - self._clock()
@@ -479,7 +487,7 @@
                 is_reused
                 and may_repeat
                 and left_s > 0
-                and not isinstance(exc, NON_CRASH_ERRORS)
+                and not isinstance(exc, NO_REPEAT_ERRORS)
             ):
                 self._idle.pop(server, None)
                 try:
@@ -528,7 +536,9 @@
         self.opened += 1
         return conn
 
-    def _exchange(self, conn: connection.HTTPConnection, call: _Call) -> Answer:
+    def _exchange(
+        self, conn: connection.HTTPConnection, call: _Call, is_reused: bool
+    ) -> Answer:
         sock, attempt_id = conn.sock, call.attempt_id
         sent_at = self._clock()
         self.limiter.record_send(call.server, sent_at)
@@ -558,9 +568,12 @@
             sock.set_limits(self._clock, call.deadline_at, MAX_STRAY_BYTES)
             resp = _next_answer(resp, sock, call.method)
         if attempt_id and facts.attempt_id not in ("", attempt_id):
-            raise http.client.HTTPException(
+            raise UnidentifiedAnswerError(
                 f"the answer belongs to attempt {facts.attempt_id!r}"
             )
+        if attempt_id and not facts.attempt_id:
+            self._check_unidentified(sock, facts, is_reused)
+        sock.names_attempts = sock.names_attempts or bool(facts.attempt_id)
 
         now = self._clock()
         self.availability.record_answer(call.server, facts, now)
@@ -590,6 +603,28 @@
             self._buffered,
         )
 
+    def _check_unidentified(
+        self,
+        sock: bounded.BoundedSocket,
+        facts: requests.AnswerFacts,
+        is_reused: bool,
+    ) -> None:
+        """Checks an answer that names no attempt.
+
+        On a reused connection it may be a late copy of an earlier answer. A
+        copy of a refusal would state that a request has not run which the
+        server runs.
+
+        Raises:
+            UnidentifiedAnswerError: It cannot be attributed to the request.
+        """
+        if sock.names_attempts or (is_reused and facts.has_not_run):
+            self.stray_answers += 1
+            raise UnidentifiedAnswerError(
+                "the answer names no attempt and may be that of an earlier"
+                " request"
+            )
+
     def _keep_idle(
         self,
         server: tuple[str, str],
--- a/tests/backends/test_connections.py
+++ b/tests/backends/test_connections.py
@@ -132,6 +132,45 @@
         server = ScriptedServer(send_and_end(head + b"half"))
         self.assertRaises(backends.CallOutcomeUnknownError, self.fetch, server)
 
+    def test_answer_that_ends_anywhere_in_head_or_chunks_is_an_error(self):
+        """Guards against the end of a connection taken for that of a head.
+
+        Chunk sizes and trailers that end early looked complete as well.
+        """
+        text = (
+            HEAD % b"a" + b"Transfer-Encoding: chunked\r\n\r\n"
+            b"10\r\n0123456789abcdef\r\n0\r\nX-Trailer: y\r\n\r\n"
+        )
+        for cut in range(1, len(text)):
+            server = ScriptedServer(send_and_end(text[:cut]))
+            exc = self.assertRaises(
+                backends.CallOutcomeUnknownError, self.fetch, server
+            )
+            self.assertTrue(exc.is_crash, (cut, exc))
+        server = ScriptedServer(send_and_end(text))
+        self.assertEqual(b"0123456789abcdef", self.fetch(server))
+
+    def test_late_refusal_without_an_attempt_is_not_believed(self):
+        """Guards against "not run" for a request that its server runs."""
+        refusal = (
+            b"HTTP/1.1 503 Busy\r\nSavoryspar-Not-Run: 1\r\n"
+            b"Content-Length: 0\r\n\r\n"
+        )
+        unnamed = b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n1"
+        for first, second in (
+            (refusal, refusal),
+            (unnamed, refusal),
+            (complete_answer(b"a", b"1"), refusal),
+            (complete_answer(b"a", b"1"), unnamed),
+        ):
+            server = ScriptedServer(send(first), send(second))
+            self.fetch(server, "a")
+            exc = self.assertRaises(
+                backends.CallOutcomeUnknownError, self.fetch, server, "b"
+            )
+            self.assertFalse(exc.is_crash, exc)
+            self.assertEqual(1, server.connections)
+
     def test_connection_is_reused_after_a_complete_answer(self):
         """Guards against a new connection for each request."""
         server = ScriptedServer(
