Cut streams that end inside an event or that an error would continue

Two faults of the end of a stream, both in the relay. A stream with neither length nor chunks that ended inside an event was passed on with half an event and the end of a complete stream; it is now broken off, and resumed where its route allows that. After a stream had begun and broke off, the text of the next engine's error entered the stream, which then ended as complete ('an error' between the events and the last chunk): a sealed text or a refusal with status 400 was relayed. Events of another engine must now continue after the last ID, and no reply is returned once a stream has begun.

--- a/savoryspar/backends/connections.py
+++ b/savoryspar/backends/connections.py
@@ -113,6 +113,7 @@
         "_buffered",
         "_clock",
         "_conn",
+        "_has_no_length",
         "_release",
         "_resp",
         "_sock",
@@ -146,6 +147,7 @@
         self._conn = conn
         self._sock = sock
         self._resp = resp
+        self._has_no_length = resp.length is None
         self._release = release
 
     @property
@@ -156,6 +158,11 @@
         """
         return None if self._resp.chunked else self._resp.length
 
+    @property
+    def ends_with_connection(self) -> bool:
+        """Whether the body has neither a length nor chunks."""
+        return not self._resp.chunked and self._has_no_length
+
     def read_part(self, until: float) -> bytes:
         """Waits for a part of the body; empty after the last one.
 
--- a/savoryspar/gateway/streams.py
+++ b/savoryspar/gateway/streams.py
@@ -151,7 +151,9 @@
         while True:
             placement = self._choose()
             outcome, reply, has_not_run, cause = self._try_engine(placement)
-            if outcome is routing.Outcome.OK:
+            if outcome is routing.Outcome.OK and (
+                reply is None or not self._is_started
+            ):
                 return reply
             if outcome is routing.Outcome.CRASHED:
                 self._attempts.report_crash(placement, clock())
@@ -328,20 +330,43 @@
                 forwarder._stage_runner.free(self._chain.reset())
             self._send_head(answer)
             self._write(complete)
+        self._check_end(answer)
         self._send_head(answer)
         if self._splitter.remainder:
             self._write(self._splitter.remainder)
         self._write(b"")
 
+    def _check_end(self, answer: backends.Answer) -> None:
+        """Checks that a stream did not end inside an event.
+
+        The rest after the last event is passed on only if the length or the
+        chunks of the body show that it is whole, and no other engine has sent
+        a part of the stream.
+
+        Raises:
+            CallOutcomeUnknownError: The stream broke off.
+        """
+        if self._splitter.remainder and (
+            answer.ends_with_connection or self._splitter.is_resumed
+        ):
+            raise backends.CallOutcomeUnknownError(
+                answer.server,
+                "the stream ended inside an event",
+                "the answer is incomplete; check the backend server",
+                has_sent=True,
+                is_crash=True,
+            )
+
     def _split(self, answer: backends.Answer, data: bytes) -> bytes:
         """Returns the events that are complete with the new data.
 
         Raises:
-            CallOutcomeUnknownError: An event is too long.
+            CallOutcomeUnknownError: An event is too long, or does not continue
+                the stream.
         """
         try:
             return self._splitter.feed(data)
-        except events.EventTooLongError as exc:
+        except events.EventError as exc:
             answer.close()
             raise backends.CallOutcomeUnknownError(
                 answer.server,
--- a/tests/gateway/crashing_engines.py
+++ b/tests/gateway/crashing_engines.py
@@ -66,7 +66,7 @@
     def _serve(self, conn):
         self._conns.add(conn)
         with contextlib.suppress(OSError, ValueError, EOFError):
-            while fields := _read_request(conn):
+            while fields := read_request(conn):
                 self._answer(conn, fields)
         self._conns.discard(conn)
         conn.close()
@@ -94,7 +94,7 @@
         conn.sendall(b"0\r\n\r\n")
 
 
-def _read_request(conn):
+def read_request(conn):
     """Returns the header fields of the next request, empty at the end."""
     data = b""
     while b"\r\n\r\n" not in data:
