Tell the parts of a request apart that a trial leaves in question

Found by the new property-based test of the search: the crash of a trial was charged to the suspected parts only, although a part of the request that was never seen to run sound may have caused it, so that an innocent part could be blocked. Such parts now stay in question. Parts are blocked only after crashes of two servers, or three of one, because a server that breaks connections for reasons of its own must not block what it ran; the trial avoids the servers of the earlier crashes.

--- a/savoryspar/backends/connections.py
+++ b/savoryspar/backends/connections.py
@@ -74,8 +74,13 @@
 
 NO_REPEAT_ERRORS = (TimeoutError, bounded.TooManyBytesError)
 """Errors after which a request is not sent again on a new connection."""
-NON_CRASH_ERRORS = (*NO_REPEAT_ERRORS, UnidentifiedAnswerError)
-"""Errors that do not suggest that the request crashed the server."""
+CRASH_ERRORS = (
+    ConnectionError,
+    http.client.IncompleteRead,
+    strict.TruncatedLineError,
+)
+"""Errors that suggest that the request crashed the server: the connection was
+lost. A server that answers something else still runs."""
 
 
 def keepalive_options(user_timeout_ms: int) -> tuple[tuple[int, int, int], ...]:
@@ -187,7 +192,7 @@
                 f"reading the answer failed: {exc!r}",
                 "the answer is incomplete; check the backend server",
                 has_sent=True,
-                is_crash=not isinstance(exc, NON_CRASH_ERRORS),
+                is_crash=isinstance(exc, CRASH_ERRORS),
             ) from exc
         if data:
             return data
@@ -507,7 +512,7 @@
                 f"no answer: {cause!r}",
                 "the request may have run; check the server",
                 has_sent=True,
-                is_crash=not isinstance(exc, NON_CRASH_ERRORS)
+                is_crash=isinstance(exc, CRASH_ERRORS)
                 and not isinstance(cause, exceptions.RateLimitedError),
             ) from cause
         except BaseException:
--- a/savoryspar/blame/model.py
+++ b/savoryspar/blame/model.py
@@ -47,7 +47,7 @@
         report_id: Unique ID.
         server: Name of the server.
         version: Versions of its software and models.
-        work: The request. For a trial, only its suspected parts.
+        work: The request. For a trial, only the parts in question.
         at: When the connection broke; monotonic seconds of this process.
         is_trial: Whether the request ran alone as a suspect.
         source: Incarnation of the VM that ran the request.
@@ -90,7 +90,8 @@
 
     Attributes:
         verdict: The verdict.
-        parts: Parts that it is based on, empty if it is the whole request.
+        parts: Parts that are blamed, empty if it is the whole request. For a
+            suspect, all parts that a crash would leave in question.
         reports: Crashes that it is based on.
     """
 
--- a/savoryspar/blame/table.py
+++ b/savoryspar/blame/table.py
@@ -5,9 +5,12 @@
 server of the same version: of the parts on a server that one part crashed, the
 innocent ones run sound elsewhere. A part that was never seen to run sound is a
 suspect after one crash, one that was after two without a sound run in between.
+Crashes of different servers count, because one server may break connections
+for reasons of its own; a third crash of the same server counts as well.
 
-A suspect runs alone. If its server crashes all the same, one of its suspected
-parts is guilty, and requests that have all of them are blocked. Two different
+A request with a suspect runs alone. If its server crashes all the same, one of
+its parts that are suspected or were never seen to run sound is guilty, and
+requests that have all of these are blocked. Two different
 requests must have crashed servers for this; with only one, the request itself
 may be at fault, and it alone is blocked.
 """
@@ -32,6 +35,11 @@
 """Crashes that block a request when no part explains them."""
 MIN_REQUESTS = 2
 """Different requests that must have crashed servers to block a part."""
+MIN_SERVERS = 2
+"""Servers that must have crashed to block a part."""
+MIN_SAME_SERVER_CRASHES = 3
+"""Crashes that suffice instead if they are of one server; a pool may have no
+other."""
 MAX_REPORTS = 512
 MAX_REPORTS_PER_WORKSPACE = 64
 MAX_SOUND = 8192
@@ -185,9 +193,10 @@
         }
         if not charges:
             return model.Finding(model.Verdict.CLEAR)
+        unknown = (p for p in work.parts if (p, version) not in self._sound)
         finding = model.Finding(
             model.Verdict.SUSPECT,
-            frozenset(charges),
+            frozenset(charges).union(unknown),
             itertools.chain.from_iterable(charges.values()),
         )
         _mark_used(finding.reports, now)
@@ -307,7 +316,8 @@
             for report in self._by_part[next(iter(parts))]
             if parts <= report.work.parts
         ]
-        if len({r.work.fingerprint for r in reports}) < MIN_REQUESTS:
+        requests = {report.work.fingerprint for report in reports}
+        if len(requests) < MIN_REQUESTS or not _is_repeated(reports):
             return None
         trials = sum(1 for _ in _crashes(r for r in reports if r.is_trial))
         return _Guilt(
@@ -356,9 +366,8 @@
             )
             and not self._is_explained(report, frozenset({part}), now)
         ]
-        needed = 1 if sound_at is None else 2
-        crashes = sum(1 for _ in _crashes(charged))
-        return charged if crashes >= needed else []
+        is_suspect = sound_at is None or _is_repeated(charged)
+        return charged if is_suspect else []
 
     def _same_crash(
         self, report: model.CrashReport
@@ -389,6 +398,15 @@
         )
 
 
+def _is_repeated(reports: Iterable[model.CrashReport]) -> bool:
+    """Returns whether the crashes cannot be the fault of one server."""
+    crashes = [*_crashes(reports)]
+    return (
+        len({report.server for report in crashes}) >= MIN_SERVERS
+        or len(crashes) >= MIN_SAME_SERVER_CRASHES
+    )
+
+
 def _mark_used(reports: Iterable[model.CrashReport], now: float) -> None:
     for report in reports:
         report.used_at = now
--- a/savoryspar/gateway/attempts.py
+++ b/savoryspar/gateway/attempts.py
@@ -162,7 +162,8 @@
             if found.verdict is blame.Verdict.CLEAR:
                 return self._place(zone, avoided, self._clock())
             call = self._new_call(avoided)
-            placement = self._blame.trials.begin(call, self._clock())
+            crashed = {report.server for report in found.reports}
+            placement = self._blame.trials.begin(call, crashed, self._clock())
             if placement is not None:
                 self._suspected = found.parts
                 return self._with_permit(placement)
--- a/savoryspar/gateway/trials.py
+++ b/savoryspar/gateway/trials.py
@@ -7,6 +7,7 @@
 trials.
 """
 
+from collections.abc import Iterable
 import itertools
 from typing import Any
 
@@ -76,11 +77,15 @@
         members.handle(ANSWER_START_KIND, self._serve_answer_start)
         members.handle(FINISH_KIND, self._serve_finish)
 
-    def begin(self, call: routing.Call, now: float) -> placing.Placement | None:
+    def begin(
+        self, call: routing.Call, crashed: Iterable[str], now: float
+    ) -> placing.Placement | None:
         """Chooses the server of a trial.
 
         Args:
             call: The call that must run alone.
+            crashed: Servers of the crashes that make it a suspect. Another one
+                is used if there is one, which may show that they are to blame.
             now: Monotonic time in seconds.
 
         Returns:
@@ -97,6 +102,7 @@
             call.model,
             call.prompt_tokens,
             sorted(call.excluded),
+            sorted(crashed),
         ]
         owner, reply = self._ask(call.pool, body, now)
         if reply["is_busy"]:
@@ -198,7 +204,16 @@
             )
 
     def _serve_begin(self, sender: str, body: Any) -> dict[str, Any]:
-        pool, request_id, workspace, rank, model_name, tokens, excluded = body
+        (
+            pool,
+            request_id,
+            workspace,
+            rank,
+            model_name,
+            tokens,
+            excluded,
+            crashed,
+        ) = body
         now = self._clock()
         self._expire(now)
         lane = self._lanes.setdefault(pool, blame.new_trial_lane())
@@ -218,7 +233,7 @@
         )
         try:
             call.server = self._router.quietest(
-                pool, zones, call.excluded, now
+                pool, zones, call.excluded, frozenset(crashed), now
             ).name
             choice = self._router.choose(call, now)
         except routing.NoServerError as exc:
--- a/savoryspar/routing/router.py
+++ b/savoryspar/routing/router.py
@@ -208,6 +208,7 @@
         pool: str,
         zones: Sequence[str],
         excluded: frozenset[str],
+        avoided: frozenset[str],
         now: float,
     ) -> backends.Server:
         """Returns the server with the least load that may run a trial.
@@ -219,6 +220,7 @@
             pool: Pool of the server.
             zones: Availability zones in the order of preference.
             excluded: Names of servers that must not run it.
+            avoided: Names of servers that run it only if there is no other.
             now: Monotonic time in seconds.
 
         Raises:
@@ -240,6 +242,7 @@
         return min(
             usable,
             key=lambda s: (
+                s.server.name in avoided,
                 order.get(s.server.zone, len(order)),
                 s.health.is_out,
                 s.load(now),
