--- a/savoryspar/bench/catalog.py
+++ b/savoryspar/bench/catalog.py
@@ -4,6 +4,7 @@
 
 from savoryspar.bench import results
 from savoryspar.bench.scenarios import (
+    crashing_parts,
     decisions,
     membership,
     orders,
@@ -38,6 +39,7 @@
     "regions": routing.regions,
     "retries": routing.retries,
     "crashing": routing.crashing,
+    "crashing-parts": crashing_parts.crashing_parts,
     "leaving": routing.leaving,
     "ejection": routing.ejection,
     "limits": routing.limits,
