--- a/savoryspar/bench/blame_fleet.py
+++ b/savoryspar/bench/blame_fleet.py
@@ -198,7 +198,7 @@
         if stream not in engine.streams:
             return
         engine.streams.remove(stream)
-        self._end_trial(stream)
+        self._end_trial(stream, False, now)
         vm = stream.vm
         if not vm.is_running:
             return
@@ -220,7 +220,7 @@
         name, engine.name = engine.name, f"e{next(self._numbers)}"
         engine.up_at = now + DOWN_S
         for stream in streams:
-            self._end_trial(stream)
+            self._end_trial(stream, True, now)
             if stream.vm.is_running:
                 self._report(stream, name, now)
 
@@ -250,10 +250,12 @@
             self.schedule(now + LATENCY_S, lambda at, to=peer: record(to))
             self._copy(peer, stream.vm, now, work.parts)
 
-    def _end_trial(self, stream: _Stream) -> None:
+    def _end_trial(
+        self, stream: _Stream, has_crashed: bool, now: float
+    ) -> None:
         lane = self._lanes.get(stream.vm.side)
         if lane is not None:
-            lane.end(stream.work.fingerprint)
+            lane.end(stream.work.fingerprint, has_crashed, now)
 
     def _compare(self, ends_at: float, now: float) -> None:
         """Lets each VM exchange its records with a peer."""
--- a/savoryspar/blame/lane.py
+++ b/savoryspar/blame/lane.py
@@ -5,6 +5,9 @@
 SETTLE_S = 0.5
 """Time after the first event of a trial's answer from which the next trial may
 begin: a part that crashes servers does so when they begin to answer."""
+CRASH_HOLD_S = 0.3
+"""Time after the crash of a trial until the next one may begin; the report of
+the crash reaches the other VMs in this time and may decide on them."""
 TRIAL_TTL_S = 5.0
 """Time after which a trial whose VM reports nothing no longer blocks others."""
 
@@ -47,11 +50,11 @@
         self._ends_at = min(self._ends_at, now + SETTLE_S)
         return self._ends_at
 
-    def end(self, holder: object) -> None:
+    def end(self, holder: object, has_crashed: bool, now: float) -> None:
         """Ends a trial; that of another holder goes on."""
         if holder == self._holder:
             self._holder = None
-            self._ends_at = -math.inf
+            self._ends_at = now + CRASH_HOLD_S if has_crashed else now
 
 
 def new_trial_lane() -> TrialLane:
--- a/savoryspar/gateway/attempts.py
+++ b/savoryspar/gateway/attempts.py
@@ -37,11 +37,11 @@
         "_clock",
         "_events",
         "_excluded",
+        "_in_question",
         "_job",
         "_placer",
         "_refused",
         "_router",
-        "_suspected",
         "_work",
     )
 
@@ -60,9 +60,9 @@
         self._blame = crash_blame
         self._events = events
         self._clock = clock
-        # Suspected parts for which the last server was chosen, None if the
-        # request did not run alone.
-        self._suspected: frozenset[str] | None = None
+        # Parts that a crash of the last server would leave in question; None
+        # if the request did not run alone there.
+        self._in_question: frozenset[str] | None = None
         self._work = blame.new_work(
             job.fingerprint,
             job.workspace,
@@ -158,14 +158,14 @@
         )
         while True:
             found, avoided = self._assess(now)
-            self._suspected = None
+            self._in_question = None
             if found.verdict is blame.Verdict.CLEAR:
                 return self._place(zone, avoided, self._clock())
             call = self._new_call(avoided)
             crashed = {report.server for report in found.reports}
             placement = self._blame.trials.begin(call, crashed, self._clock())
             if placement is not None:
-                self._suspected = found.parts
+                self._in_question = found.parts
                 return self._with_permit(placement)
             if now >= until:
                 raise model.refusal(
@@ -336,7 +336,7 @@
             self._work,
             placement.server.name,
             placement.server.version,
-            self._suspected,
+            self._in_question,
             now,
         )
 
--- a/savoryspar/gateway/blaming.py
+++ b/savoryspar/gateway/blaming.py
@@ -157,7 +157,7 @@
         work: blame.Work,
         server: str,
         version: str,
-        suspected: frozenset[str] | None,
+        in_question: frozenset[str] | None,
         now: float,
     ) -> None:
         """Records the crash of a server, and tells the peers.
@@ -166,12 +166,12 @@
             work: A request that was on the server.
             server: Name of the server.
             version: Its version.
-            suspected: The suspected parts of a request that ran alone, None
+            in_question: Parts in question of a request that ran alone, None
                 for another request.
             now: Monotonic time in seconds.
         """
-        if suspected is not None:
-            work = blame.Work(work.fingerprint, work.workspace, suspected)
+        if in_question is not None:
+            work = blame.Work(work.fingerprint, work.workspace, in_question)
         own = self._members.incarnation
         report = blame.CrashReport(
             f"{own}-{next(self._numbers)}",
@@ -179,7 +179,7 @@
             version,
             work,
             now,
-            suspected is not None,
+            in_question is not None,
             own,
         )
         self.table.record_crash(report, now)
--- a/savoryspar/gateway/placing.py
+++ b/savoryspar/gateway/placing.py
@@ -297,14 +297,8 @@
             self._notify(placer.incarnation, kind, [number, *values])
 
         now = self._clock()
-        entry = self._server_registry.find(name)
-        server = backends.Server(
-            name,
-            address,
-            region,
-            zone,
-            call.pool,
-            entry.version if entry else "",
+        server = placed_server(
+            self._server_registry, name, address, region, zone, call.pool
         )
         availability = self._router.availability
         if self._server_registry.is_leaving(name) or not availability.may_send(
@@ -416,6 +410,21 @@
 Placer = LocalPlacer | FleetPlacer
 
 
+def placed_server(
+    server_registry: fleet.ServerRegistry,
+    name: str,
+    address: str,
+    region: str,
+    zone: str,
+    pool: str,
+) -> backends.Server:
+    """Returns a server that a peer chose, with the version of its entry."""
+    entry = server_registry.find(name)
+    return backends.Server(
+        name, address, region, zone, pool, entry.version if entry else ""
+    )
+
+
 def place_locally(
     router: routing.Router, call: routing.Call, now: float
 ) -> Placement:
--- a/savoryspar/gateway/trials.py
+++ b/savoryspar/gateway/trials.py
@@ -11,7 +11,7 @@
 import itertools
 from typing import Any
 
-from savoryspar import backends, blame, fleet, log, membership, routing, stages
+from savoryspar import blame, fleet, log, membership, routing, stages
 from savoryspar.gateway import model, placing
 
 BEGIN_KIND = "trial_begin"
@@ -123,14 +123,8 @@
         def notify(kind: str, values: list) -> None:
             self._notify(owner, KINDS[kind], [number, *values])
 
-        entry = self._server_registry.find(name)
-        server = backends.Server(
-            name,
-            address,
-            region,
-            zone,
-            call.pool,
-            entry.version if entry else "",
+        server = placing.placed_server(
+            self._server_registry, name, address, region, zone, call.pool
         )
         placement = placing.Placement(
             server, owner, "trial", self._router, None, notify
@@ -295,7 +289,7 @@
         choice = self._open_choices.pop(holder)
         lane = self._lanes[choice.call.pool]
         if lane.is_held_by(holder):
-            lane.end(holder)
+            lane.end(holder, outcome is routing.Outcome.CRASHED, now)
             self._router.reserve(choice, now, now)
         self._router.observe(choice, outcome, load, now)
         self._events.state_change(
--- a/tests/blame/test_lane.py
+++ b/tests/blame/test_lane.py
@@ -12,11 +12,19 @@
         trials = blame.new_trial_lane()
         trials.begin("a", 1.0)
         self.assertFalse(trials.is_free(1.1))
-        trials.end("b")
+        trials.end("b", False, 1.2)
         self.assertFalse(trials.is_free(1.2))
-        trials.end("a")
+        trials.end("a", False, 1.3)
         self.assertTrue(trials.is_free(1.3))
 
+    def test_next_trial_waits_for_the_report_of_a_crash(self):
+        """Guards against a trial that begins before its VM knows better."""
+        trials = blame.new_trial_lane()
+        trials.begin("a", 1.0)
+        trials.end("a", True, 1.1)
+        self.assertFalse(trials.is_free(1.1 + lane.CRASH_HOLD_S / 2))
+        self.assertTrue(trials.is_free(1.1 + lane.CRASH_HOLD_S))
+
     def test_next_trial_begins_soon_after_the_first_event(self):
         """Guards against sound suspects that wait for whole answers."""
         trials = blame.new_trial_lane()
