--- a/savoryspar/soak/runs.py
+++ b/savoryspar/soak/runs.py
@@ -63,7 +63,7 @@
     ]
     for server in servers:
         fault_injector.publish_server(store, server)
-    ports = _free_ports(4 * VMS)
+    ports = free_ports(4 * VMS)
     fleet_vms = [
         vms.EntryVm(n, folder, store.address, ports) for n in range(VMS)
     ]
@@ -139,7 +139,7 @@
     ]
 
 
-def _free_ports(count: int) -> list[int]:
+def free_ports(count: int) -> list[int]:
     """Returns unused TCP ports outside the range of outgoing connections.
 
     The ports of a killed VM are free until it starts again, and an outgoing
--- a/tests/gateway/node_case.py
+++ b/tests/gateway/node_case.py
@@ -12,6 +12,8 @@
 from eventlet import wsgi
 import testtools
 
+from savoryspar.soak import runs
+
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 LARGE_BYTES = 3_000_000
 """Size of an answer that is too large for a VM to buffer."""
@@ -165,13 +167,6 @@
     return server.partition("-")[0]
 
 
-def free_port():
-    sock = eventlet.listen(("127.0.0.1", 0))
-    port = sock.getsockname()[1]
-    sock.close()
-    return port
-
-
 class NodeCase(testtools.TestCase):
     """Starts entry VM processes before each test and kills them after.
 
@@ -190,11 +185,9 @@
     def setUp(self):
         super().setUp()
         self.platform = self.platform_class()
+        names = ("callers", "ready", "peers", "metrics")
         self.vm_ports = [
-            {
-                name: free_port()
-                for name in ("callers", "ready", "peers", "metrics")
-            }
+            dict(zip(names, runs.free_ports(len(names)), strict=True))
             for _ in range(self.vm_count)
         ]
         self.ports = self.vm_ports[0]
