--- a/savoryspar/soak/runs.py
+++ b/savoryspar/soak/runs.py
@@ -1,9 +1,11 @@
 """Runs one soak: starts the fleet, injects faults, checks the answers."""
 
 import itertools
+import os
 import pathlib
 import random
 import signal
+import socket
 import time
 
 import eventlet
@@ -18,6 +20,9 @@
 """Time without faults at the end of a soak."""
 PORTS = range(20_000, 32_000)
 """Ports of VMs; Linux uses 32768 and above for outgoing connections."""
+SLICE = 200
+"""Ports that one process chooses from, so that tests side by side do not share
+ports."""
 RECOVERY_TIMEOUT_S = 5.0
 """Time after the last fault from which every VM must serve each route; stricter
 than the 12 s that the platform requires."""
@@ -145,13 +150,19 @@
     The ports of a killed VM are free until it starts again, and an outgoing
     connection of any process could take one of them.
     """
-    candidates = random.SystemRandom().sample(PORTS, len(PORTS))
+    start = PORTS.start + os.getpid() % (len(PORTS) // SLICE) * SLICE
+    candidates = random.SystemRandom().sample(
+        range(start, start + SLICE), SLICE
+    )
     return list(itertools.islice(filter(_is_free, candidates), count))
 
 
 def _is_free(port: int) -> bool:
+    # VMs share ports with SO_REUSEPORT, so a socket with it would not notice
+    # the VM of another process.
     try:
-        eventlet.listen(("127.0.0.1", port)).close()
+        with socket.socket() as sock:
+            sock.bind(("127.0.0.1", port))
     except OSError:
         return False
     return True
--- a/tests/gateway/node_case.py
+++ b/tests/gateway/node_case.py
@@ -186,9 +186,9 @@
         super().setUp()
         self.platform = self.platform_class()
         names = ("callers", "ready", "peers", "metrics")
+        free = iter(runs.free_ports(len(names) * self.vm_count))
         self.vm_ports = [
-            dict(zip(names, runs.free_ports(len(names)), strict=True))
-            for _ in range(self.vm_count)
+            {name: next(free) for name in names} for _ in range(self.vm_count)
         ]
         self.ports = self.vm_ports[0]
         folder = tempfile.TemporaryDirectory()
