Drop VMs that were unreachable long ago; remove two unused exports

Found on reading the change: the times of owners that did not answer were kept for each incarnation for ever.

--- a/savoryspar/blame/__init__.py
+++ b/savoryspar/blame/__init__.py
@@ -13,8 +13,6 @@
     new_work,
 )
 from savoryspar.blame.table import (
-    KEEP_S,
-    SAME_CRASH_S,
     CrashTable,
     new_crash_table,
 )
--- a/savoryspar/gateway/trials.py
+++ b/savoryspar/gateway/trials.py
@@ -162,7 +162,11 @@
             except (membership.PeerUnreachableError, TypeError) as exc:
                 cause = str(exc)
             now = self._clock()
-            self._unreachable_until[owner] = now + OWNER_BACKOFF_S
+            self._unreachable_until = {
+                n: until
+                for n, until in self._unreachable_until.items()
+                if until > now
+            } | {owner: now + OWNER_BACKOFF_S}
             self._events.state_change(
                 "trial owner lost", now, pool=pool, owner=owner, cause=cause
             )
