Log what a stopping VM serves, and each request that it cuts

A stop logged the number of running requests at its start and its end. It could not be told which requests were cut, whether they had been passed on, nor whether their callers got a response: a relayed response that breaks off at the end of the grace period has no line, because the process ends before its green thread runs again.

"stopping" and "stopped" now give the requests by kind with the greatest age, the connections and the gathered groups; "request cut" names each request that runs at the end; a refusal while draining states the time that is left. The state of a request that is being served moves to a module of its own.

--- a/savoryspar/gateway/app.py
+++ b/savoryspar/gateway/app.py
@@ -9,6 +9,7 @@
 
 from savoryspar import backends, fleet, http, log, platform
 from savoryspar.gateway import (
+    active,
     attempts,
     counters,
     model,
@@ -50,12 +51,12 @@
     """
 
     __slots__ = (
+        "_active",
         "_clock",
         "_counters",
         "_draining_since",
         "_ends_at",
         "_events",
-        "_heads",
         "_holder",
         "_plain",
         "_streams",
@@ -82,8 +83,8 @@
         self.is_stopping = False
         self._draining_since = 0.0
         self._ends_at = 0.0
-        # Response heads by green thread of the requests that are being served.
-        self._heads: dict[Any, _ResponseHead] = {}
+        # The requests that are being served, by green thread.
+        self._active: dict[Any, active.ActiveRequest] = {}
 
     def __call__(
         self, environ: dict[str, Any], start_response: StartResponse
@@ -93,55 +94,37 @@
         self.running += 1
         thread = eventlet.getcurrent()
         sock = environ["eventlet.input"].get_socket()
-        attempt_id, route = "", ""
-        job = None
-        head = self._heads[thread] = _ResponseHead(start_response)
+        req = self._active[thread] = active.ActiveRequest(
+            start_response, received_at
+        )
         try:
-            req = self._read_request(environ)
-            attempt_id = req.attempt_id
+            caller_req = self._read_request(environ)
+            req.attempt_id = caller_req.attempt_id
             with http.cancel_on_hangup(sock):
-                job = self._admit(req, received_at)
-                route = job.route.name
-                reply = self._forward(job, head.start)
+                req.job = self._admit(caller_req, received_at)
+                reply = self._forward(req.job, req.start)
             if reply is None:
-                self._record_answer(
-                    attempt_id, route, "stream complete", received_at
-                )
+                self._record_answer(req, "stream complete")
                 return []
-            self._record_answer(attempt_id, route, reply.status, received_at)
+            self._record_answer(req, reply.status)
             start_response(reply.status, reply.fields)
             return [reply.body]
         except (model.GatewayError, backends.BadRequestError) as exc:
-            if head.is_sent:
-                return self._abort_response(attempt_id, route, exc, received_at)
-            return self._answer_failure(
-                _to_gateway_error(exc, job),
-                attempt_id,
-                route,
-                received_at,
-                start_response,
-            )
+            if req.is_head_sent:
+                return self._abort_response(req, exc)
+            failure = _to_gateway_error(exc, req.job)
+            return self._answer_failure(req, failure, start_response)
         except model.BrokenStreamError as exc:
-            return self._abort_response(attempt_id, route, exc, received_at)
+            return self._abort_response(req, exc)
         except (http.CallerGoneError, OSError) as exc:
-            self._record_failure(
-                attempt_id, route, "caller_gone", repr(exc), received_at
-            )
+            self._record_failure(req, "caller_gone", repr(exc))
             wsgi.WSGI_LOCAL.already_handled = True
             return []
         except GraceEndedError:
-            failure = _grace_ended_error()
-            if head.is_sent:
-                return self._abort_response(
-                    attempt_id, route, failure, received_at
-                )
-            return self._answer_failure(
-                _to_gateway_error(failure, job),
-                attempt_id,
-                route,
-                received_at,
-                start_response,
-            )
+            failure = _to_gateway_error(_grace_ended_error(), req.job)
+            if req.is_head_sent:
+                return self._abort_response(req, failure)
+            return self._answer_failure(req, failure, start_response)
         except Exception as exc:
             # Left to the WSGI server, the 500 would not appear in the log.
             failure = model.GatewayError(
@@ -151,36 +134,47 @@
                 "check the log of this entry VM",
                 is_closing=True,
             )
-            if head.is_sent:
-                return self._abort_response(
-                    attempt_id, route, failure, received_at
-                )
-            return self._answer_failure(
-                failure, attempt_id, route, received_at, start_response
-            )
+            if req.is_head_sent:
+                return self._abort_response(req, failure)
+            return self._answer_failure(req, failure, start_response)
         finally:
             self.running -= 1
-            del self._heads[thread]
+            del self._active[thread]
+
+    def running_by_kind(self, now: float) -> dict[str, dict[str, float]]:
+        """Returns the number and the greatest age of the requests by kind."""
+        return active.describe(self._active.values(), now)
 
-    def end_requests(self) -> None:
+    def end_requests(self, now: float) -> None:
         """Answers the requests without a response with an error.
 
         The process is about to end, which would close their connections.
+
+        Args:
+            now: Monotonic time in seconds.
         """
-        for thread, head in [*self._heads.items()]:
-            if not head.is_sent:
+        for thread, req in [*self._active.items()]:
+            self._events.failure(
+                "request cut",
+                now,
+                req.attempt_id,
+                route=req.route,
+                kind=req.kind,
+                age_s=round(now - req.received_at, 3),
+                is_head_sent=req.is_head_sent,
+                may_have_run=req.may_have_run,
+            )
+            if not req.is_head_sent:
                 eventlet.kill(thread, GraceEndedError())
 
     def _abort_response(
-        self, attempt_id: str, route: str, exc: Exception, received_at: float
+        self, req: active.ActiveRequest, exc: Exception
     ) -> Iterable[bytes]:
         """Closes the connection without terminating the body.
 
         A truncated response must not look complete to the caller.
         """
-        self._record_failure(
-            attempt_id, route, "stream_broken", str(exc), received_at
-        )
+        self._record_failure(req, "stream_broken", str(exc))
         wsgi.WSGI_LOCAL.already_handled = True
         return []
 
@@ -245,7 +239,10 @@
             )
         if self._must_refuse_while_draining(route, now):
             raise model.refusal(
-                "stopping", "this entry VM is shutting down", STOPPING_RETRY_S
+                "stopping",
+                f"this entry VM is shutting down; a {route.kind.value} request"
+                f" may take longer than the {self._ends_at - now:.1f} s left",
+                STOPPING_RETRY_S,
             )
         workspace = self._authenticate(current, route, req.key)
         timeout_s = route.timeout_s or DEFAULT_DEADLINE_S
@@ -296,20 +293,11 @@
 
     def _answer_failure(
         self,
+        req: active.ActiveRequest,
         exc: model.GatewayError,
-        attempt_id: str,
-        route: str,
-        received_at: float,
         start_response: StartResponse,
     ) -> Iterable[bytes]:
-        self._record_failure(
-            attempt_id,
-            route,
-            exc.reason,
-            str(exc),
-            received_at,
-            exc.retry_after_s,
-        )
+        self._record_failure(req, exc.reason, str(exc), exc.retry_after_s)
         fields = [("Content-Type", "text/plain; charset=utf-8")]
         if exc.retry_after_s is not None:
             fields.append(("Retry-After", f"{exc.retry_after_s:.2f}"))
@@ -318,40 +306,36 @@
         start_response(exc.status, fields)
         return [f"{exc}\n".encode()]
 
-    def _record_answer(
-        self, attempt_id: str, route: str, outcome: str, received_at: float
-    ) -> None:
+    def _record_answer(self, req: active.ActiveRequest, outcome: str) -> None:
         now = self._clock()
-        self._counters.count(route, outcome, now - received_at)
+        self._counters.count(req.route, outcome, now - req.received_at)
         self._events.decision(
             "request answered",
             now,
-            attempt_id,
-            route=route,
+            req.attempt_id,
+            route=req.route,
             outcome=outcome,
-            took_s=round(now - received_at, 3),
+            took_s=round(now - req.received_at, 3),
         )
 
     def _record_failure(
         self,
-        attempt_id: str,
-        route: str,
+        req: active.ActiveRequest,
         reason: str,
         cause: str,
-        received_at: float,
         retry_after_s: float | None = None,
     ) -> None:
         now = self._clock()
-        self._counters.count(route, reason, now - received_at)
+        self._counters.count(req.route, reason, now - req.received_at)
         self._events.failure(
             "request failed",
             now,
-            attempt_id,
-            route=route,
+            req.attempt_id,
+            route=req.route,
             reason=reason,
             cause=cause,
             retry_after_s=retry_after_s,
-            took_s=round(now - received_at, 3),
+            took_s=round(now - req.received_at, 3),
         )
 
 
@@ -390,23 +374,6 @@
     return error
 
 
-class _ResponseHead:
-    """Wraps ``start_response`` and records whether it was called."""
-
-    __slots__ = ("_start_response", "is_sent")
-
-    def __init__(self, start_response: StartResponse):
-        self._start_response = start_response
-        self.is_sent = False
-
-    def start(
-        self, status: str, fields: list[tuple[str, str]]
-    ) -> Callable[[bytes], Any]:
-        """Sends the status and headers as ``start_response`` does."""
-        self.is_sent = True
-        return self._start_response(status, fields)
-
-
 def _check_header_size(
     fields: Iterable[tuple[str, str]], max_bytes: int
 ) -> None:
--- a/savoryspar/gateway/node.py
+++ b/savoryspar/gateway/node.py
@@ -220,7 +220,14 @@
         now = self._clock()
         ends_at = now + self._cfg.gateway.grace_s - STOP_MARGIN_S
         self._app.start_draining(now, ends_at)
-        self._events.state_change("stopping", now, running=self._app.running)
+        self._events.state_change(
+            "stopping",
+            now,
+            running=self._app.running_by_kind(now),
+            connections=self._server.connections,
+            gathered=self._gatherers.unfinished(),
+            ends_in_s=round(ends_at - now, 3),
+        )
         self._members.leave(now)
         self._server.drain()
         eventlet.sleep(BALANCER_NOTICE_S)
@@ -233,12 +240,20 @@
             eventlet.sleep(DRAIN_POLL_S)
         cut_off = self._app.running
         if cut_off:
-            self._app.end_requests()
+            self._app.end_requests(self._clock())
             eventlet.sleep(FINAL_ANSWERS_S)
         with eventlet.Timeout(max(0.0, ends_at - self._clock()), False):
             self._server.stop()
         self._members.stop(self._clock())
-        self._events.state_change("stopped", self._clock(), cut_off=cut_off)
+        self._events.state_change(
+            "stopped",
+            self._clock(),
+            cut_off=cut_off,
+            running=self._app.running_by_kind(self._clock()),
+            connections=self._server.connections,
+            gathered=self._gatherers.unfinished(),
+            took_s=round(self._clock() - now, 3),
+        )
 
     def unready_reason(self) -> str:
         """Returns why the process is not ready, or an empty string."""
--- a/savoryspar/log/catalog.py
+++ b/savoryspar/log/catalog.py
@@ -20,6 +20,7 @@
     "placer lost": "The VM that places requests for a zone did not answer.",
     "placer not told": "Reporting the outcome of a send to a placer failed.",
     "request admitted": "A request has a route, a workspace and a deadline.",
+    "request cut": "A request was still running at the end of a stop.",
     "request answered": "A complete answer was sent to the caller.",
     "request failed": "A request failed, was refused or was cancelled.",
     "results not freed": "Results stay on a stage server until they expire.",
