Log how a server's answer ended and who cut a response

"request answered" and "request failed" now have answer_end (length, last chunk, connection; cut, reset, timeout, malformed, closed here), and "request failed" has cut_by (server, caller, stop, vm) if the response had begun. The end is recorded where the bytes are read; nothing is counted or copied for it.

test_end_of_each_answer_is_told and test_cut_responses_are_logged_with_who_cut_them are new and failed before, as the fields were missing. A scripted answer in tests/gateway/test_streams.py gains the attribute "end".

--- a/savoryspar/backends/connections.py
+++ b/savoryspar/backends/connections.py
@@ -17,6 +17,7 @@
 from savoryspar.backends import (
     availability,
     bounded,
+    ends,
     exceptions,
     requests,
     strict,
@@ -112,6 +113,7 @@
         fields: Header fields as received.
         facts: Decoded head.
         is_complete: Whether the body was read to its end or the answer closed.
+        end: How the body ended, None before that.
     """
 
     __slots__ = (
@@ -122,6 +124,7 @@
         "_release",
         "_resp",
         "_sock",
+        "end",
         "facts",
         "fields",
         "is_complete",
@@ -149,6 +152,7 @@
         self.fields = resp.getheaders()
         self.facts = facts
         self.is_complete = False
+        self.end: ends.End | None = None
         self._conn = conn
         self._sock = sock
         self._resp = resp
@@ -186,27 +190,30 @@
             )
             data = self._resp.read1(READ_BYTES)
         except CONNECTION_ERRORS as exc:
-            self.close()
+            self._fail(ends.end_of_error(exc, self._sock.is_reset))
             raise exceptions.CallOutcomeUnknownError(
                 self.server,
                 f"reading the answer failed: {exc!r}",
                 "the answer is incomplete; check the backend server",
                 has_sent=True,
                 is_crash=isinstance(exc, CRASH_ERRORS),
+                end=self.end,
             ) from exc
         if data:
             return data
         missing = self._resp.length
         if missing or self._sock.is_reset:
-            self.close()
+            self._fail(ends.End.RESET if self._sock.is_reset else ends.End.CUT)
             raise exceptions.CallOutcomeUnknownError(
                 self.server,
                 f"the answer ended early: {missing} bytes are missing",
                 "the answer is incomplete; check the backend server",
                 has_sent=True,
                 is_crash=True,
+                end=self.end,
             )
         self.is_complete = True
+        self.end = self._complete_end()
         has_extra_bytes = self._has_extra_bytes()
         # http.client sends no further request on the connection until the
         # response is closed, even after its body was read to the end.
@@ -217,6 +224,19 @@
             self._release(self)
         return b""
 
+    def _fail(self, end: ends.End) -> None:
+        """Closes the connection of an answer that ended early."""
+        self.end = self.end or end
+        self.close()
+
+    def _complete_end(self) -> ends.End:
+        """Returns how a body ended that is complete."""
+        if self._resp.chunked:
+            return ends.End.LAST_CHUNK
+        if self._has_no_length:
+            return ends.End.CONNECTION
+        return ends.End.LENGTH
+
     def _has_extra_bytes(self) -> bool:
         """Returns whether bytes after the answer were received with it.
 
@@ -283,12 +303,14 @@
 
     def abort(self) -> None:
         """Makes a read by another green thread fail."""
+        self.end = self.end or ends.End.CLOSED_HERE
         self._sock.is_reset = True
         with contextlib.suppress(OSError):
             self._sock.shutdown(socket.SHUT_RDWR)
 
     def close(self) -> None:
         """Closes the connection, which cancels the request at the server."""
+        self.end = self.end or ends.End.CLOSED_HERE
         self.is_complete = True
         with contextlib.suppress(OSError):
             self._sock.shutdown(socket.SHUT_RDWR)
@@ -489,6 +511,8 @@
         if conn is None:
             left_s = call.deadline_at - self._clock()
             conn = self._open(server, min(CONNECT_TIMEOUT_S, left_s))
+        # http.client detaches the socket when the connection is to be closed.
+        sock = conn.sock
         try:
             return self._exchange(conn, call, is_reused)
         except CONNECTION_ERRORS as exc:
@@ -514,6 +538,7 @@
                 has_sent=True,
                 is_crash=isinstance(exc, CRASH_ERRORS)
                 and not isinstance(cause, exceptions.RateLimitedError),
+                end=ends.end_of_error(exc, is_reset=sock.is_reset),
             ) from cause
         except BaseException:
             # The caller disconnected; closing cancels the request at the
--- a/savoryspar/backends/exceptions.py
+++ b/savoryspar/backends/exceptions.py
@@ -11,6 +11,7 @@
         has_sent: Whether any byte of the call may have reached the server.
         is_crash: Whether the connection was lost while the call was running,
             which may mean that the call crashed the server.
+        end: How the answer ended, empty if there was none.
     """
 
     def __init__(
@@ -20,11 +21,13 @@
         remedy: str,
         has_sent: bool,
         is_crash: bool = False,
+        end: str = "",
     ):
         super().__init__(f"backend server {server}: {message}", remedy)
         self.server = server
         self.has_sent = has_sent
         self.is_crash = is_crash
+        self.end = end
 
 
 class CallRefusedError(BackendError):
--- a/savoryspar/backends/strict.py
+++ b/savoryspar/backends/strict.py
@@ -12,7 +12,7 @@
 from urllib3 import connection, connectionpool
 
 
-class TruncatedLineError(http.client.HTTPException):
+class TruncatedLineError(http.client.HTTPException, EOFError):
     """A connection ended in the middle of a line."""
 
 
--- a/savoryspar/gateway/app.py
+++ b/savoryspar/gateway/app.py
@@ -1,6 +1,7 @@
 """The WSGI application that serves callers on the users' platform."""
 
 from collections.abc import Callable, Iterable
+import functools
 from typing import Any
 import zlib
 
@@ -100,7 +101,7 @@
             req = self._read_request(environ)
             attempt_id = req.attempt_id
             with http.cancel_on_hangup(sock):
-                job = self._admit(req, received_at)
+                job = head.job = self._admit(req, received_at)
                 route = job.route.name
                 reply = self._forward(job, head.start)
             if reply is None:
@@ -125,7 +126,12 @@
             return self._abort_response(attempt_id, route, exc, received_at)
         except (http.CallerGoneError, OSError) as exc:
             self._record_failure(
-                attempt_id, route, "caller_gone", repr(exc), received_at
+                attempt_id,
+                route,
+                "caller_gone",
+                repr(exc),
+                received_at,
+                cut_by="caller" if head.is_sent else None,
             )
             wsgi.WSGI_LOCAL.already_handled = True
             return []
@@ -179,7 +185,12 @@
         A truncated response must not look complete to the caller.
         """
         self._record_failure(
-            attempt_id, route, "stream_broken", str(exc), received_at
+            attempt_id,
+            route,
+            "stream_broken",
+            str(exc),
+            received_at,
+            cut_by=_cut_by(exc),
         )
         wsgi.WSGI_LOCAL.already_handled = True
         return []
@@ -329,6 +340,7 @@
             attempt_id,
             route=route,
             outcome=outcome,
+            answer_end=self._answer_end(),
             took_s=round(now - received_at, 3),
         )
 
@@ -340,6 +352,7 @@
         cause: str,
         received_at: float,
         retry_after_s: float | None = None,
+        cut_by: str | None = None,
     ) -> None:
         now = self._clock()
         self._counters.count(route, reason, now - received_at)
@@ -351,9 +364,16 @@
             reason=reason,
             cause=cause,
             retry_after_s=retry_after_s,
+            answer_end=self._answer_end(),
+            cut_by=cut_by,
             took_s=round(now - received_at, 3),
         )
 
+    def _answer_end(self) -> str:
+        """Returns how the last server's answer of this request ended."""
+        job = self._heads[eventlet.getcurrent()].job
+        return job.answer_end if job is not None else ""
+
 
 def _to_gateway_error(
     exc: model.GatewayError | backends.BadRequestError, job: model.Job | None
@@ -390,14 +410,38 @@
     return error
 
 
+@functools.singledispatch
+def _cut_by(exc: Exception) -> str:
+    """Returns who ended a response after its head: this VM, or a server."""
+    del exc
+    return "vm"
+
+
+@_cut_by.register
+def _(exc: model.BrokenStreamError) -> str:
+    del exc
+    return "server"
+
+
+@_cut_by.register
+def _(exc: model.GatewayError) -> str:
+    return "stop" if exc.reason == "stopping" else "vm"
+
+
 class _ResponseHead:
-    """Wraps ``start_response`` and records whether it was called."""
+    """Wraps ``start_response`` and records whether it was called.
+
+    Attributes:
+        is_sent: Whether it was called.
+        job: The request, None until it is admitted.
+    """
 
-    __slots__ = ("_start_response", "is_sent")
+    __slots__ = ("_start_response", "is_sent", "job")
 
     def __init__(self, start_response: StartResponse):
         self._start_response = start_response
         self.is_sent = False
+        self.job: model.Job | None = None
 
     def start(
         self, status: str, fields: list[tuple[str, str]]
--- a/savoryspar/gateway/model.py
+++ b/savoryspar/gateway/model.py
@@ -30,10 +30,12 @@
         fingerprint: Digest that is equal for requests with the same work.
         sends: Number of sends after which the request may have run.
         is_sending: Whether a send has begun whose outcome is not known yet.
+        answer_end: How the last answer of a server ended, empty without one.
     """
 
     __slots__ = (
         "abandon_at",
+        "answer_end",
         "deadline_at",
         "fingerprint",
         "is_sending",
@@ -73,6 +75,7 @@
         self.fingerprint = fingerprint
         self.sends = 0
         self.is_sending = False
+        self.answer_end = ""
         self.abandon_at = deadline_at
         if route.kind is fleet.RouteKind.STREAM:
             self.abandon_at = min(
--- a/savoryspar/gateway/plain.py
+++ b/savoryspar/gateway/plain.py
@@ -87,7 +87,7 @@
         """
         reply, has_not_run, cause = None, False, ""
         outcome = routing.Outcome.CANCELLED
-        facts = None
+        answer, facts = None, None
         try:
             answer = self._send(job, placement)
             facts = answer.facts
@@ -102,11 +102,14 @@
             outcome = attempts.refused_outcome(exc)
         except backends.CallOutcomeUnknownError as exc:
             cause = str(exc)
+            job.answer_end = exc.end
             job.sends += 1
             outcome = routing.Outcome.FAILED
             if exc.is_crash:
                 outcome = routing.Outcome.CRASHED
         finally:
+            if answer is not None:
+                job.answer_end = answer.end or ""
             placement.finish(outcome, facts, self._clock())
         job.is_sending = False
         return reply, outcome, has_not_run, cause
--- a/savoryspar/gateway/streams.py
+++ b/savoryspar/gateway/streams.py
@@ -249,18 +249,29 @@
             cause = str(exc)
         except backends.CallOutcomeUnknownError as exc:
             outcome, cause = routing.Outcome.FAILED, str(exc)
+            self._job.answer_end = exc.end
             if answer is None:
                 self._attempts.record_send()
             if exc.is_crash:
                 outcome = routing.Outcome.CRASHED
         finally:
-            if answer is not None and not answer.is_complete:
-                answer.close()
-            facts = answer.facts if answer is not None else None
-            placement.finish(outcome, facts, forwarder._clock())
+            self._finish_send(placement, answer, outcome)
         self._job.is_sending = False
         return outcome, reply, has_not_run, cause
 
+    def _finish_send(
+        self,
+        placement: placing.Placement,
+        answer: backends.Answer | None,
+        outcome: routing.Outcome,
+    ) -> None:
+        facts = None
+        if answer is not None:
+            if not answer.is_complete:
+                answer.close()
+            facts, self._job.answer_end = answer.facts, answer.end or ""
+        placement.finish(outcome, facts, self._forwarder._clock())
+
     def _send(self, placement: placing.Placement) -> backends.Answer:
         forwarder, job = self._forwarder, self._job
         now = forwarder._clock()
--- a/tests/backends/test_connections.py
+++ b/tests/backends/test_connections.py
@@ -150,6 +150,39 @@
         server = ScriptedServer(send_and_end(text))
         self.assertEqual(b"0123456789abcdef", self.fetch(server))
 
+    def test_end_of_each_answer_is_told(self):
+        """Guards against logs that leave open how an answer ended."""
+        length = HEAD % b"a" + b"Content-Length: 2\r\n\r\nok"
+        chunked = HEAD % b"a" + b"Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n"
+        unframed = HEAD % b"a" + b"\r\nok"
+        for step, end in (
+            (send(length), "length"),
+            (send(chunked + b"0\r\n\r\n"), "last chunk"),
+            (send_and_end(unframed), "connection"),
+            (send_and_end(length[:-1]), "cut"),
+            (send_and_end(chunked), "cut"),
+            (send_and_end(HEAD % b"a"), "cut"),
+            (send_and_end(b""), "cut"),
+            (send_and_reset(length[:-1]), "reset"),
+            (send_and_reset(chunked), "reset"),
+            (send_and_reset(unframed), "reset"),
+            (send_and_reset(HEAD % b"a"), "reset"),
+            (send_and_reset(b""), "reset"),
+            (send(length[:-1]), "timeout"),
+            (send(HEAD % b"a"), "timeout"),
+            (send(b"no answer\r\n\r\n"), "malformed"),
+        ):
+            server = ScriptedServer(step)
+            try:
+                answer = self.connections.send(
+                    ("s", server.address), "GET", "/", [], b"", 0.2, "a"
+                )
+                answer.read_all(time.monotonic())
+                found = answer.end
+            except backends.CallOutcomeUnknownError as exc:
+                found = exc.end
+            self.assertEqual(end, found)
+
     def test_late_refusal_without_an_attempt_is_not_believed(self):
         """Guards against "not run" for a request that its server runs."""
         refusal = (
--- a/tests/gateway/test_app.py
+++ b/tests/gateway/test_app.py
@@ -150,6 +150,42 @@
         self.assertEqual(1, len(self.answers))
         self.assertTrue(wsgi.WSGI_LOCAL.already_handled)
 
+    def test_cut_responses_are_logged_with_who_cut_them(self):
+        """Guards against logs that leave open who ended a response."""
+
+        class Events:
+            def decision(self, *args, **fields):
+                pass
+
+            def failure(self, event, now, request, **fields):
+                lines.append((fields["cut_by"], fields["answer_end"]))
+
+        lines = []
+        self.app._events = Events()
+        self.publish(requests.route())
+        for exc in (
+            model.BrokenStreamError("a server ended", ""),
+            model.refusal("stopping", "this VM ends", 1.0),
+            model.refusal("no_server", "none is left", 1.0),
+            http.CallerGoneError(),
+            ValueError("a fault"),
+        ):
+
+            def act(job, start, exc=exc):
+                start("200 OK", [])
+                job.answer_end = "reset"
+                raise exc
+
+            self.streams._act = act
+            self.request()
+        self.assertEqual(
+            [
+                (cut_by, "reset")
+                for cut_by in ("server", "stop", "vm", "caller", "vm")
+            ],
+            lines,
+        )
+
     def test_refusal_after_a_send_is_not_a_503(self):
         """Guards against a 503 for a request that may have run."""
 
--- a/tests/gateway/test_streams.py
+++ b/tests/gateway/test_streams.py
@@ -27,6 +27,7 @@
     server = "s1"
     status = 200
     reason = "OK"
+    end = None
     fields = ()
     facts = backends.AnswerFacts("", False, False, True, False, False, None, -1)
 
