--- a/savoryspar/gateway/active.py
+++ b/savoryspar/gateway/active.py
@@ -44,6 +44,11 @@
         """Kind of the route, or ``READING``."""
         return self.job.route.kind.value if self.job else READING
 
+    @property
+    def answer_end(self) -> str:
+        """How the last server's answer ended, empty without one."""
+        return self.job.answer_end if self.job else ""
+
     @property
     def may_have_run(self) -> bool:
         """Whether a backend server may have run the request."""
--- a/savoryspar/gateway/app.py
+++ b/savoryspar/gateway/app.py
@@ -1,6 +1,7 @@
 """The WSGI application that serves callers on the users' platform."""
 
 from collections.abc import Callable, Iterable
+import functools
 from typing import Any
 import zlib
 
@@ -117,13 +118,19 @@
         except model.BrokenStreamError as exc:
             return self._abort_response(req, exc)
         except (http.CallerGoneError, OSError) as exc:
-            self._record_failure(req, "caller_gone", repr(exc))
+            self._record_failure(
+                req,
+                "caller_gone",
+                repr(exc),
+                cut_by="caller" if req.is_head_sent else None,
+            )
             wsgi.WSGI_LOCAL.already_handled = True
             return []
         except GraceEndedError:
-            failure = _to_gateway_error(_grace_ended_error(), req.job)
+            failure = _grace_ended_error()
             if req.is_head_sent:
                 return self._abort_response(req, failure)
+            failure = _to_gateway_error(failure, req.job)
             return self._answer_failure(req, failure, start_response)
         except Exception as exc:
             # Left to the WSGI server, the 500 would not appear in the log.
@@ -174,7 +181,9 @@
 
         A truncated response must not look complete to the caller.
         """
-        self._record_failure(req, "stream_broken", str(exc))
+        self._record_failure(
+            req, "stream_broken", str(exc), cut_by=_cut_by(exc)
+        )
         wsgi.WSGI_LOCAL.already_handled = True
         return []
 
@@ -315,6 +324,7 @@
             req.attempt_id,
             route=req.route,
             outcome=outcome,
+            answer_end=req.answer_end,
             took_s=round(now - req.received_at, 3),
         )
 
@@ -324,6 +334,7 @@
         reason: str,
         cause: str,
         retry_after_s: float | None = None,
+        cut_by: str | None = None,
     ) -> None:
         now = self._clock()
         self._counters.count(req.route, reason, now - req.received_at)
@@ -335,6 +346,8 @@
             reason=reason,
             cause=cause,
             retry_after_s=retry_after_s,
+            answer_end=req.answer_end,
+            cut_by=cut_by,
             took_s=round(now - req.received_at, 3),
         )
 
@@ -374,6 +387,24 @@
     return error
 
 
+@functools.singledispatch
+def _cut_by(exc: Exception) -> str:
+    """Returns who ended a response after its head: this VM, or a server."""
+    del exc
+    return "vm"
+
+
+@_cut_by.register
+def _(exc: model.BrokenStreamError) -> str:
+    del exc
+    return "server"
+
+
+@_cut_by.register
+def _(exc: model.GatewayError) -> str:
+    return "stop" if exc.reason == "stopping" else "vm"
+
+
 def _check_header_size(
     fields: Iterable[tuple[str, str]], max_bytes: int
 ) -> None:
