Let seeds dial each other at once after a start

Cause: four VMs that started together had linked in two pairs.

A seed now dials the other seeds at each maintenance tick (1 s) in its first 10 s. Members that are no seeds dial one address as before, so that a large fleet does not open links to every seed; their groups meet through the seeds.

--- a/savoryspar/membership/upkeep.py
+++ b/savoryspar/membership/upkeep.py
@@ -19,6 +19,13 @@
 EXPLORE_S = 5.0
 """Time between dials of unknown addresses while any link is open."""
 
+JOIN_S = 10.0
+"""Time after the start in which seeds dial each other without that pause.
+
+Members that start together link to different seeds. Until the seeds are linked,
+these groups do not know of each other.
+"""
+
 SETTLE_S = 0.25
 """Time for which a peer must be a link target before it is dialled.
 
@@ -48,6 +55,7 @@
         "_records",
         "_seeds",
         "_slow_tick_at",
+        "_started_at",
         "_watcher",
         "peer_addresses",
     )
@@ -76,6 +84,7 @@
         self._missing_since: dict[str, float] = {}
         self._slow_tick_at = float("-inf")
         self._explored_at = float("-inf")
+        self._started_at: float | None = None
         self._link_targets: tuple[tuple[int, int], frozenset[str]] = (
             (-1, -1),
             frozenset(),
@@ -151,18 +160,31 @@
             if record.is_live()
         }
         unknown = addresses - known - self._connector.open_addresses()
-        is_due = (
-            not self._connector.links or now - self._explored_at >= EXPLORE_S
-        )
-        if unknown and is_due and not self._connector.is_dial_limit_reached():
-            # One address at a time is enough, because a peer that answers
-            # sends the records of all others. Each member dials the addresses
-            # in its own order, which changes over time.
+        for address in self._addresses_to_dial(unknown, now):
+            if self._connector.is_dial_limit_reached():
+                break
             self._explored_at = now
-            key = f"{self._records.own}/{now:.0f}"
-            address = topology.rendezvous(unknown, key)[0]
             self._connector.dial(address, now)
 
+    def _addresses_to_dial(
+        self, unknown: frozenset[str], now: float
+    ) -> list[str]:
+        """Returns the addresses of unknown members to dial now."""
+        if self._started_at is None:
+            self._started_at = now
+        key = f"{self._records.own}/{now:.0f}"
+        is_joining = now - self._started_at < JOIN_S
+        if is_joining and self._connector.address in self._seeds:
+            seeds = topology.rendezvous(unknown & self._seeds, key)
+            if seeds:
+                return seeds
+        if self._connector.links and now - self._explored_at < EXPLORE_S:
+            return []
+        # One address at a time is enough, because a peer that answers sends
+        # the records of all others. Each member dials the addresses in its own
+        # order, which changes over time.
+        return topology.rendezvous(unknown, key)[:1]
+
     def _remove_dead(self, changed: Iterable[model.Record], now: float) -> None:
         for record in changed:
             if record.state != model.State.DEAD:
--- a/tests/membership/test_service.py
+++ b/tests/membership/test_service.py
@@ -1,9 +1,11 @@
 """Tests of what a member tells other parts of the fleet."""
 
+import types
+
 import testtools
 
 from savoryspar import conf, membership
-from savoryspar.membership import model
+from savoryspar.membership import model, upkeep
 
 NOW = 1000.0
 
@@ -14,24 +16,87 @@
     )
 
 
+def new_members(case, now, seeds=()):
+    """Returns a membership that is stopped after the test."""
+    settings = conf.Settings(
+        {
+            "membership": conf.default_section(
+                "membership",
+                listen_address="127.0.0.1",
+                listen_port="0",
+                seeds=" ".join(seeds),
+                tls="no",
+            ),
+            "entry": conf.default_section(
+                "entry", name="own", region="r", zone="z1", listen_port="1"
+            ),
+        }
+    )
+    members = membership.new_membership(settings, now, now)
+    case.addCleanup(members.connector.stop)
+    return members
+
+
+class LinkedConnector:
+    """A connector with a link to one peer.
+
+    Attributes:
+        dialled: Addresses that were dialled.
+    """
+
+    refused_at = {}
+
+    def __init__(self, address, peer):
+        self.address = address
+        self.links = {peer.incarnation: types.SimpleNamespace(peer=peer)}
+        self.dialled = []
+
+    def open_addresses(self):
+        linked = {link.peer.address for link in self.links.values()}
+        return {self.address} | linked
+
+    def close_idle(self, link_targets, now):
+        pass
+
+    def is_dial_limit_reached(self):
+        return False
+
+    def dial(self, address, now):
+        self.dialled.append(address)
+
+
+class JoinTest(testtools.TestCase):
+    SEEDS = ("a:1", "b:1", "c:1")
+
+    def dialled(self, is_seed, ticks):
+        """Returns what a member linked to one seed dials in its first ticks."""
+        members = new_members(self, NOW, seeds=self.SEEDS)
+        peer = record("a")
+        members.records.merge([peer], NOW)
+        linked = LinkedConnector("b:1" if is_seed else "own:1", peer)
+        self.patch(members._upkeep, "_connector", linked)
+        for number in range(ticks):
+            members._upkeep.tick(NOW + number * upkeep.SLOW_TICK_S, NOW)
+        return linked.dialled
+
+    def test_linked_seed_dials_other_seeds_without_a_pause(self):
+        """Guards against groups of members that do not know of each other.
+
+        Members that started together had linked in pairs. For 5 s each group
+        chose gatherers of its own, placed trials of its own, and was not told
+        what the other one knew.
+        """
+        self.assertEqual(["c:1", "c:1"], self.dialled(is_seed=True, ticks=2))
+
+    def test_other_members_do_not_dial_every_seed(self):
+        """Guards against hundreds of links to each seed at a start."""
+        self.assertEqual(1, len(self.dialled(is_seed=False, ticks=2)))
+
+
 class VisibleShareTest(testtools.TestCase):
     def setUp(self):
         super().setUp()
-        settings = conf.Settings(
-            {
-                "membership": conf.default_section(
-                    "membership",
-                    listen_address="127.0.0.1",
-                    listen_port="0",
-                    tls="no",
-                ),
-                "entry": conf.default_section(
-                    "entry", name="own", region="r", zone="z1", listen_port="1"
-                ),
-            }
-        )
-        self.members = membership.new_membership(settings, NOW, NOW)
-        self.addCleanup(self.members.connector.stop)
+        self.members = new_members(self, NOW)
 
     def share(self, *records, now=NOW):
         self.members.records.merge(records, now)
