Answer requests that a stopping VM takes after its last request

Callers saw requests, among them unsafe ones, that a stopping VM took late in the grace period, passed on, and cut without an answer at its end.

Once no request was running, at the earliest 2.3 s after SIGTERM, the stop only waited for the connections that were still open. Requests on them were admitted as before, but the step that answers whatever still runs at the end had been passed already: the wait ended, and the process with it.

The stop now answers running requests after every wait: it stops listening, waits for the connections until the end, answers what is still running, and waits for these answers to be written. A request that ends while others are being answered is not interrupted in writing its own response.

New test, one VM process, no request running at SIGTERM, connections opened 2.15 s and used 3.5 s after it, grace period 6 s.

--- a/savoryspar/gateway/app.py
+++ b/savoryspar/gateway/app.py
@@ -145,15 +145,21 @@
         """Returns the number and the greatest age of the requests by kind."""
         return active.describe(self._active.values(), now)
 
-    def end_requests(self, now: float) -> None:
+    def end_requests(self, now: float) -> int:
         """Answers the requests without a response with an error.
 
         The process is about to end, which would close their connections.
 
         Args:
             now: Monotonic time in seconds.
+
+        Returns:
+            The number of requests that were running.
         """
-        for thread, req in [*self._active.items()]:
+        running = [*self._active.items()]
+        for thread, req in running:
+            if self._active.get(thread) is not req:
+                continue  # It has ended while others were being answered.
             self._events.failure(
                 "request cut",
                 now,
@@ -166,6 +172,7 @@
             )
             if not req.is_head_sent:
                 eventlet.kill(thread, GraceEndedError())
+        return len(running)
 
     def _abort_response(
         self, req: active.ActiveRequest, exc: Exception
--- a/savoryspar/gateway/node.py
+++ b/savoryspar/gateway/node.py
@@ -238,12 +238,10 @@
             self._app.running or self._gatherers.unfinished()
         ) and self._clock() < ends_at:
             eventlet.sleep(DRAIN_POLL_S)
-        cut_off = self._app.running
-        if cut_off:
-            self._app.end_requests(self._clock())
-            eventlet.sleep(FINAL_ANSWERS_S)
-        with eventlet.Timeout(max(0.0, ends_at - self._clock()), False):
-            self._server.stop()
+        # Open connections may still bring requests.
+        self._server.stop(ends_at)
+        cut_off = self._app.end_requests(self._clock())
+        self._server.stop(ends_at + FINAL_ANSWERS_S)
         self._members.stop(self._clock())
         self._events.state_change(
             "stopped",
--- a/savoryspar/http/server.py
+++ b/savoryspar/http/server.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Callable
+import math
 import socket
 import time
 from typing import Any
@@ -44,6 +45,7 @@
 
     __slots__ = (
         "_connections",
+        "_is_stopped",
         "_logger",
         "_pool",
         "_sock",
@@ -63,6 +65,7 @@
         self._sock = eventlet.listen(address, backlog=BACKLOG, reuse_port=True)
         self._sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.address = self._sock.getsockname()
+        self._is_stopped = False
         self._thread: eventlet.greenthread.GreenThread | None = None
         self._logger = log.new_logger("http")
         # The WSGI server represents a connection by a list of address, socket
@@ -99,13 +102,20 @@
         """Makes all further responses ask callers to close the connection."""
         self._wsgi.is_draining = True
 
-    def stop(self) -> None:
-        """Stops listening and waits for the responses to all requests."""
+    def stop(self, until: float = math.inf) -> None:
+        """Stops listening and waits for the responses to all requests.
+
+        Args:
+            until: Monotonic time at which the wait ends, in seconds; a second
+                call continues it.
+        """
         self.drain()
-        self._thread.kill()
-        self._accept_backlog()
-        self._sock.close()
-        while self._pool.running():
+        if not self._is_stopped:
+            self._is_stopped = True
+            self._thread.kill()
+            self._accept_backlog()
+            self._sock.close()
+        while self._pool.running() and time.monotonic() < until:
             self._close_idle(time.monotonic())
             eventlet.sleep(IDLE_CHECK_INTERVAL_S)
 
--- a/tests/gateway/node_case.py
+++ b/tests/gateway/node_case.py
@@ -219,12 +219,17 @@
             + "\n[membership]\ntls = no\n",
             "utf-8",
         )
-        self.processes[number] = subprocess.Popen(
-            [sys.executable, "-W", "ignore", "-m", "savoryspar", "serve"],
-            cwd=ROOT,
-            env={**os.environ, "SAVORYSPAR_NODE_FILE": str(path)},
-            stdout=subprocess.DEVNULL,
-        )
+        with self.log_path(number).open("ab") as file:
+            self.processes[number] = subprocess.Popen(
+                [sys.executable, "-W", "ignore", "-m", "savoryspar", "serve"],
+                cwd=ROOT,
+                env={**os.environ, "SAVORYSPAR_NODE_FILE": str(path)},
+                stdout=file,
+            )
+
+    def log_path(self, number):
+        """Returns the path of the log of a VM."""
+        return self.folder / f"entry-{number}.log"
 
     def _end(self):
         for process in filter(None, self.processes):
--- /dev/null
+++ b/tests/gateway/test_stops.py
@@ -0,0 +1,89 @@
+"""Tests of planned stops with processes, callers and backend servers."""
+
+import signal
+import time
+
+import eventlet
+
+from tests.gateway import node_case, stop_load
+
+
+class StopCase(node_case.NodeCase):
+    """Stops the first VM under load; callers go on until its process ends.
+
+    Attributes:
+        callers: The callers and their records.
+        stopped_at: When SIGTERM was sent, in monotonic seconds.
+        ends_at: When the grace period ends.
+    """
+
+    platform_class = stop_load.WorkPlatform
+    grace_s = 6
+
+    def setUp(self):
+        super().setUp()
+        self.callers = stop_load.Callers()
+        self.pool = eventlet.GreenPool(500)
+        self.port = self.ports["callers"]
+
+    def send(self, path, **options):
+        """Sends a request on a new connection, without waiting."""
+        self.pool.spawn_n(self._send, path, options)
+
+    def _send(self, path, options):
+        sock = self.callers.connect(self.port)
+        self.callers.request(sock, path, **options)
+        if sock is not None:
+            sock.close()
+
+    def terminate(self):
+        self.stopped_at = time.monotonic()
+        self.ends_at = self.stopped_at + self.grace_s
+        self.process.send_signal(signal.SIGTERM)
+
+    def sleep_until(self, after_s):
+        """Sleeps until a time in seconds after SIGTERM."""
+        eventlet.sleep(max(0.0, self.stopped_at + after_s - time.monotonic()))
+
+    def finish(self):
+        """Waits for the process and for all callers; returns its duration."""
+        with eventlet.Timeout(self.grace_s + 4.0):
+            while self.process.poll() is None:
+                eventlet.sleep(0.01)
+        took_s = time.monotonic() - self.stopped_at
+        self.pool.waitall()
+        self.assertEqual(0, self.process.returncode)
+        self.assertLess(took_s, self.grace_s)
+        return took_s
+
+    def check(self):
+        """Checks that no rule was broken and all that was taken succeeded."""
+        calls, runs = self.callers.calls, self.platform.runs
+        self.assertEqual(
+            [], stop_load.faults(calls, runs, self.stopped_at, self.ends_at)
+        )
+        self.assertEqual([], stop_load.cut_work(calls, runs, self.stopped_at))
+
+
+class LateRequestTest(StopCase):
+    def test_request_taken_after_the_drain_gets_an_answer(self):
+        """Guards against a request that the end of the process cuts off.
+
+        Once no request ran any more, a stopping VM waited for its connections
+        only; requests that came on them were passed on, and at the end of the
+        grace time their connections were closed without an answer.
+        """
+        self.terminate()
+        self.sleep_until(2.15)
+        for path in ("/order/20000", "/lookup/20000", "/order/20000"):
+            sock = self.callers.connect(self.port)
+            self.pool.spawn_n(self._send_later, sock, path)
+        self.finish()
+        calls, runs = self.callers.calls, self.platform.runs
+        self.assertEqual(
+            [], stop_load.faults(calls, runs, self.stopped_at, self.ends_at)
+        )
+
+    def _send_later(self, sock, path):
+        self.sleep_until(3.5)
+        self.callers.request(sock, path)
