Do not wait for the balancer beyond the grace period of a stop

A stop waits 2.3 s, so that the balancer notices that the VM is not ready, before it looks at its requests. With a grace period of 2 s the process is killed in this wait, and its requests end without an answer.

The wait now ends with the grace period.

--- a/savoryspar/gateway/node.py
+++ b/savoryspar/gateway/node.py
@@ -230,7 +230,7 @@
         )
         self._members.leave(now)
         self._server.drain()
-        eventlet.sleep(BALANCER_NOTICE_S)
+        eventlet.sleep(min(BALANCER_NOTICE_S, ends_at - now))
         # Connections are accepted until the last request is done, so callers
         # that the balancer still sends here get a response. Pieces that other
         # VMs submitted here are processed before the process ends.
--- a/tests/gateway/test_stops.py
+++ b/tests/gateway/test_stops.py
@@ -87,3 +87,22 @@
     def _send_later(self, sock, path):
         self.sleep_until(3.5)
         self.callers.request(sock, path)
+
+
+class ShortGraceTest(StopCase):
+    grace_s = 2
+
+    def test_request_is_answered_within_a_short_grace_time(self):
+        """Guards against a stop that waits longer than the grace time.
+
+        The wait for the balancer alone took 2.3 s, so a process with a grace
+        time of 2 s was killed in it, with its requests unanswered.
+        """
+        self.send("/order/9000")
+        eventlet.sleep(0.3)
+        self.terminate()
+        self.finish()
+        self.assertEqual(
+            {("order", "502", "whole"): 1},
+            stop_load.count(self.callers.calls),
+        )
