Refuse requests that might not end before a stopping VM does

Callers saw requests that came late in the grace period passed on and cut at its end, among them unsafe ones, although another VM would have served them at once.

A stopping VM took plain requests until three objectives before its end, whatever their deadline, and any stream for 2.5 s after SIGTERM, whatever the length of the streams before it. Requests that were waiting for a server when the stop began were sent at any time.

Admission now follows what is known of a request. A request whose deadline is before the end of the process is taken. Of the others, an unsafe one is refused with 503; a stream is taken in the first 2.5 s if 95% of the last 100 of its route ended in the time left; a repeatable request if that holds, and three objectives are left. Unknown durations of streams count as too long. The same check precedes each first send, so a request that waited is not passed on late. The deadline of each accepted request is moved 0.2 s before the end, also on its way to the backend server, which therefore stops its work in time and whose 504 still reaches the caller.

test_app asserted that an unsafe request with a deadline of 8 s is taken 3.7 s before the end: that is the fault. It now takes one with a deadline of 3 s there, refuses the other, and both at 0.2 s.

New tests with one VM process, grace period 6 s.

--- a/savoryspar/gateway/app.py
+++ b/savoryspar/gateway/app.py
@@ -12,6 +12,7 @@
     active,
     attempts,
     counters,
+    draining,
     model,
     plain,
     streams,
@@ -20,13 +21,8 @@
 DEFAULT_DEADLINE_S = 30.0
 """Deadline where neither the caller nor the route sets one."""
 NO_CONFIGURATION_RETRY_S = 0.5
-STOPPING_RETRY_S = 0.3
-STREAM_ACCEPT_S = 2.5
-"""Time after SIGTERM during which new streams are accepted: these usually end
-within the grace period. Later ones are refused, to be sent to another VM."""
-PLAIN_DRAIN_OBJECTIVES = 3.0
-"""Time reserved for a plain request while draining, as a multiple of the
-objective of its route."""
+STREAM_COMPLETE = "stream complete"
+"""Outcome of a request whose response was relayed."""
 
 FIELD_OVERHEAD_BYTES = 4
 """Size of the colon, the space and the CRLF of a header field."""
@@ -47,20 +43,17 @@
 
     Attributes:
         running: Number of requests being served.
-        is_stopping: Whether shutdown has begun.
     """
 
     __slots__ = (
         "_active",
         "_clock",
         "_counters",
-        "_draining_since",
-        "_ends_at",
+        "_drain",
         "_events",
         "_holder",
         "_plain",
         "_streams",
-        "is_stopping",
         "running",
     )
 
@@ -69,6 +62,7 @@
         holder: fleet.ConfigurationHolder,
         plain_forwarder: plain.PlainForwarder,
         stream_forwarder: streams.StreamForwarder,
+        drain: draining.Drain,
         event_log: log.EventLog,
         request_counters: counters.Counters,
         clock: model.Clock,
@@ -76,13 +70,11 @@
         self._holder = holder
         self._plain = plain_forwarder
         self._streams = stream_forwarder
+        self._drain = drain
         self._events = event_log
         self._counters = request_counters
         self._clock = clock
         self.running = 0
-        self.is_stopping = False
-        self._draining_since = 0.0
-        self._ends_at = 0.0
         # The requests that are being served, by green thread.
         self._active: dict[Any, active.ActiveRequest] = {}
 
@@ -104,7 +96,7 @@
                 req.job = self._admit(caller_req, received_at)
                 reply = self._forward(req.job, req.start)
             if reply is None:
-                self._record_answer(req, "stream complete")
+                self._record_answer(req, STREAM_COMPLETE)
                 return []
             self._record_answer(req, reply.status)
             start_response(reply.status, reply.fields)
@@ -145,6 +137,11 @@
         """Returns the number and the greatest age of the requests by kind."""
         return active.describe(self._active.values(), now)
 
+    @property
+    def is_stopping(self) -> bool:
+        """Whether shutdown has begun."""
+        return self._drain.started_at is not None
+
     def end_requests(self, now: float) -> int:
         """Answers the requests without a response with an error.
 
@@ -192,19 +189,10 @@
             now: Monotonic time in seconds.
             ends_at: Monotonic time at which the process ends.
         """
-        self.is_stopping = True
-        self._draining_since = now
-        self._ends_at = ends_at
-
-    def _must_refuse_while_draining(
-        self, route: fleet.Route, now: float
-    ) -> bool:
-        """Returns whether a new request might outlast the process."""
-        if not self.is_stopping:
-            return False
-        if route.kind is fleet.RouteKind.STREAM:
-            return now - self._draining_since > STREAM_ACCEPT_S
-        return self._ends_at - now < PLAIN_DRAIN_OBJECTIVES * route.objective_s
+        self._drain.start(now, ends_at)
+        for req in self._active.values():
+            if req.job is not None:
+                self._drain.limit(req.job)
 
     def _forward(
         self, job: model.Job, start_response: StartResponse
@@ -244,13 +232,6 @@
                 f"no route for host {req.host!r} and path {req.path!r}",
                 "check the routes of the active configuration",
             )
-        if self._must_refuse_while_draining(route, now):
-            raise model.refusal(
-                "stopping",
-                f"this entry VM is shutting down; a {route.kind.value} request"
-                f" may take longer than the {self._ends_at - now:.1f} s left",
-                STOPPING_RETRY_S,
-            )
         workspace = self._authenticate(current, route, req.key)
         timeout_s = route.timeout_s or DEFAULT_DEADLINE_S
         deadline_s = min(timeout_s, req.deadline_s or timeout_s)
@@ -267,6 +248,10 @@
             current.version,
             attempts.fingerprint(workspace.name if workspace else "", req),
         )
+        job.admitted_at = now
+        job.check_stop = self._drain.check
+        self._drain.limit(job)
+        self._drain.check(job)
         self._events.decision(
             "request admitted",
             now,
@@ -277,7 +262,7 @@
             rank=rank,
             version=current.version,
             version_age_s=round(now - self._holder.active_since, 1),
-            deadline_s=deadline_s,
+            deadline_s=round(job.deadline_at - received_at, 3),
             prompt_tokens=req.prompt_tokens,
             pieces=req.pieces,
         )
@@ -315,6 +300,8 @@
 
     def _record_answer(self, req: active.ActiveRequest, outcome: str) -> None:
         now = self._clock()
+        if outcome.startswith(("2", STREAM_COMPLETE)):
+            self._drain.durations.record(req.route, now - req.job.admitted_at)
         self._counters.count(req.route, outcome, now - req.received_at)
         self._events.decision(
             "request answered",
@@ -374,9 +361,7 @@
 
 
 def _grace_ended_error() -> model.GatewayError:
-    error = model.refusal(
-        "stopping", "this entry VM has shut down", STOPPING_RETRY_S
-    )
+    error = model.stopping_refusal("this entry VM has shut down")
     error.is_closing = True
     return error
 
@@ -464,6 +449,7 @@
     holder: fleet.ConfigurationHolder,
     plain_forwarder: plain.PlainForwarder,
     stream_forwarder: streams.StreamForwarder,
+    drain: draining.Drain,
     event_log: log.EventLog,
     request_counters: counters.Counters,
     clock: model.Clock,
@@ -473,6 +459,7 @@
         holder,
         plain_forwarder,
         stream_forwarder,
+        drain,
         event_log,
         request_counters,
         clock,
--- a/savoryspar/gateway/attempts.py
+++ b/savoryspar/gateway/attempts.py
@@ -92,8 +92,8 @@
             zone: Preferred zone, empty for any.
 
         Raises:
-            GatewayError: No server is available, or the request is blocked
-                because it crashed servers.
+            GatewayError: No server is available, the request is blocked
+                because it crashed servers, or this process ends too soon.
         """
         job = self._job
         try:
@@ -106,6 +106,8 @@
             raise model.refusal(
                 "server_limit", str(exc), max(0.2, exc.retry_after_s)
             ) from exc
+        if not job.sends:
+            self._check_stop(placement)
         self._events.decision(
             "server chosen",
             now,
@@ -124,6 +126,21 @@
         )
         return placement
 
+    def _check_stop(self, placement: placing.Placement) -> None:
+        """Checks that this process does not end before the request.
+
+        A request that waited for a server when the stop began is not passed on
+        late in the grace period.
+
+        Raises:
+            GatewayError: It may.
+        """
+        try:
+            self._job.check_stop(self._job)
+        except model.GatewayError:
+            placement.finish(routing.Outcome.CANCELLED, None, self._clock())
+            raise
+
     def check(self, now: float) -> None:
         """Checks that the request is not known to crash servers.
 
--- a/savoryspar/gateway/model.py
+++ b/savoryspar/gateway/model.py
@@ -5,6 +5,7 @@
 from savoryspar import backends, errors, fleet
 
 MIN_STALL_TIMEOUT_S = 2.0
+STOPPING_RETRY_S = 0.3
 STALL_TIMEOUT_OBJECTIVES = 4.0
 STALL_TIMEOUT_GAPS = 8.0
 """The callers' protocol defines the gap between events after which callers
@@ -30,13 +31,22 @@
         fingerprint: Digest that is equal for requests with the same work.
         sends: Number of sends after which the request may have run.
         is_sending: Whether a send has begun whose outcome is not known yet.
+        admitted_at: When the request had been read and its route was found, in
+            monotonic seconds.
+        is_shortened: Whether its deadline was moved, because this process ends
+            before it.
+        check_stop: Raises ``GatewayError`` if the request may not be passed on
+            because this process ends.
     """
 
     __slots__ = (
         "abandon_at",
+        "admitted_at",
+        "check_stop",
         "deadline_at",
         "fingerprint",
         "is_sending",
+        "is_shortened",
         "objective_at",
         "pool",
         "rank",
@@ -73,6 +83,9 @@
         self.fingerprint = fingerprint
         self.sends = 0
         self.is_sending = False
+        self.admitted_at = received_at
+        self.is_shortened = False
+        self.check_stop: Callable[[Job], None] = lambda job: None
         self.abandon_at = deadline_at
         if route.kind is fleet.RouteKind.STREAM:
             self.abandon_at = min(
@@ -147,6 +160,11 @@
     )
 
 
+def stopping_refusal(message: str) -> GatewayError:
+    """Returns the error for a request that this process cannot finish."""
+    return refusal("stopping", message, STOPPING_RETRY_S)
+
+
 StartResponse = Callable[[str, list[tuple[str, str]]], Callable[[bytes], None]]
 """Sends the head of the response; returns a function that writes its body."""
 
--- a/tests/gateway/test_app.py
+++ b/tests/gateway/test_app.py
@@ -4,7 +4,7 @@
 import testtools
 
 from savoryspar import fleet, http
-from savoryspar.gateway import app, counters, model
+from savoryspar.gateway import app, counters, draining, model
 from tests.gateway import event_logs, requests
 
 
@@ -47,6 +47,7 @@
             self.holder,
             self.plain,
             self.streams,
+            draining.Drain(),
             events,
             counters.new_counters(),
             lambda: self.now,
@@ -172,13 +173,27 @@
         )
         self.app.start_draining(100.0, 107.7)
         self.now = 104.0
+        self.request(**{"Savoryspar-Deadline-Ms": "3000"})
         self.request()
         self.request(Host="s.example")
         self.now = 107.5
-        self.request()
+        self.request(**{"Savoryspar-Deadline-Ms": "3000"})
         self.assertEqual(
-            ["200", "503", "503"], [status[:3] for status, _ in self.answers]
+            ["200", "503", "503", "503"],
+            [status[:3] for status, _ in self.answers],
+        )
+        for _, fields in self.answers[1:]:
+            self.assertIn("Retry-After", fields)
+
+    def test_deadline_ends_before_the_process(self):
+        """Guards against a server that works on when the VM has ended."""
+        self.publish(
+            requests.route(kind=fleet.RouteKind.IDEMPOTENT, objective_s=0.25)
         )
+        self.app.start_draining(100.0, 107.7)
+        self.now = 104.0
+        self.request()
+        self.assertLess(self.plain.jobs[0].deadline_at, 107.7)
 
     def test_long_body_is_rejected(self):
         """Guards against one caller that exhausts the memory of the VM."""
--- a/tests/gateway/test_stops.py
+++ b/tests/gateway/test_stops.py
@@ -83,6 +83,8 @@
         self.assertEqual(
             [], stop_load.faults(calls, runs, self.stopped_at, self.ends_at)
         )
+        # The unsafe ones are not passed on that late.
+        self.assertEqual({calls[1].attempt_id}, {*runs})
 
     def _send_later(self, sock, path):
         self.sleep_until(3.5)
@@ -106,3 +108,50 @@
             {("order", "502", "whole"): 1},
             stop_load.count(self.callers.calls),
         )
+
+
+class AdmissionTest(StopCase):
+    def keep_busy(self):
+        """Sends a request that runs almost until the end of the grace time."""
+        self.send("/lookup/5300")
+        eventlet.sleep(0.2)
+
+    def test_late_unsafe_request_is_refused_unless_its_deadline_fits(self):
+        """Guards against unsafe requests that run and get no good answer.
+
+        A stopping VM took plain requests until three objectives before its
+        end, however long their work took and their callers waited.
+        """
+        self.keep_busy()
+        self.terminate()
+        for after_s in (0.5, 1.5, 2.5, 3.5, 4.0, 4.3):
+            self.sleep_until(after_s)
+            self.send("/order/3000", deadline_s=9.0)
+            self.send("/order/100", deadline_s=1.0)
+        self.finish()
+        self.check()
+        served = [c for c in self.callers.calls if c.path == "/order/100"]
+        self.assertEqual(["200"] * 6, [call.status for call in served])
+
+    def test_stream_is_taken_only_if_it_ends_in_time(self):
+        """Guards against streams that break off at the end of the process.
+
+        Streams were taken for 2.5 s after SIGTERM, however long those before
+        them had lasted.
+        """
+        for path in ("/chat/4500", "/resume/500", "/staged/4500"):
+            for _ in range(20):
+                self.send(path)
+        self.pool.waitall()
+        self.callers.calls.clear()
+        self.keep_busy()
+        self.terminate()
+        for after_s in (0.2, 1.5, 2.0, 2.4, 3.5):
+            self.sleep_until(after_s)
+            for path in ("/chat/4500", "/resume/500", "/staged/4500"):
+                self.send(path)
+        self.finish()
+        self.check()
+        counts = stop_load.count(self.callers.calls)
+        self.assertEqual(1, counts["chat", "200", "whole"], counts)
+        self.assertGreaterEqual(counts["resume", "200", "whole"], 4, counts)
