--- a/savoryspar/gateway/node.py
+++ b/savoryspar/gateway/node.py
@@ -23,6 +23,7 @@
     app,
     blaming,
     counters,
+    draining,
     fleet_watch,
     gatherers,
     gathering,
@@ -169,6 +170,7 @@
                 self._events,
                 clock,
             ),
+            draining.Drain(),
             self._events,
             self._metrics,
             clock,
@@ -230,7 +232,7 @@
         )
         self._members.leave(now)
         self._server.drain()
-        eventlet.sleep(BALANCER_NOTICE_S)
+        eventlet.sleep(min(BALANCER_NOTICE_S, ends_at - now))
         # Connections are accepted until the last request is done, so callers
         # that the balancer still sends here get a response. Pieces that other
         # VMs submitted here are processed before the process ends.
@@ -238,12 +240,10 @@
             self._app.running or self._gatherers.unfinished()
         ) and self._clock() < ends_at:
             eventlet.sleep(DRAIN_POLL_S)
-        cut_off = self._app.running
-        if cut_off:
-            self._app.end_requests(self._clock())
-            eventlet.sleep(FINAL_ANSWERS_S)
-        with eventlet.Timeout(max(0.0, ends_at - self._clock()), False):
-            self._server.stop()
+        # Open connections may still bring requests.
+        self._server.stop(ends_at)
+        cut_off = self._app.end_requests(self._clock())
+        self._server.stop(ends_at + FINAL_ANSWERS_S)
         self._members.stop(self._clock())
         self._events.state_change(
             "stopped",
--- /dev/null
+++ b/tests/gateway/test_stops.py
@@ -0,0 +1,157 @@
+"""Tests of planned stops with processes, callers and backend servers."""
+
+import signal
+import time
+
+import eventlet
+
+from tests.gateway import node_case, stop_load
+
+
+class StopCase(node_case.NodeCase):
+    """Stops the first VM under load; callers go on until its process ends.
+
+    Attributes:
+        callers: The callers and their records.
+        stopped_at: When SIGTERM was sent, in monotonic seconds.
+        ends_at: When the grace period ends.
+    """
+
+    platform_class = stop_load.WorkPlatform
+    grace_s = 6
+
+    def setUp(self):
+        super().setUp()
+        self.callers = stop_load.Callers()
+        self.pool = eventlet.GreenPool(500)
+        self.port = self.ports["callers"]
+
+    def send(self, path, **options):
+        """Sends a request on a new connection, without waiting."""
+        self.pool.spawn_n(self._send, path, options)
+
+    def _send(self, path, options):
+        sock = self.callers.connect(self.port)
+        self.callers.request(sock, path, **options)
+        if sock is not None:
+            sock.close()
+
+    def terminate(self):
+        self.stopped_at = time.monotonic()
+        self.ends_at = self.stopped_at + self.grace_s
+        self.process.send_signal(signal.SIGTERM)
+
+    def sleep_until(self, after_s):
+        """Sleeps until a time in seconds after SIGTERM."""
+        eventlet.sleep(max(0.0, self.stopped_at + after_s - time.monotonic()))
+
+    def finish(self):
+        """Waits for the process and for all callers; returns its duration."""
+        with eventlet.Timeout(self.grace_s + 4.0):
+            while self.process.poll() is None:
+                eventlet.sleep(0.01)
+        took_s = time.monotonic() - self.stopped_at
+        self.pool.waitall()
+        self.assertEqual(0, self.process.returncode)
+        self.assertLess(took_s, self.grace_s)
+        return took_s
+
+    def check(self):
+        """Checks that no rule was broken and all that was taken succeeded."""
+        calls, runs = self.callers.calls, self.platform.runs
+        self.assertEqual(
+            [], stop_load.faults(calls, runs, self.stopped_at, self.ends_at)
+        )
+        self.assertEqual([], stop_load.cut_work(calls, runs, self.stopped_at))
+
+
+class LateRequestTest(StopCase):
+    def test_request_taken_after_the_drain_gets_an_answer(self):
+        """Guards against a request that the end of the process cuts off.
+
+        Once no request ran any more, a stopping VM waited for its connections
+        only; requests that came on them were passed on, and at the end of the
+        grace time their connections were closed without an answer.
+        """
+        self.terminate()
+        self.sleep_until(2.15)
+        for path in ("/order/20000", "/lookup/20000", "/order/20000"):
+            sock = self.callers.connect(self.port)
+            self.pool.spawn_n(self._send_later, sock, path)
+        self.finish()
+        calls, runs = self.callers.calls, self.platform.runs
+        self.assertEqual(
+            [], stop_load.faults(calls, runs, self.stopped_at, self.ends_at)
+        )
+        # The unsafe ones are not passed on that late.
+        self.assertEqual({calls[1].attempt_id}, {*runs})
+
+    def _send_later(self, sock, path):
+        self.sleep_until(3.5)
+        self.callers.request(sock, path)
+
+
+class ShortGraceTest(StopCase):
+    grace_s = 2
+
+    def test_request_is_answered_within_a_short_grace_time(self):
+        """Guards against a stop that waits longer than the grace time.
+
+        The wait for the balancer alone took 2.3 s, so a process with a grace
+        time of 2 s was killed in it, with its requests unanswered.
+        """
+        self.send("/order/9000")
+        eventlet.sleep(0.3)
+        self.terminate()
+        self.finish()
+        self.assertEqual(
+            {("order", "502", "whole"): 1},
+            stop_load.count(self.callers.calls),
+        )
+
+
+class AdmissionTest(StopCase):
+    def keep_busy(self):
+        """Sends a request that runs almost until the end of the grace time."""
+        self.send("/lookup/5300")
+        eventlet.sleep(0.2)
+
+    def test_late_unsafe_request_is_refused_unless_its_deadline_fits(self):
+        """Guards against unsafe requests that run and get no good answer.
+
+        A stopping VM took plain requests until three objectives before its
+        end, however long their work took and their callers waited.
+        """
+        self.keep_busy()
+        self.terminate()
+        for after_s in (0.5, 1.5, 2.5, 3.5, 4.0, 4.3):
+            self.sleep_until(after_s)
+            self.send("/order/3000", deadline_s=9.0)
+            self.send("/order/100", deadline_s=1.0)
+        self.finish()
+        self.check()
+        served = [c for c in self.callers.calls if c.path == "/order/100"]
+        self.assertEqual(["200"] * 6, [call.status for call in served])
+
+    def test_stream_is_taken_only_if_it_ends_in_time(self):
+        """Guards against streams that break off at the end of the process.
+
+        Streams were taken for 2.5 s after SIGTERM, however long those before
+        them had lasted.
+        """
+        for path in ("/chat/4500", "/resume/500", "/staged/4500"):
+            for _ in range(20):
+                self.send(path)
+        self.pool.waitall()
+        self.callers.calls.clear()
+        self.keep_busy()
+        self.terminate()
+        for after_s in (0.2, 1.5, 2.0, 2.4, 3.5):
+            self.sleep_until(after_s)
+            for path in ("/chat/4500", "/resume/500", "/staged/4500"):
+                self.send(path)
+        self.finish()
+        self.check()
+        counts = stop_load.count(self.callers.calls)
+        self.assertEqual(1, counts["chat", "200", "whole"], counts)
+        self.assertGreaterEqual(counts["resume", "200", "whole"], 4, counts)
