Reject answers whose head or framing is malformed

A line of a head that cannot be read (no colon, a blank in the name, bytes that are no text, a CR inside the line) made http.client drop all fields after it. A body that lost its Content-Length or Transfer-Encoding that way ended with its connection, so a cut body was passed on as whole, with the seal if that came before the line, and chunk sizes were passed on as a part of the body. The same holds for lengths that are no number, negative, or stated twice, and for other transfer codings. Chunk sizes such as "+a", "0x5" and "1_0" and any two bytes at the end of a chunk were accepted, so "0x0" ended a body. An interim answer other than 100 counted as the final one: a 103 with a seal was passed on as a success, and the answer to the request reached the connection's next request.

StrictResponse, which all clients of servers share, now reads the status line and chunk lines by their grammar, skips interim answers, and checks that each line of the head was read as a field and that the framing is stated once. Lines that end with a bare LF are accepted as before. Folded lines, a length beside a transfer coding, and a transfer coding of HTTP/1.0 are rejected, as RFC 9112 advises.

--- a/savoryspar/backends/strict.py
+++ b/savoryspar/backends/strict.py
@@ -1,21 +1,35 @@
-"""HTTP connections that reject heads and framing that end early.
+"""HTTP connections that reject heads and framing that are cut or malformed.
 
 ``http.client`` takes the end of a connection for the end of a head, of a chunk
-size and of trailers, so an answer that breaks off there looks complete.
+size and of trailers, so an answer that breaks off there looks complete. It also
+drops the fields after a malformed line, and ignores lengths and transfer
+codings that it cannot read; the body then ends with its connection.
 """
 
 import http.client
 import io
+import re
 import socket
 
 import urllib3
 from urllib3 import connection, connectionpool
+from urllib3.util import response
+
+MAX_LINE_BYTES = 65536
+STATUS_LINE = re.compile(rb"(HTTP/1\.\d) ([1-9]\d\d)(?: ([^\n]*))?\r?\n")
+CHUNK_LINE = re.compile(rb"([0-9A-Fa-f]{1,15})[ \t]*(?:;[^\n]*)?\r?\n")
+FIELD_NAME = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
+LENGTH = re.compile(r"[0-9]{1,18}")
 
 
 class TruncatedLineError(http.client.HTTPException, EOFError):
     """A connection ended in the middle of a line."""
 
 
+class MalformedAnswerError(http.client.HTTPException):
+    """An answer whose head or framing is not valid HTTP."""
+
+
 class _LineReader(io.BufferedReader):
     """Reads lines that must end with a line feed."""
 
@@ -25,6 +39,8 @@
         Raises:
             TruncatedLineError: The connection ended within the line.
             RemoteDisconnected: It ended before the line.
+            MalformedAnswerError: The line has a NUL, or a CR inside it, which
+                parsers of header fields take for the end of a line.
         """
         line = super().readline(size)
         if not line:
@@ -35,11 +51,13 @@
             raise TruncatedLineError(
                 f"the connection ended within the line {line!r:.80}"
             )
+        if b"\r" in line[:-2] or b"\0" in line:
+            raise MalformedAnswerError(f"the line {line!r:.80} is malformed")
         return line
 
 
 class StrictResponse(http.client.HTTPResponse):
-    """A response whose head, chunk sizes and trailers must be complete."""
+    """A response whose head and framing must be complete and valid."""
 
     def __init__(
         self,
@@ -51,6 +69,83 @@
         super().__init__(sock, debuglevel, method, url)
         self.fp = _LineReader(self.fp.detach())
 
+    def begin(self) -> None:
+        """Reads the head, after interim answers.
+
+        Raises:
+            HTTPException: The head is malformed or ended early.
+        """
+        if self.headers is not None:
+            return
+        super().begin()
+        while 100 <= self.status < 200:
+            if self.status == http.HTTPStatus.SWITCHING_PROTOCOLS:
+                raise MalformedAnswerError("no other protocol was requested")
+            self.headers = self.msg = None
+            super().begin()
+        _check_fields(self.headers)
+        _check_framing(self.headers, self.version)
+
+    def _read_status(self) -> tuple[str, int, str]:
+        line = self.fp.readline(MAX_LINE_BYTES)
+        match = STATUS_LINE.fullmatch(line)
+        if match is None:
+            raise http.client.BadStatusLine(repr(line[:80]))
+        version, status, reason = match.groups(b"")
+        return version.decode(), int(status), reason.decode("iso-8859-1")
+
+    def _get_chunk_left(self) -> int | None:
+        if self.chunk_left == 0:
+            end = self._safe_read(2)
+            if end != b"\r\n":
+                raise MalformedAnswerError(f"a chunk ends with {end!r}")
+            self.chunk_left = None
+        return super()._get_chunk_left()
+
+    def _read_next_chunk_size(self) -> int:
+        line = self.fp.readline(MAX_LINE_BYTES)
+        match = CHUNK_LINE.fullmatch(line)
+        if match is None:
+            raise MalformedAnswerError(f"a chunk starts with {line!r:.80}")
+        return int(match[1], 16)
+
+
+def _check_fields(fields: http.client.HTTPMessage) -> None:
+    """Checks that every line of a head was read as a header field.
+
+    Raises:
+        MalformedAnswerError: A line is malformed or folded.
+    """
+    try:
+        response.assert_header_parsing(fields)
+    except urllib3.exceptions.HeaderParsingError as exc:
+        raise MalformedAnswerError(f"the head is malformed: {exc}") from exc
+    if fields.get_unixfrom() is not None:
+        raise MalformedAnswerError("the first line of the head is no field")
+    for name, value in fields.items():
+        if not FIELD_NAME.fullmatch(name) or "\n" in value:
+            raise MalformedAnswerError(
+                f"the field {name!r:.80} is malformed or folded"
+            )
+
+
+def _check_framing(fields: http.client.HTTPMessage, version: int) -> None:
+    """Checks that the end of a body is stated in one way only, or not at all.
+
+    Args:
+        fields: Header fields.
+        version: Version of HTTP as ``http.client`` states it: 10 or 11.
+
+    Raises:
+        MalformedAnswerError: It is not.
+    """
+    codings = [text.lower() for text in fields.get_all("Transfer-Encoding", [])]
+    lengths = {text.strip() for text in fields.get_all("Content-Length", [])}
+    if codings and (codings != ["chunked"] or lengths or version < 11):
+        raise MalformedAnswerError(f"the transfer coding is {codings!r:.80}")
+    if len(lengths) > 1 or not all(map(LENGTH.fullmatch, lengths)):
+        raise MalformedAnswerError(f"the length is {sorted(lengths)!r:.80}")
+
 
 class StrictConnection(connection.HTTPConnection):
     """A connection with strict responses."""
