Do not give one request the stage results of another after a late copy

Answers to stage calls name no request. A server that writes an earlier answer once more where the next one is due was detected by its result handles, which are unique. A copy without handles (refused, no room, an error) was taken for the answer, and the connection was kept: the real answer then arrived after the next call had been sent on it, and its handles went to the pieces of that call.

An answer without handles on a connection in use again now closes the server's idle connections. On a new connection it can be nobody else's, so a first refusal costs no connection.

--- a/savoryspar/backends/connections.py
+++ b/savoryspar/backends/connections.py
@@ -112,6 +112,8 @@
         status, reason: Status code and reason phrase.
         fields: Header fields as received.
         facts: Decoded head.
+        is_reused: Whether the connection answered earlier requests, so that
+            this may be a late copy of an answer to one of them.
         is_complete: Whether the body was read to its end or the answer closed.
         end: How the body ended, None before that.
     """
@@ -128,6 +130,7 @@
         "facts",
         "fields",
         "is_complete",
+        "is_reused",
         "reason",
         "server",
         "status",
@@ -136,6 +139,7 @@
     def __init__(
         self,
         server: str,
+        is_reused: bool,
         conn: connection.HTTPConnection,
         sock: bounded.BoundedSocket,
         resp: http.client.HTTPResponse,
@@ -145,6 +149,7 @@
         buffered: "BufferedBytes",
     ):
         self.server = server
+        self.is_reused = is_reused
         self._clock = clock
         self._buffered = buffered
         self.status = resp.status
@@ -631,6 +636,7 @@
 
         return Answer(
             call.server[0],
+            is_reused,
             conn,
             sock,
             resp,
--- a/savoryspar/gateway/gathering.py
+++ b/savoryspar/gateway/gathering.py
@@ -605,6 +605,7 @@
             )
             body = answer.read_all(now + timeout_s)
             if answer.facts.has_not_run:
+                self._drop_connections(server, answer)
                 self._requeue(call, is_failure=False)
                 eventlet.sleep(BUSY_PAUSE_S)
                 return
@@ -623,11 +624,24 @@
             return
         server.backoff_s = 0.0
         completed = sum(isinstance(result, str) for result in results)
+        if not completed:
+            self._drop_connections(server, answer)
         server.end_call(
             self.queue.call_s(completed) if completed else 0.0, self._clock()
         )
         self._handle_results(server, call, results, now)
 
+    def _drop_connections(
+        self, server: _Server, answer: backends.Answer
+    ) -> None:
+        """Closes the idle connections after an answer without handles.
+
+        Without handles, it cannot be told from a late copy of an earlier
+        answer, after which the next answer would belong to this call.
+        """
+        if answer.is_reused:
+            self._connections.close_idle(server.key)
+
     def _handle_results(
         self,
         server: _Server,
--- a/tests/gateway/test_gathering.py
+++ b/tests/gateway/test_gathering.py
@@ -192,6 +192,44 @@
         self.assertEqual(["h2"], third.handles())
         self.assertEqual(2, server.connections)
 
+    def test_answer_after_a_late_copy_reaches_no_other_request(self):
+        """Guards against results of one request given to another.
+
+        A server writes an earlier answer, which has no handle that would
+        identify it, once more where the next one is due. Its real answer then
+        arrives after the next call was sent.
+        """
+        refusal = (
+            b"HTTP/1.1 503 Busy\r\nSavoryspar-Not-Run: 1\r\n"
+            b"Content-Length: 0\r\n\r\n"
+        )
+        for copied in (
+            answer([{"reason": "room"}]),
+            answer([{"reason": "error"}]),
+            scripted.send(refusal),
+        ):
+            self.entries.clear()
+            del self.ended[:]
+
+            def copy_first(conn, copied=copied):
+                eventlet.sleep(0.1)
+                copied(conn)
+                eventlet.spawn_after(0.2, answer([{"handle": "h1"}]), conn)
+
+            def answer_slowly(conn):
+                eventlet.sleep(0.4)
+                answer([{"handle": "h2"}])(conn)
+
+            server = self.add_server(copied, copy_first, answer_slowly)
+            first, _ = self.submit("r1")
+            while len(server.requests) < 2:
+                eventlet.sleep(0.005)
+            self.gatherer.cancel("r1")
+            second, _ = self.submit("r2")
+            self.wait(1)
+            self.assertEqual([], first.handles())
+            self.assertEqual(["h2"], second.handles())
+
     def test_one_result_for_two_pieces_is_rejected(self):
         """Guards against two pieces that get the same result."""
         self.add_server(answer([{"handle": "h1"}, {"handle": "h1"}]))
