Skip answers to named attempts for a request without an attempt ID

On a connection in use again, a late copy of an earlier answer was passed on to a caller whose request carried no attempt ID, although the copy names the attempt that it belongs to: the check ran only for requests with an ID. Servers repeat the ID of the request, so an answer to a request without one names none. It now is skipped like any stray answer.

test_stray_answer_is_skipped_for_a_request_without_an_attempt failed before: it received the body of the other request.

--- a/savoryspar/backends/connections.py
+++ b/savoryspar/backends/connections.py
@@ -451,7 +451,7 @@
             body: Complete body.
             timeout_s: Timeout for the head of the answer.
             attempt_id: Attempt to which the answer must belong, if it states
-                an attempt.
+                an attempt. An answer to a request without one states none.
             may_repeat: Whether the request may be sent again on a new
                 connection if a reused one turns out to be closed.
             is_work: Whether the request is work, which leaving and paused
@@ -603,13 +603,13 @@
         is_reusable = True
         for _ in range(MAX_STRAY_ANSWERS):
             facts = self._decode_facts(resp.status, resp.getheaders())
-            if facts.attempt_id in ("", attempt_id) or not attempt_id:
+            if facts.attempt_id in ("", attempt_id):
                 break
             self.stray_answers += 1
             is_reusable = False
             sock.set_limits(self._clock, call.deadline_at, MAX_STRAY_BYTES)
             resp = _next_answer(resp, sock, call.method)
-        if attempt_id and facts.attempt_id not in ("", attempt_id):
+        if facts.attempt_id not in ("", attempt_id):
             raise UnidentifiedAnswerError(
                 f"the answer belongs to attempt {facts.attempt_id!r}"
             )
--- a/tests/backends/test_connections.py
+++ b/tests/backends/test_connections.py
@@ -223,6 +223,16 @@
         self.assertEqual(b"2", self.fetch(server, "b"))
         self.assertEqual(1, self.connections.stray_answers)
 
+    def test_stray_answer_is_skipped_for_a_request_without_an_attempt(self):
+        """Guards against another caller's answer to a request without an ID."""
+        own = b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nown"
+        server = ScriptedServer(
+            send(complete_answer(b"a", b"1")),
+            send(complete_answer(b"a", b"1") + own),
+        )
+        self.fetch(server, "a")
+        self.assertEqual(b"own", self.fetch(server, ""))
+
     def test_extra_bytes_between_requests_close_the_connection(self):
         """Guards against a duplicate answer returned to the next caller."""
         duplicate = complete_answer(b"a", b"1")
