--- a/savoryspar/backends/connections.py
+++ b/savoryspar/backends/connections.py
@@ -112,6 +112,8 @@
         status, reason: Status code and reason phrase.
         fields: Header fields as received.
         facts: Decoded head.
+        is_reused: Whether the connection answered earlier requests, so that
+            this may be a late copy of an answer to one of them.
         is_complete: Whether the body was read to its end or the answer closed.
         end: How the body ended, None before that.
     """
@@ -128,6 +130,7 @@
         "facts",
         "fields",
         "is_complete",
+        "is_reused",
         "reason",
         "server",
         "status",
@@ -136,6 +139,7 @@
     def __init__(
         self,
         server: str,
+        is_reused: bool,
         conn: connection.HTTPConnection,
         sock: bounded.BoundedSocket,
         resp: http.client.HTTPResponse,
@@ -145,6 +149,7 @@
         buffered: "BufferedBytes",
     ):
         self.server = server
+        self.is_reused = is_reused
         self._clock = clock
         self._buffered = buffered
         self.status = resp.status
@@ -446,7 +451,7 @@
             body: Complete body.
             timeout_s: Timeout for the head of the answer.
             attempt_id: Attempt to which the answer must belong, if it states
-                an attempt.
+                an attempt. An answer to a request without one states none.
             may_repeat: Whether the request may be sent again on a new
                 connection if a reused one turns out to be closed.
             is_work: Whether the request is work, which leaving and paused
@@ -598,13 +603,13 @@
         is_reusable = True
         for _ in range(MAX_STRAY_ANSWERS):
             facts = self._decode_facts(resp.status, resp.getheaders())
-            if facts.attempt_id in ("", attempt_id) or not attempt_id:
+            if facts.attempt_id in ("", attempt_id):
                 break
             self.stray_answers += 1
             is_reusable = False
             sock.set_limits(self._clock, call.deadline_at, MAX_STRAY_BYTES)
             resp = _next_answer(resp, sock, call.method)
-        if attempt_id and facts.attempt_id not in ("", attempt_id):
+        if facts.attempt_id not in ("", attempt_id):
             raise UnidentifiedAnswerError(
                 f"the answer belongs to attempt {facts.attempt_id!r}"
             )
@@ -631,6 +636,7 @@
 
         return Answer(
             call.server[0],
+            is_reused,
             conn,
             sock,
             resp,
