Skip a malformed entry, not the watch, the list or the peers that it is in

Callers of a VM beside an entry that is nested 1,500 deep went on to reach a server that was gone, and a VM that started while the entry stood found no server and refused every request. `json.loads` raises RecursionError for it, `int` raises OverflowError for a version of 1e999, and neither was a DocumentError, so the watch or the list failed as a whole and was tried again with the same entry every 1.6 s, for ever. Items of a page without a key, value or revision failed the page in the same way. An entry with a text that CBOR cannot encode ("\ud800") closed the links over which a VM would have told its peers of it, and an ID that no header field can carry failed the requests sent to its server.

`savoryspar.decoding` now decodes all JSON of the platform with limits of size, depth and numbers and one error. Items of a page are decoded one by one; a change without a key or valid revision is followed by a new list, as it cannot be told which server it concerns. A server whose entry is overwritten by a malformed one is no longer used, by watches as by lists. Rows of peers are checked alike. `entry ignored` tells key, revision, size, source and cause, once for each revision, and `ignored_entries` counts them.

--- a/savoryspar/gateway/fleet_watch.py
+++ b/savoryspar/gateway/fleet_watch.py
@@ -1,12 +1,14 @@
 """Watches the platform's store; queries peers when it is unreachable."""
 
-from collections.abc import Sequence
+from collections.abc import Iterator, Mapping, Sequence
+import contextlib
 import random
+from typing import Any
 
 import eventlet
 
-from savoryspar import fleet, log, membership, platform
-from savoryspar.gateway import model, watchers
+from savoryspar import decoding, fleet, log, membership, platform
+from savoryspar.gateway import ignored, model, watchers
 
 WATCH_TIMEOUT_S = 5.0
 """Timeout of one watch. A store that is about to drop its history may not
@@ -51,6 +53,7 @@
         is_connected: Whether the last call to the store succeeded, by prefix.
         last_heard_at: Monotonic time of the last successful call, by prefix.
         changes: Number of changes that the store reported, by prefix.
+        ignored: Malformed entries, from the store and from peers.
     """
 
     __slots__ = (
@@ -67,6 +70,7 @@
         "_rng",
         "_server_registry",
         "changes",
+        "ignored",
         "is_connected",
         "last_heard_at",
     )
@@ -107,6 +111,7 @@
         self.is_connected = dict.fromkeys(self._clients, False)
         self.last_heard_at = dict.fromkeys(self._clients, 0.0)
         self.changes = dict.fromkeys(self._clients, 0)
+        self.ignored = ignored.new_ignored_entries(events)
         members.handle(PEER_KIND, self._serve_peer)
         members.handle(CHANGES_KIND, self._serve_changes)
         members.heartbeats.sheet_state = self._encode_state
@@ -245,10 +250,16 @@
         """Applies changes that a peer propagated, and relays new ones."""
         prefix, since, until, rows = body
         applied = self._applied[prefix]
-        if until <= applied:
+        if decoding.integer(until, 0) <= applied:
             return
         is_new = until > self._election.newest_revisions[prefix]
-        items = [platform.Item(*row) for row in rows or ()]
+        try:
+            items = [platform.decode_peer_item(row) for row in rows or ()]
+        except fleet.DocumentError as exc:
+            # The thread of the prefix reads the changes from the store.
+            self._ignore(f"{rows!r:.200}", until, 0, f"peer {sender}", exc)
+            self._election.record_revision(prefix, until)
+            return
         if rows is not None and since <= applied:
             self._apply(prefix, items)
             self._applied[prefix] = until
@@ -268,11 +279,13 @@
     def _read_snapshot(self, prefix: str, client: platform.StoreClient) -> int:
         if prefix == platform.CONFIGURATION_PREFIX:
             snapshot = client.get(platform.CONFIGURATION_KEY)
+            self._ignore_faults(snapshot)
             self._apply(prefix, snapshot.items)
             return snapshot.revision
         snapshot = client.read_all(platform.SERVER_PREFIX)
+        self._ignore_faults(snapshot)
         now = self._clock()
-        entries = [self._decode(item, now) for item in snapshot.items]
+        entries = [self._decode(item) for item in snapshot.items]
         self._server_registry.replace(
             [entry for entry in entries if entry is not None],
             snapshot.revision,
@@ -305,38 +318,43 @@
             self._on_change(now)
 
     def _apply_server(self, item: platform.Item, now: float) -> None:
-        name = item.key[len(platform.SERVER_PREFIX) :]
-        if item.value is None:
+        """Applies a change of a server; a malformed entry removes it."""
+        entry = None if item.value is None else self._decode(item)
+        if entry is None:
+            name = item.key[len(platform.SERVER_PREFIX) :]
             self._server_registry.remove(name, item.revision, "store", now)
-            return
-        entry = self._decode(item, now)
-        if entry is not None:
+        else:
             self._server_registry.put(entry, "store", now)
 
-    def _decode(
-        self, item: platform.Item, now: float
-    ) -> fleet.BackendEntry | None:
+    def _decode(self, item: platform.Item) -> fleet.BackendEntry | None:
         try:
-            return platform.decode_backend_entry(
-                item.key[len(platform.SERVER_PREFIX) :],
-                item.value or b"",
-                item.revision,
-            )
+            return platform.decode_server_item(item)
         except fleet.DocumentError as exc:
-            self._events.state_change(
-                "entry ignored", now, key=item.key, cause=str(exc)
-            )
+            size = len(item.value or b"")
+            self._ignore(item.key, item.revision, size, "store", exc)
             return None
 
+    def _ignore_faults(self, snapshot: platform.Snapshot) -> None:
+        for fault in snapshot.faults:
+            self._ignore(fault.shown, 0, 0, "store", fault.cause)
+
+    def _ignore(
+        self,
+        key: str,
+        revision: int,
+        size: int,
+        source: str,
+        cause: Exception | str,
+    ) -> None:
+        self.ignored.record(key, revision, size, source, cause, self._clock())
+
     def _apply_configuration(
         self, document: bytes, source: str, now: float
     ) -> None:
         try:
             candidate = platform.decode_configuration(document)
         except fleet.DocumentError as exc:
-            self._events.state_change(
-                "configuration ignored", now, source=source, cause=str(exc)
-            )
+            self.ignored.record_configuration(document, source, exc, now)
             return
         self._holder.activate_if_newer(candidate, document, source, now)
 
@@ -395,35 +413,44 @@
                     cause=repr(exc),
                 )
 
-    def _apply_peer_state(self, reply: dict, peer: str) -> None:
+    def _apply_peer_state(self, reply: Mapping[str, Any], peer: str) -> None:
+        """Applies what a peer knows, without its malformed entries.
+
+        Raises:
+            DecodingError: The reply itself is malformed.
+        """
         now = self._clock()
-        if reply["document"]:
-            self._apply_configuration(reply["document"], f"peer {peer}", now)
-        # Processes of earlier versions send none.
-        versions = reply.get("versions", {})
-        for body in reply["servers"]:
-            entry = fleet.BackendEntry(*body, versions.get(body[0], ""))
-            self._server_registry.put(entry, f"peer {peer}", now)
-        for name, revision in reply["removed"]:
-            self._server_registry.remove(name, revision, f"peer {peer}", now)
+        source = f"peer {peer}"
+        with decoding.reading("the reply"):
+            if reply["document"]:
+                self._apply_configuration(reply["document"], source, now)
+            # Processes of earlier versions send none.
+            versions = {**reply.get("versions", {})}
+            for row in reply["servers"]:
+                with self._ignoring(row, source):
+                    entry = platform.decode_peer_entry(row, versions)
+                    self._server_registry.put(entry, source, now)
+            for row in reply["removed"]:
+                with self._ignoring(row, source):
+                    name, revision = platform.decode_peer_removal(row)
+                    self._server_registry.remove(name, revision, source, now)
         self._on_change(now)
 
+    @contextlib.contextmanager
+    def _ignoring(self, row: Any, source: str) -> Iterator[None]:
+        """Skips an entry of a peer that is malformed, with a log line."""
+        try:
+            yield
+        except fleet.DocumentError as exc:
+            self._ignore(f"{row!r:.200}", 0, 0, source, exc)
+
     def _serve_peer(self, sender: str, body: dict) -> dict:
         del sender
         is_newer = self._holder.version > body["version"]
         return {
             "document": self._holder.document if is_newer else b"",
             "servers": [
-                [
-                    entry.name,
-                    entry.service,
-                    entry.address,
-                    entry.zone,
-                    entry.slots,
-                    entry.is_draining,
-                    entry.started_ms,
-                    entry.revision,
-                ]
+                platform.encode_peer_entry(entry)
                 for entry in self._server_registry.entries()
             ],
             "versions": {
--- a/savoryspar/gateway/node.py
+++ b/savoryspar/gateway/node.py
@@ -359,6 +359,7 @@
             "configuration_version": lambda: self._holder.version,
             "store_calls": self._watch.calls,
             "store_changes": lambda: sum(self._watch.changes.values()),
+            "ignored_entries": lambda: self._watch.ignored.count,
             "peers": lambda: len(self._members.view(self._clock()).members),
             "backend_connections_opened": lambda: self._connections.opened,
             "stray_answers": lambda: self._connections.stray_answers,
--- a/savoryspar/platform/__init__.py
+++ b/savoryspar/platform/__init__.py
@@ -10,6 +10,11 @@
     SERVER_PREFIX,
     decode_backend_entry,
     decode_configuration,
+    decode_peer_entry,
+    decode_peer_item,
+    decode_peer_removal,
+    decode_server_item,
+    encode_peer_entry,
 )
 from savoryspar.platform.headers import (
     MAX_PAUSE_S,
@@ -28,6 +33,7 @@
     producer_address,
 )
 from savoryspar.platform.store import (
+    Fault,
     Item,
     Snapshot,
     StoreClient,
--- a/savoryspar/platform/documents.py
+++ b/savoryspar/platform/documents.py
@@ -1,10 +1,12 @@
 """Decodes the operator's configuration and entries of backend servers."""
 
 from collections.abc import Mapping
-import json
+import ipaddress
+import re
 from typing import Any
 
-from savoryspar import fleet
+from savoryspar import decoding, fleet
+from savoryspar.platform import store
 
 CONFIGURATION_PREFIX = "op/"
 CONFIGURATION_KEY = "op/config"
@@ -20,6 +22,21 @@
 DRAINING_BY_STATE = {"ready": False, "draining": True}
 """Whether a server is draining, by the state in its entry."""
 MAX_VERSION_CHARS = 200
+MAX_CONFIGURATION_BYTES = 8 << 20
+MAX_ENTRY_BYTES = 1 << 16
+"""Entries of servers have less than 1 KB."""
+MAX_PATTERN_CHARS = 4000
+"""Limit for hosts and path prefixes."""
+MAX_COUNT = 1 << 31
+"""Limit for slots, queues, ranks and sizes in tokens or bytes."""
+MAX_DURATION_MS = 1e10
+MAX_RESULT_BYTES = 1e15
+MAX_WEIGHT = 1e9
+MAX_SLOTS = 1 << 20
+MAX_STARTED_MS = 1 << 53
+"""Limit for the start of a server, in milliseconds of Unix time."""
+ADDRESS = re.compile(r"([0-9.]{7,15}):([1-9][0-9]{0,4})")
+MAX_PORT = 65535
 
 
 def decode_configuration(document: bytes) -> fleet.Configuration:
@@ -29,10 +46,12 @@
         DocumentError: The document is malformed.
     """
     try:
-        return _configuration(json.loads(document))
-    except (ValueError, KeyError, TypeError, AttributeError) as exc:
+        body = decoding.decode_json(document, MAX_CONFIGURATION_BYTES)
+        with decoding.reading("a field"):
+            return _configuration(body)
+    except decoding.DecodingError as exc:
         raise fleet.DocumentError(
-            f"the configuration cannot be decoded: {exc!r}",
+            f"the configuration cannot be decoded: {exc}",
             "the previous version stays in force; check the published document",
         ) from exc
 
@@ -40,64 +59,106 @@
 def _configuration(body: Mapping[str, Any]) -> fleet.Configuration:
     limits = body.get("limits") or {}
     return fleet.Configuration(
-        version=int(body["version"]),
+        version=decoding.integer(body["version"], 1),
         routes=[_route(item) for item in body["routes"]],
-        services={item["name"]: _service(item) for item in body["services"]},
+        services={
+            service.name: service for service in map(_service, body["services"])
+        },
         workspaces={
-            key: workspace
+            _pattern(key): workspace
             for item in body.get("tenants") or ()
             for workspace in [_workspace(item)]
             for key in item.get("api-keys") or ()
         },
         has_workspaces="tenants" in body,
         limits=fleet.CallerLimits(
-            max_header_bytes=int(limits.get("max-header-bytes", 16384)),
-            max_body_bytes=int(limits.get("max-body-bytes", 4194304)),
-            header_timeout_s=limits.get("header-timeout-ms", 3000) / 1000.0,
-            idle_timeout_s=limits.get("idle-timeout-ms", 15000) / 1000.0,
+            max_header_bytes=_count(limits.get("max-header-bytes", 16384)),
+            max_body_bytes=_count(limits.get("max-body-bytes", 4194304)),
+            header_timeout_s=_seconds(limits.get("header-timeout-ms", 3000)),
+            idle_timeout_s=_seconds(limits.get("idle-timeout-ms", 15000)),
         ),
     )
 
 
+def _count(value: Any, minimum: int = 0) -> int:
+    decoding.number(value, minimum, MAX_COUNT)
+    return int(value)
+
+
+def _seconds(milliseconds: Any) -> float:
+    return decoding.number(milliseconds, 0, MAX_DURATION_MS) / 1000.0
+
+
+def _pattern(value: Any) -> str:
+    return decoding.text(value, MAX_PATTERN_CHARS)
+
+
 def _workspace(item: Mapping[str, Any]) -> fleet.Workspace:
-    return fleet.Workspace(item["name"], item.get("priority"))
+    rank = item.get("priority")
+    name = decoding.text(item["name"])
+    # The name is sent to servers in a header field.
+    name.encode("latin-1")
+    return fleet.Workspace(name, None if rank is None else _rank(rank))
+
+
+def _rank(value: Any) -> int:
+    return _count(value, -MAX_COUNT)
 
 
 def _route(item: Mapping[str, Any]) -> fleet.Route:
-    split = item.get("split")
-    services = (
-        [(part["service"], float(part["weight"])) for part in split]
-        if split
-        else [(item["service"], 1.0)]
-    )
     timeout_ms = item.get("timeout-ms") or 30000
+    stages = item.get("phases") or ()
     return fleet.Route(
-        name=item["name"],
-        host=item["host"].lower(),
-        prefix=item["prefix"],
+        name=decoding.text(item["name"]),
+        host=_pattern(item["host"]).lower(),
+        prefix=_pattern(item["prefix"]),
         kind=ROUTE_KINDS[item["route-kind"]],
-        services=services,
-        timeout_s=timeout_ms / 1000.0,
-        objective_s=(item.get("goal-ms") or timeout_ms) / 1000.0,
-        gap_objective_s=(item.get("gap-goal-ms") or 0) / 1000.0,
-        rank=int(item.get("priority") or 0),
-        attempts=max(1, int(item.get("attempts") or 1)),
+        services=_services(item),
+        timeout_s=_seconds(timeout_ms),
+        objective_s=_seconds(item.get("goal-ms") or timeout_ms),
+        gap_objective_s=_seconds(item.get("gap-goal-ms") or 0),
+        rank=_rank(item.get("priority") or 0),
+        attempts=max(1, _count(item.get("attempts") or 1)),
         is_public=bool(item.get("public")),
         is_resumable=bool(item.get("resumable")),
-        stages=[
-            fleet.Stage(
-                stage["service"], stage.get("after") or (), stage.get("data", 0)
-            )
-            for stage in item.get("phases") or ()
+        stages=[_stage(stage, len(stages)) for stage in stages],
+    )
+
+
+def _services(route: Mapping[str, Any]) -> list[tuple[str, float]]:
+    """Returns the names and weights of a route's services."""
+    split = route.get("split")
+    if not split:
+        return [(decoding.text(route["service"]), 1.0)]
+    services = [
+        (
+            decoding.text(part["service"]),
+            decoding.number(part["weight"], 0, MAX_WEIGHT),
+        )
+        for part in split
+    ]
+    if not any(weight for _, weight in services):
+        raise decoding.DecodingError("a split has no weight above 0")
+    return services
+
+
+def _stage(item: Mapping[str, Any], stage_count: int) -> fleet.Stage:
+    return fleet.Stage(
+        decoding.text(item["service"]),
+        [
+            decoding.integer(number, 0, stage_count - 1)
+            for number in item.get("after") or ()
         ],
+        int(decoding.number(item.get("data", 0), 0, MAX_RESULT_BYTES)),
     )
 
 
 def _service(item: Mapping[str, Any]) -> fleet.Service:
+    health_path = item.get("health-path", "")
     return fleet.Service(
-        name=item["name"],
-        health_path=item.get("health-path", ""),
-        max_connections=int(item.get("max-conns") or 64),
+        name=decoding.text(item["name"]),
+        health_path=_pattern(health_path) if health_path else "",
+        max_connections=_count(item.get("max-conns") or 64),
         stage_pool=_stage_pool(item.get("segments")),
         engine_pool=_engine_pool(item.get("engine")),
     )
@@ -106,21 +167,50 @@
 def _stage_pool(item: Mapping[str, Any] | None) -> fleet.StagePool | None:
     if not item:
         return None
+    room_mb = decoding.number(item["room-mb"], 0, MAX_RESULT_BYTES / 1e6)
     return fleet.StagePool(
-        slots=int(item["slots"]),
-        queue=int(item["queue"]),
-        batch=int(item["batch"]),
-        call_s=item["call-ms"] / 1000.0,
-        piece_s=item["item-ms"] / 1000.0,
-        room_bytes=item["room-mb"] * 1e6,
-        result_ttl_s=float(item["handle-ttl-s"]),
+        slots=_count(item["slots"]),
+        queue=_count(item["queue"]),
+        batch=_count(item["batch"], 1),
+        call_s=_seconds(item["call-ms"]),
+        piece_s=_seconds(item["item-ms"]),
+        room_bytes=room_mb * 1e6,
+        result_ttl_s=_seconds(item["handle-ttl-s"] * 1000.0),
     )
 
 
 def _engine_pool(item: Mapping[str, Any] | None) -> fleet.EnginePool | None:
     if not item:
         return None
-    return fleet.EnginePool(int(item["slots"]), int(item["kv-cap"]))
+    return fleet.EnginePool(_count(item["slots"]), _count(item["kv-cap"]))
+
+
+def decode_server_item(item: store.Item) -> fleet.BackendEntry:
+    """Decodes the entry in an item under ``servers/``.
+
+    Raises:
+        DocumentError: The key, the value or a field is malformed.
+    """
+    name = item.key.removeprefix(SERVER_PREFIX)
+    if item.fault:
+        raise _invalid_entry(name, item.fault)
+    return decode_backend_entry(name, item.value or b"", item.revision)
+
+
+def decode_peer_item(row: Any) -> store.Item:
+    """Decodes an item that a peer propagated, with its key and revision.
+
+    Raises:
+        DocumentError: It is malformed.
+    """
+    try:
+        with decoding.reading("an item"):
+            key, value, revision = row
+            if not isinstance(key, str) or not isinstance(value, bytes | None):
+                raise decoding.DecodingError("the key or value is malformed")
+            return store.Item(key, value, decoding.integer(revision, 0))
+    except decoding.DecodingError as exc:
+        raise _invalid_entry(row, exc) from exc
 
 
 def decode_backend_entry(
@@ -138,38 +228,123 @@
             is unknown; the server of such an entry cannot be used.
     """
     try:
-        item = json.loads(value)
-        address = item["addr"]
-        host, _, port = address.rpartition(":")
-        if not host or not 0 < int(port) < 65536:
-            raise ValueError(address)
-        texts = [item["service"], item["zone"]]
-        slots = item.get("slots", 1)
-        started_ms = item.get("born", 0)
-        if not all(isinstance(text, str) and text for text in texts):
-            raise TypeError("service and zone must be non-empty strings")
-        if type(slots) is not int or type(started_ms) is not int:
-            raise TypeError("slots and born must be integers")
-        is_draining = DRAINING_BY_STATE[item["state"]]
-        version = _version(item)
-    except (ValueError, KeyError, TypeError, AttributeError) as exc:
-        raise fleet.DocumentError(
-            f"the entry of {name} cannot be decoded: {exc!r}",
-            "the entry is ignored; check the program that wrote it",
-        ) from exc
+        item = decoding.decode_json(value, MAX_ENTRY_BYTES)
+        with decoding.reading("a field"):
+            return _backend_entry(
+                name,
+                item["service"],
+                item["addr"],
+                item["zone"],
+                item.get("slots", 1),
+                DRAINING_BY_STATE[item["state"]],
+                item.get("born", 0),
+                revision,
+                _version(item),
+            )
+    except decoding.DecodingError as exc:
+        raise _invalid_entry(name, exc) from exc
+
+
+def decode_peer_entry(
+    row: Any, versions: Mapping[str, Any]
+) -> fleet.BackendEntry:
+    """Decodes an entry that a peer sent, as ``encode_peer_entry`` returns it.
+
+    Args:
+        row: The entry.
+        versions: Versions of the peer's servers by name.
+
+    Raises:
+        DocumentError: It is malformed; a peer of another version may accept
+            other entries.
+    """
+    try:
+        with decoding.reading("a field"):
+            name, service, address, zone, slots, is_draining, *rest = row
+            started_ms, revision = rest
+            return _backend_entry(
+                name,
+                service,
+                address,
+                zone,
+                slots,
+                bool(is_draining),
+                started_ms,
+                revision,
+                str(versions.get(name, ""))[:MAX_VERSION_CHARS],
+            )
+    except decoding.DecodingError as exc:
+        raise _invalid_entry(row, exc) from exc
+
+
+def decode_peer_removal(row: Any) -> tuple[str, int]:
+    """Decodes the name and the revision of a removed server from a peer.
+
+    Raises:
+        DocumentError: They are malformed.
+    """
+    try:
+        with decoding.reading("a removal"):
+            name, revision = row
+            return decoding.text(name), decoding.integer(revision, 0)
+    except decoding.DecodingError as exc:
+        raise _invalid_entry(row, exc) from exc
+
+
+def encode_peer_entry(entry: fleet.BackendEntry) -> list[Any]:
+    """Returns an entry as the list that is sent to peers, without versions."""
+    return [
+        entry.name,
+        entry.service,
+        entry.address,
+        entry.zone,
+        entry.slots,
+        entry.is_draining,
+        entry.started_ms,
+        entry.revision,
+    ]
+
+
+def _backend_entry(
+    name: Any,
+    service: Any,
+    address: Any,
+    zone: Any,
+    slots: Any,
+    is_draining: bool,
+    started_ms: Any,
+    revision: Any,
+    version: str,
+) -> fleet.BackendEntry:
     return fleet.BackendEntry(
-        name=name,
-        service=texts[0],
-        address=address,
-        zone=texts[1],
-        slots=slots,
+        name=decoding.token(name),
+        service=decoding.text(service),
+        address=_address(address),
+        zone=decoding.text(zone),
+        slots=decoding.integer(slots, 1, MAX_SLOTS),
         is_draining=is_draining,
-        started_ms=started_ms,
-        revision=revision,
+        started_ms=decoding.integer(started_ms, 0, MAX_STARTED_MS),
+        revision=decoding.integer(revision, 0),
         version=version,
     )
 
 
+def _address(value: Any) -> str:
+    """Returns an address ``IP:port``; a host name would block on a lookup."""
+    found = ADDRESS.fullmatch(decoding.text(value))
+    if not found or int(found[2]) > MAX_PORT:
+        raise decoding.DecodingError(f"{value!r:.40} is not an IPv4 address")
+    ipaddress.IPv4Address(found[1])
+    return value
+
+
+def _invalid_entry(name: Any, cause: Exception | str) -> fleet.DocumentError:
+    return fleet.DocumentError(
+        f"the entry of {name!r:.80} cannot be decoded: {cause}",
+        "the entry is ignored; check the program that wrote it",
+    )
+
+
 def _version(item: Mapping[str, Any]) -> str:
     """Returns the versions of a server's software and of its models.
 
--- a/savoryspar/platform/stage_calls.py
+++ b/savoryspar/platform/stage_calls.py
@@ -1,14 +1,16 @@
 """Bodies of calls that run pieces of stages and free their results."""
 
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 import json
 import re
 from typing import Any
 
-from savoryspar import fleet, stages
+from savoryspar import decoding, fleet, stages
 
 STAGE_RUN_PATH = "/-/stage-run"
 STAGE_FREE_PATH = "/-/stage-free"
+MAX_RESULTS_BYTES = 1 << 20
+"""A result takes less than 300 bytes, and a batch has fewer than 100."""
 HANDLE = re.compile(r"[!-+\--~]{1,200}")
 """Printable characters except blanks and commas."""
 
@@ -52,18 +54,12 @@
         DocumentError: The answer is malformed or has another number of results.
     """
     try:
-        entries = json.loads(body)["entries"]
-        results = [
-            _check_handle(entry["handle"])
-            if "handle" in entry
-            else FAILURES_BY_REASON.get(
-                entry.get("reason"), stages.Failure.FAILED
-            )
-            for entry in entries
-        ]
-    except (ValueError, KeyError, TypeError, AttributeError) as exc:
+        document = decoding.decode_json(body, MAX_RESULTS_BYTES)
+        with decoding.reading("a field"):
+            results = [_result(entry) for entry in document["entries"]]
+    except decoding.DecodingError as exc:
         raise fleet.DocumentError(
-            f"the answer to a stage call cannot be decoded: {exc!r}",
+            f"the answer to a stage call cannot be decoded: {exc}",
             "the pieces are run again on another server",
         ) from exc
     if len(results) != count:
@@ -75,6 +71,12 @@
     return results
 
 
+def _result(entry: Mapping[str, Any]) -> str | stages.Failure:
+    if "handle" in entry:
+        return _check_handle(entry["handle"])
+    return FAILURES_BY_REASON.get(entry.get("reason"), stages.Failure.FAILED)
+
+
 def _check_handle(value: Any) -> str:
     """Returns a result handle that is valid in a list in a header field.
 
--- a/savoryspar/platform/store.py
+++ b/savoryspar/platform/store.py
@@ -1,18 +1,17 @@
 """Client of the platform's metadata store, with reads and watches."""
 
 import base64
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterable, Iterator, Mapping, Sequence
 import contextlib
 import http.client
 import itertools
-import json
 from typing import Any
 from urllib import parse
 
 import urllib3
 from urllib3 import connection
 
-from savoryspar import backends, fleet
+from savoryspar import backends, decoding, fleet
 
 CONNECT_TIMEOUT_S = 1.0
 """A running store accepts connections within some milliseconds."""
@@ -24,6 +23,7 @@
 """Size limit; a page has about 1 MB, and a value of 1 MB takes 1.4 MB."""
 MAX_PAGES = 400
 """Limit for the pages of one list, with about 500 items each."""
+MAX_KEY_BYTES = 200
 USER_TIMEOUT_MS = 2500
 """TCP timeout for data that the store does not acknowledge."""
 
@@ -32,27 +32,59 @@
     """A key with its value, or its removal.
 
     Attributes:
-        key: The key.
+        key: The key, in which characters that cannot be encoded are replaced.
         value: The value, None if the key was removed.
         revision: Store revision of the change.
+        fault: Why the key or the value cannot be decoded, empty if they can;
+            the value of such an item is empty.
     """
 
-    __slots__ = ("key", "revision", "value")
+    __slots__ = ("fault", "key", "revision", "value")
 
-    def __init__(self, key: str, value: bytes | None, revision: int):
+    def __init__(
+        self, key: str, value: bytes | None, revision: int, fault: str = ""
+    ):
         self.key = key
         self.value = value
         self.revision = revision
+        self.fault = fault
+
+
+class Fault:
+    """An item of a page that has no key or no valid revision.
+
+    Attributes:
+        shown: Beginning of the item, for the log.
+        cause: What is malformed.
+    """
+
+    __slots__ = ("cause", "shown")
+
+    def __init__(self, shown: str, cause: str):
+        self.shown = shown
+        self.cause = cause
 
 
 class Snapshot:
-    """Items of the store as of a revision."""
+    """Items of the store as of a revision.
 
-    __slots__ = ("items", "revision")
+    Attributes:
+        items: Items with a key and a valid revision.
+        revision: Revision of the store.
+        faults: The other items, which are skipped.
+    """
 
-    def __init__(self, items: list[Item], revision: int):
+    __slots__ = ("faults", "items", "revision")
+
+    def __init__(
+        self,
+        items: list[Item],
+        revision: int,
+        faults: Sequence[Fault] = (),
+    ):
         self.items = items
         self.revision = revision
+        self.faults = faults
 
 
 class StoreClient:
@@ -81,8 +113,8 @@
         )
         with _decoding("an item"):
             if status == 404:
-                return Snapshot([], int(body.get("as-of", 0)))
-            return Snapshot([_item(body)], int(body["as-of"]))
+                return Snapshot([], _revision(body.get("as-of", 0)))
+            return _snapshot([body], _revision(body["as-of"]))
 
     def read_all(self, prefix: str) -> Snapshot:
         """Reads all keys with the prefix, page by page.
@@ -95,16 +127,20 @@
         """
         with _decoding("a list"):
             pages = [*self._pages(prefix)]
-            return Snapshot(
-                [_item(item) for page in pages for item in page["entries"]],
-                int(pages[0]["as-of"]),
+            return _snapshot(
+                itertools.chain.from_iterable(
+                    page["entries"] for page in pages
+                ),
+                _revision(pages[0]["as-of"]),
             )
 
     def watch(self, prefix: str, after: int, wait_s: float) -> Snapshot:
         """Waits for changes after a revision and returns them in order.
 
         Raises:
-            HistoryGoneError: The store no longer has the changes.
+            HistoryGoneError: The store no longer has the changes, or a change
+                has no key or no valid revision, so that only a new list tells
+                what has changed.
             StoreError: As for ``get``.
         """
         query = {
@@ -116,9 +152,13 @@
             "/-/kv-watch", query, wait_s + WATCH_MARGIN_S, (200,)
         )
         with _decoding("a watch"):
-            return Snapshot(
-                [_item(event) for event in body["events"]], int(body["as-of"])
+            changes = _snapshot(body["events"], _revision(body["as-of"]))
+        for fault in changes.faults:
+            raise fleet.HistoryGoneError(
+                f"a change {fault.shown} cannot be decoded: {fault.cause}",
+                "read all keys again",
             )
+        return changes
 
     def close(self) -> None:
         """Closes the connection; the next call opens a new one."""
@@ -133,7 +173,14 @@
             yield page
             if not page["truncated"] or not page["entries"]:
                 return
-            query = {"prefix": prefix, "after": page["entries"][-1]["key"]}
+            after = _last_key(page["entries"])
+            if after in ("", query.get("after")):
+                raise fleet.StoreError(
+                    f"a page of the list under {prefix} ends where it begins,"
+                    f" at {after!r:.80}",
+                    "check the store",
+                )
+            query = {"prefix": prefix, "after": after}
         raise fleet.StoreError(
             f"the list under {prefix} has more than {MAX_PAGES} pages",
             "check the store",
@@ -160,7 +207,7 @@
                     f"the store answered {status} to {path}",
                     "wait before the next call",
                 )
-            return status, json.loads(data)
+            return status, decoding.decode_envelope(data, MAX_ANSWER_BYTES)
         except (
             OSError,
             ValueError,
@@ -195,19 +242,70 @@
 def _decoding(subject: str) -> Iterator[None]:
     """Turns errors from a malformed answer into ``StoreError``."""
     try:
-        yield
-    except (KeyError, TypeError, ValueError, AttributeError) as exc:
+        with decoding.reading(f"the store's answer for {subject}"):
+            yield
+    except decoding.DecodingError as exc:
         raise fleet.StoreError(
-            f"the store's answer for {subject} cannot be decoded: {exc!r:.200}",
+            str(exc),
             "the last known state stays in force; check the store",
         ) from exc
 
 
-def _item(body: dict[str, Any]) -> Item:
-    if body.get("deleted"):
-        return Item(body["key"], None, int(body["revision"]))
-    value = base64.b64decode(body["value"])
-    return Item(body["key"], value, int(body["revision"]))
+def _snapshot(bodies: Iterable[Any], revision: int) -> Snapshot:
+    """Decodes the items of an answer, each by itself."""
+    items: list[Item] = []
+    faults: list[Fault] = []
+    for body in bodies:
+        try:
+            items.append(_item(body))
+        except decoding.DecodingError as exc:
+            faults.append(Fault(f"{body!r:.80}", str(exc)))
+    return Snapshot(items, revision, faults)
+
+
+def _item(body: Any) -> Item:
+    """Decodes an item.
+
+    Raises:
+        DecodingError: It has no key or no valid revision.
+    """
+    with decoding.reading("an item"):
+        shown = body["key"].encode(errors="replace").decode()[:MAX_KEY_BYTES]
+        revision = _revision(body["revision"])
+    try:
+        with decoding.reading("an item"):
+            key = _key(body)
+            if body.get("deleted"):
+                return Item(key, None, revision)
+            value = base64.b64decode(body["value"], validate=True)
+    except decoding.DecodingError as exc:
+        return Item(shown, b"", revision, str(exc))
+    return Item(key, value, revision)
+
+
+def _key(body: Mapping[str, Any]) -> str:
+    """Returns the key of an item.
+
+    Raises:
+        ValueError: It is too long, or has text that cannot be encoded.
+    """
+    size = len(body["key"].encode())
+    if size > MAX_KEY_BYTES:
+        raise decoding.DecodingError(f"the key has {size} bytes")
+    return body["key"]
+
+
+def _revision(value: Any) -> int:
+    return decoding.integer(value, 0)
+
+
+def _last_key(bodies: Sequence[Any]) -> str:
+    """Returns the key after which the next page begins, empty if none."""
+    for body in reversed(bodies):
+        with contextlib.suppress(decoding.DecodingError):
+            with decoding.reading("an item"):
+                return _key(body)
+    return ""
 
 
 def new_store_client(address: str, clock: Callable[[], float]) -> StoreClient:
--- a/tests/gateway/test_fleet_watch.py
+++ b/tests/gateway/test_fleet_watch.py
@@ -6,7 +6,7 @@
 import testtools
 
 from savoryspar import fleet, membership, platform
-from savoryspar.gateway import fleet_watch, watchers
+from savoryspar.gateway import fleet_watch, ignored, watchers
 from savoryspar.platform import standin
 from tests.gateway import event_logs
 
@@ -242,6 +242,36 @@
         self.assertEqual([0, 0], [*receiver.newest_revisions.values()])
 
 
+class RecordedEvents:
+    """An event log that keeps its lines."""
+
+    def __init__(self):
+        self.lines = []
+
+    def state_change(self, event, now, **fields):
+        del now
+        self.lines.append((event, fields))
+
+
+class IgnoredEntriesTest(testtools.TestCase):
+    def test_entry_is_logged_once_for_each_revision(self):
+        """Guards against a line for each read of a malformed entry."""
+        events = RecordedEvents()
+        entries = ignored.new_ignored_entries(events)
+        for revision in (5, 5, 5, 6, 6):
+            entries.record("k", revision, 9, "store", "x", 1.0)
+        self.assertEqual([5, 6], [f["revision"] for _, f in events.lines])
+        self.assertEqual(2, entries.count)
+
+    def test_texts_of_lines_are_bounded(self):
+        """Guards against log lines of a megabyte."""
+        events = RecordedEvents()
+        entries = ignored.new_ignored_entries(events)
+        long = "x" * (1 << 20)
+        entries.record(long, 5, 9, "store", long, 1.0)
+        self.assertLess(len(str(events.lines)), 1000)
+
+
 class ListenerTest(testtools.TestCase):
     """Tests of a VM in a large zone in which two others watch the store."""
 
@@ -334,3 +364,49 @@
         self.receive(5, 11, [self.row("s1", 11)])
         self.receive(10, 13, [self.row("s1", 11)])
         self.assertEqual([], self.server_registry.usable())
+
+    def test_malformed_rows_of_a_peer_are_read_from_the_store(self):
+        """Guards against changes lost beside a row that cannot be decoded."""
+        self.follow()
+        for row in (7, None, [], ["k"], [7, b"", 22], ["k", "x", 22]):
+            self.receive(10, 22, [self.row("s1", 22), row])
+            self.assertEqual([], self.server_registry.usable())
+            self.assertEqual([], self.members.sent)
+        self.store.revision = 30
+        eventlet.sleep(2 * fleet_watch.REVISION_POLL_S)
+        self.assertEqual(["read_all"] * 2, self.store.calls)
+
+    def test_peer_reply_with_odd_entries_yields_the_others(self):
+        """Guards against a VM that gets no server because of a peer's entry."""
+        valid = ["s1", "p", "127.0.0.1:1", "z", 1, False, 0, 5]
+        odd = [
+            [*valid[:at], value, *valid[at + 1 :]]
+            for at, value in (
+                *(
+                    (0, "a b"),
+                    (0, 7),
+                    (1, ""),
+                    (1, None),
+                    (2, "host.example:1"),
+                ),
+                *((2, "127.0.0.1:0"), (3, "z\n"), (4, 2**63), (4, -1)),
+                *((6, -1), (6, 1.5), (7, 2**64), (7, "5"), (7, None)),
+            )
+        ]
+        reply = {
+            "document": b"",
+            "servers": [*odd, 7, None, [], valid[:4], [*valid, 1], valid],
+            "versions": {},
+            "removed": [7, ["s1"], ["s1", -1], ["s1", 2**64], [None, 9]],
+        }
+        self.watch._apply_peer_state(reply, "vm-2")
+        self.assertEqual(
+            ["s1"], [e.name for e in self.server_registry.usable()]
+        )
+        for malformed in (
+            *([], None, 7, "x", {}, {**reply, "servers": 3}),
+            *({**reply, "removed": 3}, {**reply, "versions": []}),
+        ):
+            self.assertRaises(
+                ValueError, self.watch._apply_peer_state, malformed, "vm-2"
+            )
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -11,10 +11,14 @@
 from savoryspar import fleet, platform
 from savoryspar.platform import store
 from tests.backends import test_connections as scripted
+from tests.gateway import odd_store
 
 
 def answer(status, body):
-    data = json.dumps(body).encode()
+    return raw_answer(json.dumps(body).encode(), status)
+
+
+def raw_answer(data, status=200):
     head = b"HTTP/1.1 %d X\r\nContent-Length: %d\r\n\r\n" % (status, len(data))
     return scripted.send(head + data)
 
@@ -160,3 +164,95 @@
             self.assertRaises(fleet.StoreError, client.watch, "s/", 1, 0.1)
         client = self.client(answer(200, {"events": [[]], "as-of": 3}))
         self.assertRaises(fleet.StoreError, client.watch, "s/", 1, 0.1)
+
+    def test_malformed_item_costs_no_other_item_of_a_list(self):
+        """Guards against a list that one malformed item makes unreadable."""
+        valid = item("s/a", b"1", 3), item("s/z", b"2", 4)
+        for name, odd in odd_store.ODD_ITEMS.items():
+            page = {
+                "entries": [valid[0], odd, valid[1]],
+                "truncated": False,
+                "as-of": 9,
+            }
+            snapshot = self.client(answer(200, page)).read_all("s/")
+            found = {i.key: i for i in snapshot.items}
+            self.assertEqual((b"1", b"2"), (found["s/a"].value,
+                             found["s/z"].value), name)  # fmt: skip
+            skipped = [i for i in snapshot.items if i.fault]
+            self.assertEqual(9, snapshot.revision)
+            if name != "lease 1e999":
+                self.assertEqual(1, len(skipped) + len(snapshot.faults), name)
+
+    def test_malformed_item_ends_no_list_of_several_pages(self):
+        """Guards against a list that ends at a page's malformed last item."""
+        page = {"entries": [item("s/a", b"1", 3), 7], "truncated": True}
+        last = {"entries": [item("s/b", b"2", 4)], "truncated": False}
+        client = self.client(
+            answer(200, {**page, "as-of": 9}),
+            answer(200, {**last, "as-of": 9}),
+        )
+        snapshot = client.read_all("s/")
+        self.assertEqual(["s/a", "s/b"], [i.key for i in snapshot.items])
+        self.assertIn(b"after=s%2Fa", self.server.requests[1])
+
+    def test_page_that_does_not_advance_is_a_failed_call(self):
+        """Guards against hundreds of reads of one page, each of them billed."""
+        page = {"entries": [item("s/a", b"1", 3)], "truncated": True}
+        unnamed = {"entries": [7], "truncated": "yes"}
+        for body in (page, unnamed):
+            pages = [answer(200, {**body, "as-of": 9})] * 3
+            client = self.client(*pages)
+            self.assertRaises(fleet.StoreError, client.read_all, "s/")
+            self.assertLessEqual(client.calls, 2)
+
+    def test_change_of_unknown_key_or_revision_needs_a_new_list(self):
+        """Guards against a missed change, and a revision no heartbeat carries.
+
+        A revision of 2**64 raised an error in the writer of each link.
+        """
+        named = {"key": "s/a", "value": "MQ=="}
+        for odd in (
+            *(7, None, [], {"revision": 5}, named),
+            *({**named, "revision": n} for n in (2**64, -1, 1.5, "5", None)),
+        ):
+            client = self.client(
+                answer(200, {"events": [odd, item("s/b", b"2", 5)], "as-of": 5})
+            )
+            self.assertRaises(
+                fleet.HistoryGoneError, client.watch, "s/", 3, 0.1
+            )
+
+    def test_change_of_an_odd_key_or_value_is_one_item(self):
+        """Guards against a watch that a malformed value or key stops."""
+        odd = [
+            {"key": "s/a", "revision": 4, "value": "@@@"},
+            {"key": "s/\ud800", "revision": 5, "value": "MQ=="},
+            {"key": "s/" + "x" * 300, "revision": 6, "value": "MQ=="},
+        ]
+        client = self.client(
+            answer(200, {"events": [*odd, item("s/b", b"2", 7)], "as-of": 7})
+        )
+        changes = client.watch("s/", 3, 0.1)
+        self.assertEqual(
+            [True, True, True, False], [bool(i.fault) for i in changes.items]
+        )
+        for change in changes.items:
+            self.assertLessEqual(len(change.key.encode()), 200)
+
+    def test_malformed_page_is_a_failed_call(self):
+        """Guards against an error other than that of a store that is down."""
+        deep = b'{"as-of": 5, "entries": %s, "events": %s, "truncated": 0}'
+        nested = b"[" * 100_000 + b"]" * 100_000
+        pages = [
+            deep % (nested, nested),
+            deep % (b"1e999", b"1e999"),
+            deep.replace(b"5", b"1e999") % (b"[]", b"[]"),
+            deep.replace(b"5", b"9" * 5000) % (b"[]", b"[]"),
+            deep.replace(b"5", b"-1") % (b"[]", b"[]"),
+            deep.replace(b"5", b"NaN") % (b"[]", b"[]"),
+            b"\xff\xfe{}",
+        ]
+        for page in pages:
+            client = self.client(*[raw_answer(page)] * 2)
+            self.assertRaises(fleet.StoreError, client.read_all, "s/")
+            self.assertRaises(fleet.StoreError, client.watch, "s/", 1, 0.1)
--- a/tests/platform/test_translation.py
+++ b/tests/platform/test_translation.py
@@ -1,6 +1,7 @@
 """Tests of decoding and encoding the platform's protocols."""
 
 import json
+import time
 
 import hypothesis
 from hypothesis import strategies
@@ -8,6 +9,7 @@
 
 from savoryspar import backends, fleet, platform, routing, stages
 from savoryspar.gateway import attempts
+from tests.gateway import odd_store
 
 CONFIGURATION = {
     "version": 7,
@@ -101,6 +103,63 @@
             fleet.DocumentError, platform.decode_backend_entry, "i", b"\xff", 1
         )
 
+    def test_odd_entries_are_document_errors(self):
+        """Guards against another error, which stopped the watch of the store.
+
+        RecursionError and OverflowError did.
+        """
+        for name, value in odd_store.ODD_ENTRIES.items():
+            started_at = time.monotonic()
+            exc = self.assertRaises(
+                fleet.DocumentError,
+                platform.decode_backend_entry,
+                "i-1",
+                value,
+                5,
+            )
+            self.assertLess(len(str(exc)), 500, name)
+            self.assertLess(time.monotonic() - started_at, 1.0, name)
+        for key, value in odd_store.ODD_KEYS.items():
+            item = platform.Item(key, value, 5)
+            self.assertRaises(
+                fleet.DocumentError, platform.decode_server_item, item
+            )
+
+    def test_odd_configurations_are_document_errors(self):
+        """Guards against a value that stops the watch or fails each request."""
+        text = json.dumps(CONFIGURATION)
+        for before, after in (
+            ('"version": 7', '"version": 1e999'),
+            ('"version": 7', '"version": ' + "9" * 5000),
+            ('"version": 7', '"version": NaN'),
+            ('"version": 7', '"version": -7'),
+            ('"version": 7', '"version": "7"'),
+            ('"priority": 1', '"priority": 1e999'),
+            ('"priority": 1', '"priority": "1"'),
+            ('"timeout-ms": 8000', '"timeout-ms": -1'),
+            ('"timeout-ms": 8000', '"timeout-ms": 1e999'),
+            ('"attempts": 2', '"attempts": 1e300'),
+            ('"after": []', '"after": [1]'),
+            ('"after": []', '"after": [-1]'),
+            ('"prefix": "/a/"', '"prefix": ["/a/"]'),
+            ('"name": "t"', '"name": "t\\r\\nX: y"'),
+            ('"name": "t"', '"name": "\\ud800"'),
+            ('"name": "t"', '"name": "\\u20ac"'),
+            ('"k1"', "7"),
+            ('"batch": 7', '"batch": 0'),
+            ('"service": "e"', '"split": [{"service": "e", "weight": NaN}]'),
+            ('"service": "e"', '"split": [{"service": "e", "weight": 0}]'),
+            ('"limits": {', '"limits": {"max-body-bytes": 1e999,'),
+            ('"limits": {', '"x": ' + "[" * 1500 + "]" * 1500 + ',"limits":{'),
+        ):
+            document = text.replace(before, after, 1)
+            self.assertNotEqual(text, document, before)
+            self.assertRaises(
+                fleet.DocumentError,
+                platform.decode_configuration,
+                document.encode(),
+            )
+
 
 class HeadersTest(testtools.TestCase):
     def decode(self, *fields):
