Log which revision peers told, by whom, and how long it was missing

The logs could not tell apart whether a VM served by an old version because nobody knew a newer one, because it went back, or because it waited for the store although its peers had told the newer one.

Each prefix of the store has a record of the revision that is applied and of the highest one that a peer told, with the peer and the time since which it is missing. "configuration in force" names the call that returned it (watch, read or peer) and, as "store lost" does, what peers had told before. "change missing" tells after 1 s that a change known to a peer is not applied, and the gauge store_behind_seconds for how long.

--- a/savoryspar/fleet/holder.py
+++ b/savoryspar/fleet/holder.py
@@ -1,5 +1,7 @@
 """The active configuration; its version never decreases."""
 
+from collections.abc import Mapping
+
 from savoryspar import log
 from savoryspar.fleet import model
 
@@ -32,9 +34,17 @@
         document: bytes,
         source: str,
         now: float,
+        told: Mapping[str, object] | None = None,
     ) -> bool:
         """Activates a configuration if its version is higher.
 
+        Args:
+            candidate: The configuration.
+            document: Its encoded form.
+            source: Call that returned it, for the log.
+            now: Monotonic time in seconds.
+            told: What peers told of it before, for the log.
+
         Returns:
             Whether it was activated.
         """
@@ -47,6 +57,7 @@
             before=self.version,
             source=source,
             routes=len(candidate.routes()),
+            **(told or {}),
         )
         self.current = candidate
         self.document = document
--- a/savoryspar/gateway/fleet_watch.py
+++ b/savoryspar/gateway/fleet_watch.py
@@ -6,7 +6,7 @@
 import eventlet
 
 from savoryspar import fleet, log, membership, platform
-from savoryspar.gateway import model, watchers
+from savoryspar.gateway import model, prefix_state, watchers
 
 WATCH_TIMEOUT_S = 5.0
 """Timeout of one watch. A store that is about to drop its history may not
@@ -32,6 +32,8 @@
 PEERS_QUERIED = 2
 """Peers queried after a failed call; peers of the same zone go first."""
 EXPIRY_INTERVAL_S = 0.25
+BEHIND_REPORT_S = 1.0
+"""Time after which the log tells that a change known to a peer is missing."""
 
 
 def next_revision(revision: int, changes: platform.Snapshot) -> int:
@@ -48,13 +50,10 @@
     """Keeps the configuration and the server registry up to date.
 
     Attributes:
-        is_connected: Whether the last call to the store succeeded, by prefix.
-        last_heard_at: Monotonic time of the last successful call, by prefix.
-        changes: Number of changes that the store reported, by prefix.
+        states: What is known of the changes under each key prefix.
     """
 
     __slots__ = (
-        "_applied",
         "_clients",
         "_clock",
         "_election",
@@ -62,13 +61,10 @@
         "_holder",
         "_is_watching",
         "_members",
-        "_newest_change",
         "_on_change",
         "_rng",
         "_server_registry",
-        "changes",
-        "is_connected",
-        "last_heard_at",
+        "states",
     )
 
     def __init__(
@@ -95,18 +91,13 @@
         self._on_change = on_change
         self._clock = clock
         self._rng = random.Random(address)
-        # Revision up to which all changes are applied, by prefix, and that of
-        # the newest change. Only the latter is reported to peers, as the
-        # former rises with each read even if nothing has changed.
-        self._applied = dict.fromkeys(self._clients, 0)
-        self._newest_change = dict.fromkeys(self._clients, 0)
+        self.states = {
+            prefix: prefix_state.PrefixState(prefix) for prefix in self._clients
+        }
         self._is_watching = dict.fromkeys(self._clients, True)
         self._election = watchers.new_watcher_election(
             members.incarnation, self._clients, clock()
         )
-        self.is_connected = dict.fromkeys(self._clients, False)
-        self.last_heard_at = dict.fromkeys(self._clients, 0.0)
-        self.changes = dict.fromkeys(self._clients, 0)
         members.handle(PEER_KIND, self._serve_peer)
         members.handle(CHANGES_KIND, self._serve_changes)
         members.heartbeats.sheet_state = self._encode_state
@@ -117,11 +108,21 @@
         for prefix, client in self._clients.items():
             eventlet.spawn(self.follow, prefix, client)
         eventlet.spawn(self._expire_servers)
+        eventlet.spawn(self._report_behind)
 
     def calls(self) -> int:
         """Returns the number of calls made to the store."""
         return sum(client.calls for client in self._clients.values())
 
+    def changes(self) -> int:
+        """Returns the number of changes that the store reported."""
+        return sum(state.changes for state in self.states.values())
+
+    def behind_s(self) -> float:
+        """Returns for how long a change that a peer told has been missing."""
+        now = self._clock()
+        return max(state.behind_s(now) for state in self.states.values())
+
     def follow(self, prefix: str, client: platform.StoreClient) -> None:
         """Applies all changes under a prefix; never returns.
 
@@ -139,10 +140,10 @@
                     "store history gone",
                     self._clock(),
                     prefix=prefix,
-                    revision=self._applied[prefix],
+                    revision=self.states[prefix].applied,
                     cause=str(exc),
                 )
-                self._applied[prefix] = 0
+                self.states[prefix].applied = 0
                 continue
             except fleet.StoreError as exc:
                 self._record_failure(prefix, exc)
@@ -170,30 +171,27 @@
         Raises:
             StoreError: The call failed.
         """
-        applied = self._applied[prefix]
+        state = self.states[prefix]
+        applied = state.applied
         is_behind = applied < self._election.newest_revisions[prefix]
         is_watching = self._must_watch(prefix)
         if not applied or (is_behind and not is_watching):
-            self._applied[prefix] = self._read_snapshot(prefix, client)
-            self._record_success(prefix, self._applied[prefix])
-            return (
-                CHANGE_BATCH_DELAY_S
-                if self._applied[prefix]
-                else MISSING_RETRY_S
-            )
+            state.record_applied(self._read_snapshot(prefix, client))
+            self._record_success(prefix, state.applied)
+            return CHANGE_BATCH_DELAY_S if state.applied else MISSING_RETRY_S
         if not is_watching:
             return REVISION_POLL_S
         timeout_s = self._election.watch_timeout_s(WATCH_TIMEOUT_S)
         changes = client.watch(prefix, applied, timeout_s)
         revision = next_revision(applied, changes)
-        self._apply(prefix, changes.items)
-        self._applied[prefix] = max(self._applied[prefix], revision)
+        self._apply(prefix, changes.items, "store watch")
+        state.record_applied(revision)
         self._record_success(prefix, revision)
         if not changes.items:
             if self._holder.current is None:
                 # A store that failed to report changes to its watches would
                 # never report the first configuration.
-                self._applied[platform.CONFIGURATION_PREFIX] = 0
+                self.states[platform.CONFIGURATION_PREFIX].applied = 0
             return 0.0
         self._propagate(prefix, applied, revision, changes.items)
         return CHANGE_BATCH_DELAY_S
@@ -244,31 +242,35 @@
     def _serve_changes(self, sender: str, body: list) -> None:
         """Applies changes that a peer propagated, and relays new ones."""
         prefix, since, until, rows = body
-        applied = self._applied[prefix]
-        if until <= applied:
+        state = self.states[prefix]
+        if until <= state.applied:
             return
         is_new = until > self._election.newest_revisions[prefix]
         items = [platform.Item(*row) for row in rows or ()]
-        if rows is not None and since <= applied:
-            self._apply(prefix, items)
-            self._applied[prefix] = until
+        if rows is not None and since <= state.applied:
+            self._apply(prefix, items, f"peer {sender}")
+            state.record_applied(until)
         elif not is_new:
             return
         # The thread of the prefix reads the changes that are still missing.
         self._election.record_revision(prefix, until)
+        state.record_told(until, sender, self._clock())
         self._propagate(prefix, since, until, items, sender)
 
     def _encode_state(self) -> tuple[int, bytes]:
-        return self._election.encode_state(self._newest_change, self._clock())
+        known = {p: state.newest_change for p, state in self.states.items()}
+        return self._election.encode_state(known, self._clock())
 
     def _merge_state(self, sender: str, first: int, rest: bytes) -> None:
-        del sender
-        self._election.merge_state(first, rest, self._clock())
+        now = self._clock()
+        self._election.merge_state(first, rest, now)
+        for prefix, revision in self._election.newest_revisions.items():
+            self.states[prefix].record_told(revision, sender, now)
 
     def _read_snapshot(self, prefix: str, client: platform.StoreClient) -> int:
         if prefix == platform.CONFIGURATION_PREFIX:
             snapshot = client.get(platform.CONFIGURATION_KEY)
-            self._apply(prefix, snapshot.items)
+            self._apply(prefix, snapshot.items, "store read")
             return snapshot.revision
         snapshot = client.read_all(platform.SERVER_PREFIX)
         now = self._clock()
@@ -276,7 +278,7 @@
         self._server_registry.replace(
             [entry for entry in entries if entry is not None],
             snapshot.revision,
-            "store",
+            "store read",
             now,
         )
         self._update_newest_change(prefix, snapshot.items)
@@ -287,31 +289,36 @@
         self, prefix: str, items: Sequence[platform.Item]
     ) -> None:
         newest = max((item.revision for item in items), default=0)
-        self._newest_change[prefix] = max(self._newest_change[prefix], newest)
+        state = self.states[prefix]
+        state.newest_change = max(state.newest_change, newest)
 
-    def _apply(self, prefix: str, items: list[platform.Item]) -> None:
+    def _apply(
+        self, prefix: str, items: list[platform.Item], source: str
+    ) -> None:
         now = self._clock()
-        self.changes[prefix] += len(items)
+        self.states[prefix].changes += len(items)
         self._update_newest_change(prefix, items)
         for item in items:
             if (
                 item.key == platform.CONFIGURATION_KEY
                 and item.value is not None
             ):
-                self._apply_configuration(item.value, "store", now)
+                self._apply_configuration(item.value, source, now)
             elif item.key.startswith(platform.SERVER_PREFIX):
-                self._apply_server(item, now)
+                self._apply_server(item, source, now)
         if items:
             self._on_change(now)
 
-    def _apply_server(self, item: platform.Item, now: float) -> None:
+    def _apply_server(
+        self, item: platform.Item, source: str, now: float
+    ) -> None:
         name = item.key[len(platform.SERVER_PREFIX) :]
         if item.value is None:
-            self._server_registry.remove(name, item.revision, "store", now)
+            self._server_registry.remove(name, item.revision, source, now)
             return
         entry = self._decode(item, now)
         if entry is not None:
-            self._server_registry.put(entry, "store", now)
+            self._server_registry.put(entry, source, now)
 
     def _decode(
         self, item: platform.Item, now: float
@@ -338,33 +345,44 @@
                 "configuration ignored", now, source=source, cause=str(exc)
             )
             return
-        self._holder.activate_if_newer(candidate, document, source, now)
+        self._holder.activate_if_newer(
+            candidate,
+            document,
+            source,
+            now,
+            self.states[platform.CONFIGURATION_PREFIX].describe_told(now),
+        )
 
     def _record_success(self, prefix: str, revision: int) -> None:
         now = self._clock()
-        if not self.is_connected[prefix]:
+        state = self.states[prefix]
+        if not state.is_connected:
             self._events.state_change(
                 "store reached",
                 now,
                 prefix=prefix,
                 revision=revision,
-                away_s=round(now - self.last_heard_at[prefix], 2),
+                away_s=round(now - state.last_heard_at, 2),
             )
-        self.is_connected[prefix] = True
-        self.last_heard_at[prefix] = now
-        self._election.record_contact(min(self.last_heard_at.values()))
+        state.is_connected = True
+        state.last_heard_at = now
+        self._election.record_contact(
+            min(state.last_heard_at for state in self.states.values())
+        )
 
     def _record_failure(self, prefix: str, exc: fleet.StoreError) -> None:
         now = self._clock()
-        if self.is_connected[prefix]:
+        state = self.states[prefix]
+        if state.is_connected:
             self._events.state_change(
                 "store lost",
                 now,
                 prefix=prefix,
-                heard_s_ago=round(now - self.last_heard_at[prefix], 2),
+                heard_s_ago=round(now - state.last_heard_at, 2),
                 cause=str(exc),
+                **state.describe_told(now),
             )
-        self.is_connected[prefix] = False
+        state.is_connected = False
 
     def _query_peers(self) -> None:
         """Fetches the configuration and the servers from peers."""
@@ -433,6 +451,23 @@
             "removed": self._server_registry.removals(),
         }
 
+    def _report_behind(self) -> None:
+        """Logs that changes which peers told are not applied."""
+        while True:
+            eventlet.sleep(BEHIND_REPORT_S / 2)
+            now = self._clock()
+            for state in self.states.values():
+                if state.is_reported or state.behind_s(now) < BEHIND_REPORT_S:
+                    continue
+                state.is_reported = True
+                self._events.state_change(
+                    "change missing",
+                    now,
+                    prefix=state.prefix,
+                    heard_s_ago=round(now - state.last_heard_at, 2),
+                    **state.describe_told(now),
+                )
+
     def _expire_servers(self) -> None:
         while True:
             eventlet.sleep(EXPIRY_INTERVAL_S)
--- a/savoryspar/gateway/node.py
+++ b/savoryspar/gateway/node.py
@@ -283,12 +283,11 @@
             },
             "store": {
                 prefix: {
-                    "is_connected": is_connected,
-                    "heard_s_ago": round(
-                        now - self._watch.last_heard_at[prefix], 1
-                    ),
+                    "is_connected": state.is_connected,
+                    "heard_s_ago": round(now - state.last_heard_at, 1),
+                    **state.describe_told(now),
                 }
-                for prefix, is_connected in self._watch.is_connected.items()
+                for prefix, state in self._watch.states.items()
             },
             "peers": sorted(f"{m.zone}/{m.name}" for m in view.members),
             "gatherers": {
@@ -358,7 +357,8 @@
             "connections": lambda: self._server.connections,
             "configuration_version": lambda: self._holder.version,
             "store_calls": self._watch.calls,
-            "store_changes": lambda: sum(self._watch.changes.values()),
+            "store_changes": self._watch.changes,
+            "store_behind_seconds": self._watch.behind_s,
             "peers": lambda: len(self._members.view(self._clock()).members),
             "backend_connections_opened": lambda: self._connections.opened,
             "stray_answers": lambda: self._connections.stray_answers,
--- a/savoryspar/log/catalog.py
+++ b/savoryspar/log/catalog.py
@@ -6,6 +6,7 @@
     "backend server given up": "A server stayed unlisted and was discarded.",
     "backend server listed": "A server's entry was added or has changed.",
     "backend server off the list": "A server's entry was removed.",
+    "change missing": "A peer knows a change that is not applied here yet.",
     "configuration ignored": "A configuration cannot be decoded.",
     "configuration in force": "A newer configuration was put into force.",
     "entry ignored": "A server's entry cannot be decoded.",
--- a/tests/gateway/test_fleet_watch.py
+++ b/tests/gateway/test_fleet_watch.py
@@ -6,7 +6,7 @@
 import testtools
 
 from savoryspar import fleet, membership, platform
-from savoryspar.gateway import fleet_watch, watchers
+from savoryspar.gateway import fleet_watch, prefix_state, watchers
 from savoryspar.platform import standin
 from tests.gateway import event_logs
 
@@ -144,7 +144,7 @@
         thread = eventlet.spawn(watch.follow, platform.SERVER_PREFIX, store)
         self.addCleanup(thread.kill)
         eventlet.sleep(1.0)
-        self.assertGreaterEqual(watch.changes[platform.SERVER_PREFIX], 20)
+        self.assertGreaterEqual(watch.changes(), 20)
         self.assertLessEqual(store.calls, 5)
 
 
@@ -242,6 +242,23 @@
         self.assertEqual([0, 0], [*receiver.newest_revisions.values()])
 
 
+class PrefixStateTest(testtools.TestCase):
+    def test_time_counts_from_the_first_missing_change(self):
+        """Guards against a delay that each further change hides."""
+        state = prefix_state.PrefixState("op/")
+        state.record_applied(10)
+        state.record_told(9, "a", 0.0)
+        self.assertEqual({}, state.describe_told(1.0))
+        state.record_told(12, "b", 1.0)
+        state.record_told(14, "c", 2.0)
+        self.assertEqual(
+            {"applied": 10, "told": 14, "told_by": "c", "told_s_ago": 2.5},
+            state.describe_told(3.5),
+        )
+        state.record_applied(14)
+        self.assertEqual({}, state.describe_told(4.0))
+
+
 class ListenerTest(testtools.TestCase):
     """Tests of a VM in a large zone in which two others watch the store."""
 
