--- a/savoryspar/gateway/counters.py
+++ b/savoryspar/gateway/counters.py
@@ -22,6 +22,7 @@
     "store_changes": "Changes that the store reported since the start.",
     "ignored_entries": "Malformed entries of the store and of peers that were"
     " ignored since the start, one for each revision.",
+    "store_behind_seconds": "Time since a peer told a change that is missing.",
     "peers": "Live peers in the view of this process.",
     "backend_connections_opened": "Connections to backend servers opened"
     " since the start.",
