Keep watching a settings file that is not UTF-8 for a while

A settings file with bytes that are not UTF-8 ended the green thread that watches it: no later change of the settings was applied until the next start. The text was decoded before the checks that refuse a file.

--- a/savoryspar/cli/serve.py
+++ b/savoryspar/cli/serve.py
@@ -37,7 +37,8 @@
         )
         node = gateway.new_node(cfg)
         node.start()
-        eventlet.spawn(_watch_settings, path, node)
+        settings_file = _SettingsFile(path, node)
+        eventlet.spawn(settings_file.watch)
         _wait_for_stop(received)
         node.stop()
         eventlet.sleep(0)
@@ -53,28 +54,43 @@
         continue
 
 
-def _watch_settings(path: str, node: gateway.Node) -> None:
-    """Reloads the settings whenever their file has changed."""
-    last_text = _read(path)
-    while True:
-        eventlet.sleep(SETTINGS_POLL_S)
-        text = _read(path)
-        if text in (last_text, ""):
-            continue
-        last_text = text
+class _SettingsFile:
+    """Applies the settings file to a node whenever the file has changed."""
+
+    __slots__ = ("_content", "_node", "_path")
+
+    def __init__(self, path: str, node: gateway.Node):
+        self._path = path
+        self._node = node
+        self._content = _read(path)
+
+    def watch(self) -> None:
+        """Applies every change."""
+        while True:
+            eventlet.sleep(SETTINGS_POLL_S)
+            self.apply_change()
+
+    def apply_change(self) -> None:
+        """Applies the file if it has changed since the last call."""
+        content = _read(self._path)
+        if content in (self._content, b""):
+            return
+        self._content = content
         try:
-            node.reload(_load(path))
+            self._node.reload(_load(self._path))
         except ExceptionGroup as group:
-            node.record_settings_error("; ".join(map(str, group.exceptions)))
+            self._node.record_settings_error(
+                "; ".join(map(str, group.exceptions))
+            )
 
 
-def _read(path: str) -> str:
-    """Returns the file's text; empty if it is unreadable or being replaced."""
+def _read(path: str) -> bytes:
+    """Returns the file; empty if it is unreadable or being replaced."""
     try:
-        with open(path, encoding="utf-8") as file:
+        with open(path, "rb") as file:
             return file.read()
     except OSError:
-        return ""
+        return b""
 
 
 def _load(path: str) -> conf.Settings:
