Apply a change of the settings just before a stop

The settings file is read once a second. A grace period that changed in the second before SIGTERM was not known to the stop, which then planned for longer than the process lives: it is killed with its requests.

The stop now reads the file first.

--- a/savoryspar/cli/serve.py
+++ b/savoryspar/cli/serve.py
@@ -40,6 +40,8 @@
         settings_file = _SettingsFile(path, node)
         eventlet.spawn(settings_file.watch)
         _wait_for_stop(received)
+        # The grace period may have changed since the last poll.
+        settings_file.apply_change()
         node.stop()
         eventlet.sleep(0)
         return exit_codes.OK
