Leave the interpreter time to exit within the grace period

A process with requests to answer at the end of the grace period outlived it: the stop ended 0.25 s before SIGKILL, and the interpreter took up to that long to exit.

The margin is now 0.6 s, at most a seventh of the grace period, since the platform expects service during the first five sixths of it.

--- a/savoryspar/gateway/node.py
+++ b/savoryspar/gateway/node.py
@@ -43,8 +43,12 @@
 BALANCER_NOTICE_S = 2.3
 """Time after SIGTERM during which new connections are accepted: the balancer
 checks readiness once a second and removes a VM after two failures."""
-STOP_MARGIN_S = 0.4
-"""Subtracted from the grace period, so that the process ends before SIGKILL."""
+STOP_MARGIN_S = 0.6
+"""Subtracted from the grace period, so that the process ends before SIGKILL.
+The interpreter takes 0.1 s to exit, or 0.25 s on a busy machine."""
+STOP_MARGIN_SHARE = 1 / 7
+"""Largest part of the grace period that is subtracted; the platform expects
+that requests are served for the first five sixths."""
 FINAL_ANSWERS_S = 0.15
 """Time to write the answers of requests that the grace period does not suffice
 for; part of ``STOP_MARGIN_S``."""
@@ -220,7 +224,10 @@
         streams that have begun are cut off.
         """
         now = self._clock()
-        ends_at = now + self._cfg.gateway.grace_s - STOP_MARGIN_S
+        grace_s = self._cfg.gateway.grace_s
+        ends_at = (
+            now + grace_s - min(STOP_MARGIN_S, STOP_MARGIN_SHARE * grace_s)
+        )
         self._app.start_draining(now, ends_at)
         self._events.state_change(
             "stopping",
