Reset the connections of HTTP/1.0 callers whose response is cut

The body of a response to HTTP/1.0 without a length ends with its connection. A stream that broke off, or that the end of the VM's process cut, was closed normally and so looked complete to such a caller. Responses to HTTP/1.1 end without their last chunk and were safe.

SO_LINGER with time 0 is set while a response to HTTP/1.0 is written and cleared once it is complete, so a reset follows from a cut in the process, a SIGTERM whose grace ends, and a SIGKILL. The application says which responses it cuts (http.cut_response), since "already handled" alone does not tell.

--- a/savoryspar/gateway/app.py
+++ b/savoryspar/gateway/app.py
@@ -133,7 +133,7 @@
                 received_at,
                 cut_by="caller" if head.is_sent else None,
             )
-            wsgi.WSGI_LOCAL.already_handled = True
+            http.cut_response()
             return []
         except GraceEndedError:
             failure = _grace_ended_error()
@@ -192,7 +192,7 @@
             received_at,
             cut_by=_cut_by(exc),
         )
-        wsgi.WSGI_LOCAL.already_handled = True
+        http.cut_response()
         return []
 
     def start_draining(self, now: float, ends_at: float) -> None:
--- a/savoryspar/http/__init__.py
+++ b/savoryspar/http/__init__.py
@@ -8,5 +8,5 @@
 
 from savoryspar.http.hangup import CallerGoneError, cancel_on_hangup
 from savoryspar.http.operators import OperatorApp, serve_operators
-from savoryspar.http.protocol import FIELDS_KEY, TARGET_KEY
+from savoryspar.http.protocol import FIELDS_KEY, TARGET_KEY, cut_response
 from savoryspar.http.server import Server, new_server, new_server_at
--- a/savoryspar/http/protocol.py
+++ b/savoryspar/http/protocol.py
@@ -1,5 +1,11 @@
-"""Parses request heads within a time limit and rejects ambiguous ones."""
+"""Parses request heads within a time limit and rejects ambiguous ones.
 
+It also makes the callers of HTTP/1.0 see which responses are cut.
+"""
+
+import contextlib
+import socket
+import struct
 from typing import Any
 
 import eventlet
@@ -13,6 +19,19 @@
 EMPTY_RESPONSE = (
     "HTTP/1.1 {} {}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
 )
+CLOSE_NORMALLY = struct.pack("ii", 0, 0)
+CLOSE_WITH_RESET = struct.pack("ii", 1, 0)
+"""Values of ``SO_LINGER``."""
+
+
+def cut_response() -> None:
+    """Ends the response of the current green thread before its end.
+
+    Its connection is closed without the end of the body, so that the response
+    does not look complete.
+    """
+    wsgi.WSGI_LOCAL.already_handled = True
+    wsgi.WSGI_LOCAL.is_cut = True
 
 
 class TimedProtocol(wsgi.HttpProtocol):
@@ -22,8 +41,14 @@
     A request whose framing is ambiguous is rejected and its connection closed,
     since the end of its body is unknown, which allows request smuggling. While
     the server drains, responses ask callers to close their connections.
+
+    The body of a response to HTTP/1.0 ends with its connection, so until it is
+    complete, the connection is reset by whatever closes it, also by the end of
+    this process.
     """
 
+    _is_reset_due = False
+
     def parse_request(self) -> bool:
         """Parses the request head; returns False if it was rejected."""
         timer = eventlet.Timeout(self.server.head_timeout_s)
@@ -59,6 +84,36 @@
             or bool(self.headers.defects)
         )
 
+    def handle_one_response(self) -> None:
+        """Responds to a request."""
+        wsgi.WSGI_LOCAL.is_cut = False
+        if self.request_version == "HTTP/1.1":
+            super().handle_one_response()
+            return
+        self._set_reset_due(True)
+        super().handle_one_response()
+        if not wsgi.WSGI_LOCAL.is_cut:
+            self._set_reset_due(False)
+
+    def _set_reset_due(self, is_due: bool) -> None:
+        self._is_reset_due = is_due
+        self.connection.setsockopt(
+            socket.SOL_SOCKET,
+            socket.SO_LINGER,
+            CLOSE_WITH_RESET if is_due else CLOSE_NORMALLY,
+        )
+
+    def finish(self) -> None:
+        """Closes the connection, by a reset if a response on it is cut."""
+        if not self._is_reset_due:
+            super().finish()
+            return
+        # The base class would shut the connection down, which ends the body
+        # normally. Bytes that cannot be flushed are part of a cut response.
+        with contextlib.suppress(OSError):
+            super(wsgi.HttpProtocol, self).finish()
+        self.connection.close()
+
     def get_environ(self) -> dict[str, Any]:
         """Returns the environment with the unchanged target and fields."""
         environ = super().get_environ()
--- a/tests/gateway/test_early_ends.py
+++ b/tests/gateway/test_early_ends.py
@@ -121,7 +121,9 @@
         return RawServer(self)
 
 
-class EarlyEndTest(node_case.NodeCase):
+class ScriptedCase(node_case.NodeCase):
+    """Sends requests to one VM, whose servers follow a script."""
+
     platform_class = ScriptedPlatform
 
     def setUp(self):
@@ -140,6 +142,8 @@
         body = fields[0][1].encode()
         return self.request("callers", "POST", target, fields, body)
 
+
+class EarlyEndTest(ScriptedCase):
     def assert_failed(self, answer):
         """Checks that an answer reports a failure of unknown outcome."""
         self.assertTrue(answer.startswith(b"HTTP/1.1 502 "), answer)
