--- a/savoryspar/gateway/app.py
+++ b/savoryspar/gateway/app.py
@@ -116,7 +116,7 @@
                 repr(exc),
                 cut_by="caller" if req.is_head_sent else None,
             )
-            wsgi.WSGI_LOCAL.already_handled = True
+            http.cut_response()
             return []
         except GraceEndedError:
             failure = _grace_ended_error()
@@ -188,7 +188,7 @@
         self._record_failure(
             req, "stream_broken", str(exc), cut_by=_cut_by(exc)
         )
-        wsgi.WSGI_LOCAL.already_handled = True
+        http.cut_response()
         return []
 
     def start_draining(self, now: float, ends_at: float) -> None:
