Test stops beside signals, configurations, slow bodies and silent peers

Bodies that arrive in the grace period or never, also after 100-continue; kept and pipelined connections; a second SIGTERM, SIGINT and SIGHUP, and settings that change or are invalid in the grace period; configurations that remove and add a route beside the stop; three VMs of which two are stopped in turn while callers go on; a silent store and a frozen peer.

--- a/tests/gateway/test_stops.py
+++ b/tests/gateway/test_stops.py
@@ -1,5 +1,6 @@
 """Tests of planned stops with processes, callers and backend servers."""
 
+import itertools
 import random
 import signal
 import time
@@ -197,3 +198,184 @@
         if path in ("order", "lookup"):
             deadline_s = rng.choice((1.5, 4.0, 9.0))
         self.send(f"/{path}/{work_ms}", deadline_s=deadline_s)
+
+    def test_bodies_that_arrive_in_the_grace_time(self):
+        """Guards against requests that are judged before they are whole."""
+        self.send("/lookup/5000")
+        for delay_s in (1.0, 2.5, 4.0, 5.0, 5.5, 5.9):
+            for path in ("/order/100", "/chat/100"):
+                self.send(path, body_delay_s=delay_s)
+                self.send(path, body_delay_s=delay_s, deadline_s=delay_s + 1.0)
+        self.send("/order/100", body=None)
+        waiting = {"Expect": "100-continue"}
+        self.send("/order/100", body_delay_s=2.0, deadline_s=3.0, **waiting)
+        eventlet.sleep(0.3)
+        self.terminate()
+        self.finish()
+        self.check()
+        counts = stop_load.count(self.callers.calls)
+        # Those whose deadline is before the end are served.
+        self.assertGreaterEqual(counts["order", "200", "whole"], 4, counts)
+
+    def test_kept_connections(self):
+        """Guards against requests that cross the close of a connection."""
+        for number in range(60):
+            self.pool.spawn_n(self._keep_connection, 0.02 + 0.013 * number)
+        eventlet.sleep(0.5)
+        self.terminate()
+        pipelined = [
+            self.pool.spawn(self._pipeline, 0.3 + 0.05 * number)
+            for number in range(60)
+        ]
+        self.finish()
+        self.check()
+        # Only the first of the pipelined requests is answered, and says that
+        # the connection ends, so the second must not run.
+        runs = self.platform.runs
+        self.assertEqual([], [t.wait() for t in pipelined if t.wait() in runs])
+
+    def _keep_connection(self, interval_s):
+        sock = self.callers.connect(self.port)
+        while sock is not None:
+            call = self.callers.request(sock, "/order/5", deadline_s=1.0)
+            if not call.is_complete:
+                return
+            if call.fields.get("connection") == "close":
+                sock.close()
+                sock = self.callers.connect(self.port)
+            eventlet.sleep(interval_s)
+
+    def _pipeline(self, delay_s):
+        """Sends two requests at once; returns the ID of the second."""
+        eventlet.sleep(delay_s)
+        sock = self.callers.connect(self.port)
+        if sock is None:
+            return ""
+        second = self.callers.new_call("/order/100", 1.0)
+        self.callers.request(
+            sock,
+            "/order/100",
+            deadline_s=1.0,
+            next_request=self.callers.head(second, 4) + b"\r\nbody",
+        )
+        return second.attempt_id
+
+    def test_signals_and_settings_in_the_grace_time(self):
+        """Guards against a second signal that ends or shortens a stop."""
+        path = self.folder / "entry-0.ini"
+        text = path.read_text("utf-8")
+        changes = (
+            text.replace("grace_s = 6", "grace_s = 2"),
+            "[gateway\n",
+            text.replace("grace_s = 6", "grace_s = x"),
+            text,
+        )
+        self.process.send_signal(signal.SIGHUP)
+        for ms in (500, 1500, 3000, 5000):
+            self.send(f"/order/{ms}")
+            self.send(f"/chat/{ms}")
+        eventlet.sleep(0.3)
+        self.terminate()
+        numbers = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP, signal.SIGTERM)
+        for index, number in enumerate(numbers):
+            self.sleep_until(0.01 + 1.1 * index)
+            self.process.send_signal(number)
+            path.write_text(changes[index], "utf-8")
+            self.send("/order/100", deadline_s=1.0)
+        self.finish()
+        self.check()
+        counts = stop_load.count(self.callers.calls)
+        self.assertEqual(8, counts["order", "200", "whole"], counts)
+        self.assertEqual(4, counts["chat", "200", "whole"], counts)
+
+    def test_configurations_beside_a_stop(self):
+        """Guards against requests cut off by a route's end during a stop."""
+        rest = stop_load.ROUTES[1:]
+        for ms in (1000, 3000, 4500):
+            self.send(f"/order/{ms}")
+            self.send(f"/chat/{ms}")
+        eventlet.sleep(0.3)
+        self.platform.publish(rest)
+        self.terminate()
+        for after_s in (0.02, 0.5, 1.0, 2.0, 3.0):
+            self.sleep_until(after_s)
+            self.send("/order/100", deadline_s=1.0)
+            self.send("/lookup/100", deadline_s=1.0)
+            self.platform.publish(stop_load.ROUTES if after_s == 1.0 else rest)
+        self.finish()
+        self.check()
+        counts = stop_load.count(self.callers.calls)
+        self.assertEqual(3, counts["chat", "200", "whole"], counts)
+        self.assertEqual(5, counts["lookup", "200", "whole"], counts)
+
+
+class FleetStopTest(StopCase):
+    vm_count = 3
+
+    def setUp(self):
+        super().setUp()
+        # Streams of a route whose durations are not known are refused.
+        for number in range(3):
+            self.port = self.vm_ports[number]["callers"]
+            for path in ("/chat/300", "/resume/300", "/staged/300"):
+                for _ in range(6):
+                    self.send(path)
+        self.pool.waitall()
+        self.callers.calls.clear()
+
+    def test_stop_of_each_vm_in_turn(self):
+        """Guards against stages and streams lost with their gatherer.
+
+        Callers that are refused go to another VM, and all are served.
+        """
+        load = eventlet.spawn(self._load)
+        for number in (0, 1):
+            self.process = self.processes[number]
+            self.terminate()
+            eventlet.sleep(0.5)
+            self.finish_process()
+        self.is_over = True
+        load.wait()
+        self.pool.waitall()
+        self.check()
+        self.assertEqual([], self.unserved)
+
+    def _load(self):
+        self.is_over = False
+        self.unserved = []
+        for number in itertools.count():
+            if self.is_over:
+                return
+            path = [*StopTest.WORK_MS][number % 5]
+            self.pool.spawn_n(self._retry, f"/{path}/300", number)
+            eventlet.sleep(0.04)
+
+    def _retry(self, path, number):
+        """Sends a request, and again to the other VMs while it is refused."""
+        for index in range(3):
+            port = self.vm_ports[(number + index) % 3]["callers"]
+            sock = self.callers.connect(port)
+            call = self.callers.request(sock, path, deadline_s=4.0)
+            if call.status not in ("503", ""):
+                break
+        if call.status != "200":
+            self.unserved.append(call)
+
+    def test_stop_beside_a_silent_store_and_peer(self):
+        """Guards against a stop that waits for somebody who does not answer."""
+        for ms in (500, 2000, 4500):
+            self.send(f"/order/{ms}")
+            self.send(f"/chat/{ms}")
+        self.send("/staged/2000")
+        eventlet.sleep(0.4)
+        self.platform.store.delay_s = 60.0
+        self.processes[1].send_signal(signal.SIGSTOP)
+        self.addCleanup(self.processes[1].send_signal, signal.SIGCONT)
+        self.port = self.ports["callers"]
+        self.terminate()
+        for after_s in (0.5, 1.0, 2.0):
+            self.sleep_until(after_s)
+            for path in ("/order/100", "/staged/100", "/lookup/100"):
+                self.send(path, deadline_s=1.5)
+        self.finish()
+        self.check()
