Read the rest of a request before its connection is closed

The VM closed a connection with unread bytes of the request, or behind it, right after its response.

After a response whose connection is closed, the VM now ends its own direction and discards what arrives until the caller ends, for 2 s at most, if the body was not read whole or bytes are waiting. An idle connection is closed as before: the reset tells a caller whose request crosses it that the request was not read.

Refusals of requests that do not ask for a close were safe: their bodies were discarded before. Bytes that arrive after the connection was closed still reset it.

--- a/savoryspar/http/protocol.py
+++ b/savoryspar/http/protocol.py
@@ -1,6 +1,7 @@
 """Parses request heads within a time limit and rejects ambiguous ones.
 
-It also makes the callers of HTTP/1.0 see which responses are cut.
+It also makes the callers of HTTP/1.0 see which responses are cut, and protects
+responses to requests that are not read whole.
 """
 
 import contextlib
@@ -22,6 +23,9 @@
 CLOSE_NORMALLY = struct.pack("ii", 0, 0)
 CLOSE_WITH_RESET = struct.pack("ii", 1, 0)
 """Values of ``SO_LINGER``."""
+LINGER_S = 2.0
+"""Longest time for which the unread rest of a request is discarded."""
+DISCARD_BYTES = 65536
 
 
 def cut_response() -> None:
@@ -45,9 +49,28 @@
     The body of a response to HTTP/1.0 ends with its connection, so until it is
     complete, the connection is reset by whatever closes it, also by the end of
     this process.
+
+    Closing a connection with unread bytes resets it, which discards the part
+    of the response that the caller has not received. After a response, the
+    rest of the request, and what follows it, is therefore read first.
     """
 
+    _input: wsgi.Input | None = None
     _is_reset_due = False
+    _may_have_unread_bytes = False
+
+    def handle_one_request(self) -> None:
+        """Reads a request and responds to it."""
+        self._input = None
+        self._may_have_unread_bytes = False
+        super().handle_one_request()
+        # An idle connection is closed without a request: a reset then tells the
+        # caller that a request that it has just sent was not read.
+        self._may_have_unread_bytes = bool(self.raw_requestline) and (
+            self._input is None
+            or _is_unread(self._input)
+            or has_data(self.connection)
+        )
 
     def parse_request(self) -> bool:
         """Parses the request head; returns False if it was rejected."""
@@ -86,6 +109,7 @@
 
     def handle_one_response(self) -> None:
         """Responds to a request."""
+        self._input = self.environ["eventlet.input"]
         wsgi.WSGI_LOCAL.is_cut = False
         if self.request_version == "HTTP/1.1":
             super().handle_one_response()
@@ -106,6 +130,8 @@
     def finish(self) -> None:
         """Closes the connection, by a reset if a response on it is cut."""
         if not self._is_reset_due:
+            if self._may_have_unread_bytes:
+                self._discard_unread()
             super().finish()
             return
         # The base class would shut the connection down, which ends the body
@@ -114,6 +140,15 @@
             super(wsgi.HttpProtocol, self).finish()
         self.connection.close()
 
+    def _discard_unread(self) -> None:
+        """Ends the response, then reads until the caller ends."""
+        # The caller may be gone, which leaves nothing to protect.
+        with eventlet.Timeout(LINGER_S, False), contextlib.suppress(OSError):
+            self.wfile.flush()
+            self.connection.shutdown(socket.SHUT_WR)
+            while self.connection.recv(DISCARD_BYTES):
+                eventlet.sleep(0)
+
     def get_environ(self) -> dict[str, Any]:
         """Returns the environment with the unchanged target and fields."""
         environ = super().get_environ()
@@ -135,3 +170,18 @@
         self.wfile.flush()
         self.close_connection = True
         return False
+
+
+def _is_unread(body: wsgi.Input) -> bool:
+    """Returns whether a request's body was not read to its end."""
+    if body.chunked_input:
+        return body.chunk_length != 0
+    return body.position < (body.content_length or 0)
+
+
+def has_data(sock: Any) -> bool:
+    """Returns whether the socket has received data that was not read yet."""
+    try:
+        return bool(sock.fd.recv(1, socket.MSG_PEEK))
+    except OSError:
+        return False
--- a/savoryspar/http/server.py
+++ b/savoryspar/http/server.py
@@ -152,18 +152,14 @@
     def _close_idle(self, now: float) -> None:
         for accepted_at, (_, sock, state) in [*self._connections.values()]:
             is_new = now - accepted_at < FIRST_REQUEST_GRACE_S
-            if state == wsgi.STATE_IDLE and not is_new and not _has_data(sock):
+            if (
+                state == wsgi.STATE_IDLE
+                and not is_new
+                and not protocol.has_data(sock)
+            ):
                 greenio.shutdown_safe(sock)
 
 
-def _has_data(sock: Any) -> bool:
-    """Returns whether the socket has received data that was not read yet."""
-    try:
-        return bool(sock.fd.recv(1, socket.MSG_PEEK))
-    except OSError:
-        return False
-
-
 def new_server(app: Callable, cfg: conf.Settings) -> Server:
     """Returns a server for callers, which listens but does not accept yet."""
     return new_server_at(
