--- a/savoryspar/http/server.py
+++ b/savoryspar/http/server.py
@@ -163,19 +163,15 @@
         for accepted_at, connection in [*self._connections.values()]:
             _, sock, state = connection
             is_new = now - accepted_at < FIRST_REQUEST_GRACE_S
-            if state == wsgi.STATE_IDLE and not is_new and not _has_data(sock):
+            if (
+                state == wsgi.STATE_IDLE
+                and not is_new
+                and not protocol.has_data(sock)
+            ):
                 connection[2] = wsgi.STATE_CLOSE
                 greenio.shutdown_safe(sock)
 
 
-def _has_data(sock: Any) -> bool:
-    """Returns whether the socket has received data that was not read yet."""
-    try:
-        return bool(sock.fd.recv(1, socket.MSG_PEEK))
-    except OSError:
-        return False
-
-
 def new_server(app: Callable, cfg: conf.Settings) -> Server:
     """Returns a server for callers, which listens but does not accept yet."""
     return new_server_at(
--- a/tests/http/test_drain.py
+++ b/tests/http/test_drain.py
@@ -11,7 +11,7 @@
 from savoryspar import http
 from savoryspar.bench import deployments, flows, load_client, tally
 from savoryspar.bench import fleet as fleet_lib
-from savoryspar.http import server
+from savoryspar.http import protocol
 
 REQUEST = b"GET / HTTP/1.1\r\nHost: x\r\n\r\n"
 WORK = tally.WorkClass("calle-libre", "archive-digest", "bulk", 8000)
@@ -83,7 +83,7 @@
             self.assertTrue(own_sock.fd.recv(1, socket.MSG_PEEK))
             return False
 
-        with mock.patch.object(server, "_has_data", has_data):
+        with mock.patch.object(protocol, "has_data", has_data):
             self.server._close_idle(time.monotonic() + 60.0)
             eventlet.sleep(0.05)
         self.assertEqual(0, self.requests)
