Read the store apart from its watch, and from several peers at once

What callers saw: a VM passed requests on as only an older version allows, for up to 7 s (5 s of watch and 2 s of margin), while its peers served by the new one and had told it the revision at once. Cause: one thread watched and read each prefix, so a fact that was already here waited for the answer to a call. The peers were asked by the same thread, one after the other. A store that reports nothing to open watches hid a change for 5 s, above config-ms, and two VMs without the store kept their whole zone behind for 4 s and 1.2 s a hop.

Each prefix has a thread that watches and one that reads, on connections of their own. PrefixState decides when to read: 0.5 s after a peer told a change that the own watch did not deliver, when a watch is overdue by 0.2 s, and after a failure. If a read fails or is not answered within 0.3 s, three peers are asked at the same time, first those that told the change; they reply with the revision up to which they know all, and read the store on behalf of a VM that has lost it. A change found by a read is told to the peers. A VM that starts without the store waits for the replies of two peers at least, takes the highest version of five, and is not ready before.

No VM reads a change that its watch reports.

The unit tests of FleetWatch follow the two threads; what they check is kept.

--- a/savoryspar/conf/sections/gateway.py
+++ b/savoryspar/conf/sections/gateway.py
@@ -54,6 +54,12 @@
         "2500",
         "Time by which a draining backend server must get no new work.",
     ),
+    _setting(
+        "config_ms",
+        converters.non_negative,
+        "2500",
+        "Time by which a new version of the configuration must be in force.",
+    ),
     _setting(
         "grace_s",
         converters.seconds,
--- a/savoryspar/fleet/server_registry.py
+++ b/savoryspar/fleet/server_registry.py
@@ -109,18 +109,28 @@
         revision: int,
         source: str,
         now: float,
-    ) -> None:
+    ) -> list[str]:
         """Replaces the entries by a full list as of a revision of the store.
 
         Entries that changed after the revision are kept.
+
+        Returns:
+            Names of the servers whose entries were removed, and which were
+            not known to be.
         """
         names = set()
         for entry in entries:
             names.add(entry.name)
             self.put(entry, source, now)
-        for name, entry in [*self._entries.items()]:
-            if name not in names and entry.revision <= revision:
-                self.remove(name, revision, source, now)
+        missing = [
+            name
+            for name, entry in self._entries.items()
+            if name not in names and entry.revision <= revision
+        ]
+        removed = [name for name in missing if name not in self._lapsed]
+        for name in missing:
+            self.remove(name, revision, source, now)
+        return removed
 
     def expire(self, now: float) -> None:
         """Drops lapsed servers after their grace period, and old tombstones."""
--- a/savoryspar/gateway/counters.py
+++ b/savoryspar/gateway/counters.py
@@ -20,6 +20,7 @@
     "configuration_version": "Version of the active configuration, 0 if none.",
     "store_calls": "Calls to the platform's store since the start.",
     "store_changes": "Changes that the store reported since the start.",
+    "store_peer_reads": "Times that peers were asked for the store's contents.",
     "store_behind_seconds": "Time since a peer told a change that is missing.",
     "peers": "Live peers in the view of this process.",
     "backend_connections_opened": "Connections to backend servers opened"
--- a/savoryspar/gateway/fleet_watch.py
+++ b/savoryspar/gateway/fleet_watch.py
@@ -1,49 +1,56 @@
-"""Watches the platform's store; queries peers when it is unreachable."""
+"""Keeps the configuration and the servers of a VM up to date.
 
-from collections.abc import Sequence
+They come from the platform's store, by the VM's own watches and reads, from
+changes that peers propagate, and from peers when the store does not answer.
+"""
+
+from collections.abc import Callable, Sequence
 import random
 
 import eventlet
 
 from savoryspar import fleet, log, membership, platform
-from savoryspar.gateway import model, prefix_state, watchers
-
-WATCH_TIMEOUT_S = 5.0
-"""Timeout of one watch. A store that is about to drop its history may not
-report changes to an open watch, so they are missed for up to this time."""
-CHANGE_BATCH_DELAY_S = 0.25
-"""Delay between a change and the next watch, to batch changes; a tenth of the
-2.5 s in which a change must be in force. Without it, each watch returned one
-server while all servers registered, which made two thirds of a VM's calls to
-the store."""
-RETRY_S = 0.4
-"""Delay after a failed call, doubled up to ``MAX_RETRY_S``, with jitter."""
-MAX_RETRY_S = 1.6
-"""Short enough for a configuration to be in force 2.5 s after the store is
-reachable again."""
-MISSING_RETRY_S = 0.3
-"""Delay before a key that does not exist yet is read again."""
+from savoryspar.gateway import (
+    model,
+    peer_reads,
+    prefix_state,
+    store_follower,
+    watchers,
+)
+
 CHANGES_KIND = "fleet_news"
-REVISION_POLL_S = 0.25
-"""Interval at which a VM that does not watch checks for revisions reported by
-peers."""
-PEER_KIND = "fleet"
-PEER_TIMEOUT_S = 1.0
-PEERS_QUERIED = 2
-"""Peers queried after a failed call; peers of the same zone go first."""
-EXPIRY_INTERVAL_S = 0.25
+POLL_S = 0.25
+"""Interval at which servers expire and missing changes are reported."""
 BEHIND_REPORT_S = 1.0
 """Time after which the log tells that a change known to a peer is missing."""
+LOST_READ_INTERVAL_S = 1.0
+"""Shortest time between reads on behalf of peers that the store ignores."""
 
 
-def next_revision(revision: int, changes: platform.Snapshot) -> int:
-    """Returns the revision after which the next watch starts.
+class Bounds:
+    """Times in which changes must be in force, in seconds.
 
-    An empty answer does not advance it: a store that failed to report changes
-    to its watches still answers with a newer revision. A watch from the old
-    revision returns these changes, or an error that they are no longer kept.
+    Attributes:
+        configuration_s: For a version of the configuration.
+        servers_s: For the entry of a server that drains or is gone.
     """
-    return max(revision, changes.revision) if changes.items else revision
+
+    __slots__ = ("configuration_s", "servers_s")
+
+    def __init__(self, configuration_s: float, servers_s: float):
+        self.configuration_s = configuration_s
+        self.servers_s = servers_s
+
+    def by_prefix(self) -> dict[str, float]:
+        """Returns the bounds by key prefix of the store."""
+        return {
+            platform.CONFIGURATION_PREFIX: self.configuration_s,
+            platform.SERVER_PREFIX: self.servers_s,
+        }
+
+    def watch_wait_s(self) -> float:
+        """Returns the longest wait of a watch."""
+        return max(map(prefix_state.watch_wait_s, self.by_prefix().values()))
 
 
 class FleetWatch:
@@ -54,15 +61,14 @@
     """
 
     __slots__ = (
-        "_clients",
         "_clock",
         "_election",
         "_events",
+        "_followers",
         "_holder",
-        "_is_watching",
         "_members",
         "_on_change",
-        "_rng",
+        "_peer_reads",
         "_server_registry",
         "states",
     )
@@ -74,15 +80,13 @@
         server_registry: fleet.ServerRegistry,
         members: membership.Membership,
         events: log.EventLog,
-        on_change,
+        on_change: Callable[[float], None],
         clock: model.Clock,
+        bounds: Bounds,
     ):
-        self._clients = {
-            prefix: platform.new_store_client(address, clock)
-            for prefix in (
-                platform.CONFIGURATION_PREFIX,
-                platform.SERVER_PREFIX,
-            )
+        self.states = {
+            prefix: prefix_state.new_prefix_state(prefix, bound_s)
+            for prefix, bound_s in bounds.by_prefix().items()
         }
         self._holder = holder
         self._server_registry = server_registry
@@ -90,29 +94,56 @@
         self._events = events
         self._on_change = on_change
         self._clock = clock
-        self._rng = random.Random(address)
-        self.states = {
-            prefix: prefix_state.PrefixState(prefix) for prefix in self._clients
-        }
-        self._is_watching = dict.fromkeys(self._clients, True)
+        rng = random.Random(members.incarnation)
+        self._followers = [
+            store_follower.new_follower(
+                state, self, address, events, clock, rng
+            )
+            for state in self.states.values()
+        ]
         self._election = watchers.new_watcher_election(
-            members.incarnation, self._clients, clock()
+            members.incarnation, self.states, clock(), bounds.watch_wait_s()
+        )
+        self._peer_reads = peer_reads.PeerReads(
+            self.states.values(),
+            members,
+            lambda: holder.version,
+            self._apply_peer_state,
+            events,
+            clock,
         )
-        members.handle(PEER_KIND, self._serve_peer)
+        members.handle(peer_reads.PEER_KIND, self._serve_peer)
         members.handle(CHANGES_KIND, self._serve_changes)
         members.heartbeats.sheet_state = self._encode_state
         members.heartbeats.on_sheet_state = self._merge_state
 
     def start(self) -> None:
-        """Starts the green threads that watch the store and expire servers."""
-        for prefix, client in self._clients.items():
-            eventlet.spawn(self.follow, prefix, client)
-        eventlet.spawn(self._expire_servers)
-        eventlet.spawn(self._report_behind)
+        """Starts the green threads that follow the store."""
+        for follower in self._followers:
+            eventlet.spawn(follower.watch)
+            eventlet.spawn(follower.read)
+        eventlet.spawn(self._poll)
+
+    @property
+    def is_synced(self) -> bool:
+        """Whether the store, or several peers, gave this VM its contents."""
+        return self._peer_reads.has_started or all(
+            state.has_read for state in self.states.values()
+        )
+
+    def set_bounds(self, bounds: Bounds) -> None:
+        """Sets the times in which changes must be in force."""
+        for prefix, bound_s in bounds.by_prefix().items():
+            self.states[prefix].bound_s = bound_s
+        self._election.watch_wait_s = bounds.watch_wait_s()
 
     def calls(self) -> int:
         """Returns the number of calls made to the store."""
-        return sum(client.calls for client in self._clients.values())
+        return sum(follower.calls() for follower in self._followers)
+
+    def peer_reads(self) -> int:
+        """Returns the number of times that peers were asked."""
+        return self._peer_reads.rounds
 
     def changes(self) -> int:
         """Returns the number of changes that the store reported."""
@@ -123,95 +154,38 @@
         now = self._clock()
         return max(state.behind_s(now) for state in self.states.values())
 
-    def follow(self, prefix: str, client: platform.StoreClient) -> None:
-        """Applies all changes under a prefix; never returns.
-
-        Args:
-            prefix: Key prefix in the platform's store.
-            client: Client of the store, not shared with another thread.
-        """
-        retry_s = RETRY_S
-        while True:
-            try:
-                pause_s = self._sync_once(prefix, client)
-                retry_s = RETRY_S
-            except fleet.HistoryGoneError as exc:
-                self._events.state_change(
-                    "store history gone",
-                    self._clock(),
-                    prefix=prefix,
-                    revision=self.states[prefix].applied,
-                    cause=str(exc),
-                )
-                self.states[prefix].applied = 0
-                continue
-            except fleet.StoreError as exc:
-                self._record_failure(prefix, exc)
-                self._query_peers()
-                pause_s = retry_s * self._rng.uniform(0.5, 1.0)
-                retry_s = min(2.0 * retry_s, MAX_RETRY_S)
-            except Exception as exc:
-                # Without a retry, this VM would miss all further changes.
-                self._events.state_change(
-                    "store watch failed",
-                    self._clock(),
-                    prefix=prefix,
-                    cause=repr(exc),
-                )
-                pause_s = MAX_RETRY_S
-            if pause_s:
-                eventlet.sleep(pause_s)
-
-    def _sync_once(self, prefix: str, client: platform.StoreClient) -> float:
-        """Reads or watches the store once, if this VM has to.
-
-        Returns:
-            Seconds to pause before the next call.
-
-        Raises:
-            StoreError: The call failed.
-        """
-        state = self.states[prefix]
-        applied = state.applied
-        is_behind = applied < self._election.newest_revisions[prefix]
-        is_watching = self._must_watch(prefix)
-        if not applied or (is_behind and not is_watching):
-            state.record_applied(self._read_snapshot(prefix, client))
-            self._record_success(prefix, state.applied)
-            return CHANGE_BATCH_DELAY_S if state.applied else MISSING_RETRY_S
-        if not is_watching:
-            return REVISION_POLL_S
-        timeout_s = self._election.watch_timeout_s(WATCH_TIMEOUT_S)
-        changes = client.watch(prefix, applied, timeout_s)
-        revision = next_revision(applied, changes)
-        self._apply(prefix, changes.items, "store watch")
-        state.record_applied(revision)
-        self._record_success(prefix, revision)
-        if not changes.items:
-            if self._holder.current is None:
-                # A store that failed to report changes to its watches would
-                # never report the first configuration.
-                self.states[platform.CONFIGURATION_PREFIX].applied = 0
-            return 0.0
-        self._propagate(prefix, applied, revision, changes.items)
-        return CHANGE_BATCH_DELAY_S
-
-    def _must_watch(self, prefix: str) -> bool:
+    def must_watch(self, state: prefix_state.PrefixState) -> bool:
+        """Returns whether this VM has to watch the store."""
         now = self._clock()
         is_watching = self._election.must_watch(
             self._members.all_members(now), now
         )
-        if is_watching != self._is_watching[prefix]:
-            self._is_watching[prefix] = is_watching
+        if is_watching != state.is_watching:
+            state.set_watching(is_watching, now)
             self._events.state_change(
                 "store watch begins" if is_watching else "store watch ends",
                 now,
-                prefix=prefix,
+                prefix=state.prefix,
                 contact_s_ago=round(now - self._election.contact_at, 2),
             )
         return is_watching
 
-    def _propagate(
+    def record_contact(self) -> None:
+        """Records that the store has answered."""
+        self._election.record_contact(
+            min(state.last_heard_at for state in self.states.values())
+        )
+
+    def record_quiet_watch(self) -> None:
+        """Reads the configuration again if there is none yet.
+
+        A store that fails to report changes to its watches would never report
+        the first one.
+        """
+        if self._holder.current is None:
+            self.states[platform.CONFIGURATION_PREFIX].require_read()
+
+    def propagate(
         self,
         prefix: str,
         since: int,
@@ -248,14 +222,15 @@
         is_new = until > self._election.newest_revisions[prefix]
         items = [platform.Item(*row) for row in rows or ()]
         if rows is not None and since <= state.applied:
-            self._apply(prefix, items, f"peer {sender}")
+            self.apply(prefix, items, f"peer {sender}")
             state.record_applied(until)
         elif not is_new:
             return
-        # The thread of the prefix reads the changes that are still missing.
+        # The reading thread reads the changes that are still missing.
         self._election.record_revision(prefix, until)
         state.record_told(until, sender, self._clock())
-        self._propagate(prefix, since, until, items, sender)
+        self.propagate(prefix, since, until, items, sender)
+        self.ask_peers_if_due()
 
     def _encode_state(self) -> tuple[int, bytes]:
         known = {p: state.newest_change for p, state in self.states.items()}
@@ -267,23 +242,36 @@
         for prefix, revision in self._election.newest_revisions.items():
             self.states[prefix].record_told(revision, sender, now)
 
-    def _read_snapshot(self, prefix: str, client: platform.StoreClient) -> int:
+    def apply_all(
+        self, prefix: str, snapshot: platform.Snapshot
+    ) -> list[platform.Item]:
+        """Applies all keys under a prefix, as the store returned them.
+
+        Returns:
+            The removals of servers that are not listed any more.
+        """
         if prefix == platform.CONFIGURATION_PREFIX:
-            snapshot = client.get(platform.CONFIGURATION_KEY)
-            self._apply(prefix, snapshot.items, "store read")
-            return snapshot.revision
-        snapshot = client.read_all(platform.SERVER_PREFIX)
+            self.apply(prefix, snapshot.items, "store read")
+            return []
         now = self._clock()
         entries = [self._decode(item, now) for item in snapshot.items]
-        self._server_registry.replace(
+        removed = self._server_registry.replace(
             [entry for entry in entries if entry is not None],
             snapshot.revision,
             "store read",
             now,
         )
-        self._update_newest_change(prefix, snapshot.items)
+        gone = [
+            platform.Item(prefix + name, None, snapshot.revision)
+            for name in removed
+        ]
+        self._update_newest_change(prefix, [*snapshot.items, *gone])
         self._on_change(now)
-        return snapshot.revision
+        return gone
+
+    def ask_peers_if_due(self) -> None:
+        """Asks peers for the store's contents if the store does not answer."""
+        self._peer_reads.begin_if_due(self._clock())
 
     def _update_newest_change(
         self, prefix: str, items: Sequence[platform.Item]
@@ -292,9 +280,10 @@
         state = self.states[prefix]
         state.newest_change = max(state.newest_change, newest)
 
-    def _apply(
-        self, prefix: str, items: list[platform.Item], source: str
+    def apply(
+        self, prefix: str, items: Sequence[platform.Item], source: str
     ) -> None:
+        """Applies changes under a prefix."""
         now = self._clock()
         self.states[prefix].changes += len(items)
         self._update_newest_change(prefix, items)
@@ -353,81 +342,34 @@
             self.states[platform.CONFIGURATION_PREFIX].describe_told(now),
         )
 
-    def _record_success(self, prefix: str, revision: int) -> None:
-        now = self._clock()
-        state = self.states[prefix]
-        if not state.is_connected:
-            self._events.state_change(
-                "store reached",
-                now,
-                prefix=prefix,
-                revision=revision,
-                away_s=round(now - state.last_heard_at, 2),
-            )
-        state.is_connected = True
-        state.last_heard_at = now
-        self._election.record_contact(
-            min(state.last_heard_at for state in self.states.values())
-        )
-
-    def _record_failure(self, prefix: str, exc: fleet.StoreError) -> None:
-        now = self._clock()
-        state = self.states[prefix]
-        if state.is_connected:
-            self._events.state_change(
-                "store lost",
-                now,
-                prefix=prefix,
-                heard_s_ago=round(now - state.last_heard_at, 2),
-                cause=str(exc),
-                **state.describe_told(now),
-            )
-        state.is_connected = False
-
-    def _query_peers(self) -> None:
-        """Fetches the configuration and the servers from peers."""
-        view = self._members.view(self._clock())
-        members = sorted(
-            view.members,
-            key=lambda m: (m.zone != view.own.zone, self._rng.random()),
-        )
-        for member in members[:PEERS_QUERIED]:
-            try:
-                reply = self._members.request(
-                    member.incarnation,
-                    PEER_KIND,
-                    {"version": self._holder.version},
-                    PEER_TIMEOUT_S,
-                )
-                self._apply_peer_state(reply, member.name)
-            except (
-                membership.PeerUnreachableError,
-                KeyError,
-                TypeError,
-                ValueError,
-            ) as exc:
-                self._events.state_change(
-                    "peer gave no fleet",
-                    self._clock(),
-                    peer=member.name,
-                    cause=repr(exc),
-                )
-
     def _apply_peer_state(self, reply: dict, peer: str) -> None:
         now = self._clock()
         if reply["document"]:
             self._apply_configuration(reply["document"], f"peer {peer}", now)
-        # Processes of earlier versions send none.
+        # Processes of earlier versions send neither of these.
         versions = reply.get("versions", {})
-        for body in reply["servers"]:
-            entry = fleet.BackendEntry(*body, versions.get(body[0], ""))
-            self._server_registry.put(entry, f"peer {peer}", now)
+        revisions = reply.get("revisions", {})
+        entries = [
+            fleet.BackendEntry(*body, versions.get(body[0], ""))
+            for body in reply["servers"]
+        ]
+        self._server_registry.replace(
+            entries,
+            int(revisions.get(platform.SERVER_PREFIX, 0)),
+            f"peer {peer}",
+            now,
+        )
         for name, revision in reply["removed"]:
             self._server_registry.remove(name, revision, f"peer {peer}", now)
+        for prefix, state in self.states.items():
+            state.record_applied(int(revisions.get(prefix, 0)))
         self._on_change(now)
 
     def _serve_peer(self, sender: str, body: dict) -> dict:
+        """Returns the store's contents for a peer that it may be ignoring."""
         del sender
+        if body.get("is_store_lost"):
+            self._read_for_peers()
         is_newer = self._holder.version > body["version"]
         return {
             "document": self._holder.document if is_newer else b"",
@@ -449,30 +391,52 @@
                 for entry in self._server_registry.entries()
             },
             "removed": self._server_registry.removals(),
+            "revisions": {
+                prefix: state.applied for prefix, state in self.states.items()
+            },
         }
 
-    def _report_behind(self) -> None:
-        """Logs that changes which peers told are not applied."""
+    def _read_for_peers(self) -> None:
+        """Reads the store if those that watch for this VM may have lost it."""
+        now = self._clock()
+        for state in self.states.values():
+            if (
+                not state.is_watching
+                and now - state.last_heard_at > LOST_READ_INTERVAL_S
+            ):
+                state.require_read()
+
+    def _poll(self) -> None:
         while True:
-            eventlet.sleep(BEHIND_REPORT_S / 2)
+            eventlet.sleep(POLL_S)
             now = self._clock()
-            for state in self.states.values():
-                if state.is_reported or state.behind_s(now) < BEHIND_REPORT_S:
-                    continue
-                state.is_reported = True
+            try:
+                self._expire_servers(now)
+                self._report_behind(now)
+                self.ask_peers_if_due()
+            except Exception as exc:
+                # Without the next round, no server would expire any more.
                 self._events.state_change(
-                    "change missing",
-                    now,
-                    prefix=state.prefix,
-                    heard_s_ago=round(now - state.last_heard_at, 2),
-                    **state.describe_told(now),
+                    "store watch failed", now, call="poll", cause=repr(exc)
                 )
 
-    def _expire_servers(self) -> None:
-        while True:
-            eventlet.sleep(EXPIRY_INTERVAL_S)
-            now = self._clock()
-            before = self._server_registry.generation
-            self._server_registry.expire(now)
-            if self._server_registry.generation != before:
-                self._on_change(now)
+    def _expire_servers(self, now: float) -> None:
+        before = self._server_registry.generation
+        self._server_registry.expire(now)
+        if self._server_registry.generation != before:
+            self._on_change(now)
+
+    def _report_behind(self, now: float) -> None:
+        """Logs that changes which peers told are not applied."""
+        for state in self.states.values():
+            if state.is_reported or state.behind_s(now) < BEHIND_REPORT_S:
+                continue
+            state.is_reported = True
+            self._events.state_change(
+                "change missing",
+                now,
+                prefix=state.prefix,
+                heard_s_ago=round(now - state.last_heard_at, 2),
+                unanswered_s=round(state.unanswered_s(now), 2),
+                **state.describe_told(now),
+            )
--- a/savoryspar/gateway/node.py
+++ b/savoryspar/gateway/node.py
@@ -148,6 +148,7 @@
             self._events,
             self._apply_change,
             clock,
+            _new_bounds(section),
         )
         self._metrics = counters.new_counters()
         self._app = app.new_gateway_app(
@@ -248,6 +249,8 @@
             return "no configuration"
         if not self._server_registry.usable():
             return "no backend servers"
+        if not self._watch.is_synced:
+            return "neither the store nor several peers answered yet"
         if not self._blame.is_ready:
             return "no peer told of crashes yet"
         return ""
@@ -255,6 +258,7 @@
     def reload(self, cfg: conf.Settings) -> None:
         """Applies changed settings; addresses need a restart."""
         self._cfg = cfg
+        self._watch.set_bounds(_new_bounds(cfg.gateway))
         self._events.state_change(
             "settings reloaded",
             self._clock(),
@@ -358,6 +362,7 @@
             "configuration_version": lambda: self._holder.version,
             "store_calls": self._watch.calls,
             "store_changes": self._watch.changes,
+            "store_peer_reads": self._watch.peer_reads,
             "store_behind_seconds": self._watch.behind_s,
             "peers": lambda: len(self._members.view(self._clock()).members),
             "backend_connections_opened": lambda: self._connections.opened,
@@ -441,6 +446,12 @@
     )
 
 
+def _new_bounds(section: conf.Section) -> fleet_watch.Bounds:
+    return fleet_watch.Bounds(
+        section.config_ms / 1000.0, section.drain_ms / 1000.0
+    )
+
+
 def _address(text: str) -> tuple[str, int]:
     host, _, port = text.rpartition(":")
     return host, int(port)
--- a/savoryspar/gateway/watchers.py
+++ b/savoryspar/gateway/watchers.py
@@ -19,9 +19,9 @@
 case."""
 WATCHERS_PER_ZONE = 2
 """Watching VMs of a larger zone; two, to tolerate the loss of one."""
-WATCH_TIMEOUT_S = 2.5
-"""Timeout of a watch in a zone with listeners; each end of a watch counts as a
-contact with the store."""
+WATCH_WAIT_S = 1.5
+"""Default wait of a watch; each end of a watch counts as a contact with the
+store."""
 CONTACT_MARGIN_S = 1.5
 """Margin above the usual age of a contact before a listener starts to watch."""
 SETTLE_S = 1.5
@@ -45,6 +45,7 @@
             the store.
         hops: Number of VMs that relayed this contact.
         newest_revisions: Highest reported revision of a change, by prefix.
+        watch_wait_s: Time for which a watch waits for changes.
     """
 
     __slots__ = (
@@ -54,10 +55,15 @@
         "contact_at",
         "hops",
         "newest_revisions",
+        "watch_wait_s",
     )
 
     def __init__(
-        self, own_incarnation: str, prefixes: Iterable[str], now: float
+        self,
+        own_incarnation: str,
+        prefixes: Iterable[str],
+        now: float,
+        watch_wait_s: float,
     ):
         self._own_incarnation = own_incarnation
         self._elected: tuple[tuple[membership.Record, ...], bool, int] = (
@@ -69,6 +75,7 @@
         self.contact_at = now
         self.hops = 0
         self.newest_revisions = dict.fromkeys(prefixes, 0)
+        self.watch_wait_s = watch_wait_s
 
     def must_watch(
         self, all_members: tuple[membership.Record, ...], now: float
@@ -86,13 +93,8 @@
         if all_members is not self._elected[0]:
             self._elected = (all_members, *self._elect(all_members))
         _, is_elected, zone_size = self._elected
-        return is_elected or now - self.contact_at > contact_limit_s(zone_size)
-
-    def watch_timeout_s(self, default_s: float) -> float:
-        """Returns the timeout of one watch."""
-        return (
-            default_s if self._elected[2] <= SMALL_ZONE_VMS else WATCH_TIMEOUT_S
-        )
+        limit_s = contact_limit_s(zone_size, self.watch_wait_s)
+        return is_elected or now - self.contact_at > limit_s
 
     def record_contact(self, at: float, hops: int = 0) -> None:
         """Records a contact with the store, of this VM or reported by a peer.
@@ -166,14 +168,19 @@
         return self._own_incarnation in ranked[:WATCHERS_PER_ZONE], len(vms)
 
 
-def contact_limit_s(zone_size: int) -> float:
+def contact_limit_s(
+    zone_size: int, watch_wait_s: float = WATCH_WAIT_S
+) -> float:
     """Returns the age of a contact above which every VM watches the store."""
     hops = membership.zone_hops(zone_size)
-    return WATCH_TIMEOUT_S + table.HOP_S * hops + CONTACT_MARGIN_S
+    return watch_wait_s + table.HOP_S * hops + CONTACT_MARGIN_S
 
 
 def new_watcher_election(
-    own_incarnation: str, prefixes: Iterable[str], now: float
+    own_incarnation: str,
+    prefixes: Iterable[str],
+    now: float,
+    watch_wait_s: float = WATCH_WAIT_S,
 ) -> WatcherElection:
     """Returns the election of a VM that has no state of its peers yet.
 
@@ -181,5 +188,6 @@
         own_incarnation: Incarnation of this process.
         prefixes: Watched key prefixes, in the same order on all VMs.
         now: Monotonic time in seconds.
+        watch_wait_s: Time for which a watch waits for changes.
     """
-    return WatcherElection(own_incarnation, prefixes, now)
+    return WatcherElection(own_incarnation, prefixes, now, watch_wait_s)
--- a/savoryspar/log/catalog.py
+++ b/savoryspar/log/catalog.py
@@ -41,6 +41,7 @@
     "start": "The process starts.",
     "stopped": "The process ends.",
     "stopping": "A stop of the process was requested.",
+    "store call failed": "A call failed while others to the store succeed.",
     "store history gone": "The store dropped changes; all keys are read again.",
     "store lost": "The store does not answer or refuses calls.",
     "store reached": "The store answers again.",
--- a/tests/gateway/test_fleet_watch.py
+++ b/tests/gateway/test_fleet_watch.py
@@ -1,16 +1,39 @@
 """Tests of watching the store."""
 
+import random
 import time
 
 import eventlet
 import testtools
 
 from savoryspar import fleet, membership, platform
-from savoryspar.gateway import fleet_watch, prefix_state, watchers
+from savoryspar.gateway import (
+    fleet_watch,
+    peer_reads,
+    prefix_state,
+    store_follower,
+    watchers,
+)
 from savoryspar.platform import standin
 from tests.gateway import event_logs
 
 CHANGE_EVERY_S = 0.01
+BOUNDS = fleet_watch.Bounds(2.5, 2.5)
+
+
+def follow(case, watch, prefix, store):
+    """Starts the threads that watch and read a store until the test ends."""
+    follower = store_follower.StoreFollower(
+        watch.states[prefix],
+        watch,
+        store,
+        store,
+        event_logs.new_event_log(case),
+        time.monotonic,
+        random.Random(1),
+    )
+    for loop in (follower.watch, follower.read):
+        case.addCleanup(eventlet.spawn(loop).kill)
 
 
 class BusyStore:
@@ -20,6 +43,9 @@
         self.calls = 0
         self._began_at = time.monotonic()
 
+    def close(self):
+        """Does nothing, as there is no connection."""
+
     def read_all(self, prefix):
         del prefix
         return platform.Snapshot([], 1)
@@ -49,6 +75,7 @@
     Attributes:
         sent: Messages to the neighbours, with the excluded peer.
         handlers: Handlers by message kind.
+        replies: Reply and delay in seconds of each peer that replies.
     """
 
     incarnation = "own"
@@ -57,6 +84,7 @@
         self.heartbeats = FakeHeartbeats()
         self.sent = []
         self.handlers = {}
+        self.replies = {}
         self._all_members = tuple(
             membership.Record(name, name, "r", "z", "a")
             for name in ("own", *others)
@@ -69,6 +97,21 @@
         del now
         return self._all_members
 
+    def view(self, now):
+        own, *others = (
+            membership.Member(record, now, 0) for record in self._all_members
+        )
+        return membership.View(own, tuple(others), True)
+
+    def request(self, incarnation, kind, body, timeout_s):
+        """Returns the reply given in ``replies``, after its delay."""
+        del kind, body
+        reply, delay_s = self.replies.get(incarnation, (None, timeout_s))
+        eventlet.sleep(min(delay_s, timeout_s))
+        if delay_s >= timeout_s:
+            raise membership.PeerUnreachableError("no reply", "wait", True)
+        return reply
+
     def send_to_neighbours(self, kind, body, now, exclude=""):
         del kind, now
         self.sent.append((body, exclude))
@@ -86,6 +129,9 @@
         self.revision = revision
         self.items = []
 
+    def close(self):
+        """Does nothing, as there is no connection."""
+
     def get(self, key):
         del key
         self.calls.append("get")
@@ -112,13 +158,13 @@
         192870949659).
         """
         empty = platform.Snapshot([], 90)
-        self.assertEqual(68, fleet_watch.next_revision(68, empty))
+        self.assertEqual(68, store_follower.next_revision(68, empty))
 
     def test_changes_are_requested_once(self):
         """Guards against watches that return the same changes repeatedly."""
         item = platform.Item("op/config", b"{}", 70)
         changes = platform.Snapshot([item], 72)
-        self.assertEqual(72, fleet_watch.next_revision(68, changes))
+        self.assertEqual(72, store_follower.next_revision(68, changes))
 
 
 class ChangeBatchTest(testtools.TestCase):
@@ -138,11 +184,11 @@
             events,
             lambda now: None,
             time.monotonic,
+            BOUNDS,
         )
         self.patch(watch._election, "_settled_at", 0.0)
         store = BusyStore()
-        thread = eventlet.spawn(watch.follow, platform.SERVER_PREFIX, store)
-        self.addCleanup(thread.kill)
+        follow(self, watch, platform.SERVER_PREFIX, store)
         eventlet.sleep(1.0)
         self.assertGreaterEqual(watch.changes(), 20)
         self.assertLessEqual(store.calls, 5)
@@ -245,7 +291,7 @@
 class PrefixStateTest(testtools.TestCase):
     def test_time_counts_from_the_first_missing_change(self):
         """Guards against a delay that each further change hides."""
-        state = prefix_state.PrefixState("op/")
+        state = prefix_state.new_prefix_state("op/", 2.5)
         state.record_applied(10)
         state.record_told(9, "a", 0.0)
         self.assertEqual({}, state.describe_told(1.0))
@@ -258,6 +304,105 @@
         state.record_applied(14)
         self.assertEqual({}, state.describe_told(4.0))
 
+    def test_watch_may_deliver_a_change_before_it_is_read(self):
+        """Guards against a read by each VM for each change."""
+        state = self.new_watching_state()
+        state.record_told(12, "a", 10.0)
+        self.assertEqual(
+            10.0 + prefix_state.BEHIND_GRACE_S, state.read_due_at()
+        )
+        state.record_applied(12)
+        self.assertEqual(
+            10.0 + state.watch_wait_s + prefix_state.OVERDUE_S,
+            state.read_due_at(),
+        )
+
+    def test_overdue_watch_is_replaced_by_a_read_within_the_bound(self):
+        """Guards against a change that an open watch hides."""
+        state = self.new_watching_state()
+        patience_s = prefix_state.READ_PATIENCE_S
+        self.assertLess(state.read_due_at() + patience_s - 10.0, state.bound_s)
+
+    def test_revision_that_the_store_does_not_have_is_read_once(self):
+        """Guards against endless reads for a revision that does not exist."""
+        state = self.new_watching_state()
+        state.record_told(99, "a", 10.0)
+        state.begin_read(11.0)
+        state.record_read(20, 11.1)
+        self.assertIsNone(state.behind_since)
+
+    def test_change_that_was_told_during_a_read_is_read_again(self):
+        """Guards against a read that began too early for a change."""
+        state = self.new_watching_state()
+        state.begin_read(9.9)
+        state.record_told(99, "a", 10.0)
+        state.record_read(20, 11.1)
+        self.assertTrue(state.is_behind)
+
+    def test_silent_store_is_read_again_within_the_bound(self):
+        """Guards against a pause after a read that already took long."""
+        state = self.new_watching_state()
+        for at in range(10):
+            state.begin_read(at)
+            state.record_failed_read(1.0, at + 2.0)
+        self.assertEqual(at + 2.0, state.read_due_at())
+
+    def new_watching_state(self):
+        state = prefix_state.new_prefix_state("op/", 2.5)
+        state.begin_read(0.0)
+        state.record_read(10, 0.0)
+        state.set_watching(True, 10.0)
+        return state
+
+
+class PeerReadsTest(testtools.TestCase):
+    """Tests of a VM that has not been answered by the store."""
+
+    def setUp(self):
+        super().setUp()
+        self.members = FakeMembers(["a", "b", "c"])
+        self.state = prefix_state.new_prefix_state("op/", 2.5)
+        self.applied = []
+        self.reads = peer_reads.PeerReads(
+            [self.state],
+            self.members,
+            lambda: 0,
+            lambda reply, name: self.applied.append((reply, name)),
+            event_logs.new_event_log(self),
+            time.monotonic,
+        )
+        self.state.begin_read(time.monotonic() - 1.0)
+
+    def ask(self, wait_s):
+        self.reads.begin_if_due(time.monotonic())
+        eventlet.sleep(wait_s)
+
+    def test_several_peers_are_asked_before_the_start(self):
+        """Guards against a start by the version of a peer that is behind."""
+        self.members.replies = {"a": ({"v": 5}, 0.0), "b": ({"v": 7}, 0.2)}
+        self.ask(0.1)
+        self.assertEqual([], self.applied)
+        eventlet.sleep(peer_reads.PEER_TIMEOUT_S)
+        self.assertEqual(
+            [({"v": 5}, "a"), ({"v": 7}, "b")], sorted(self.applied, key=str)
+        )
+        self.assertTrue(self.reads.has_started)
+
+    def test_reply_of_a_single_peer_does_not_suffice(self):
+        """Guards against a start by the only peer that replied."""
+        self.members.replies = {"a": ({"v": 5}, 0.0)}
+        self.ask(0.1 + peer_reads.PEER_TIMEOUT_S)
+        self.assertFalse(self.reads.has_started)
+        self.assertEqual([], self.applied)
+
+    def test_frozen_peer_does_not_delay_the_others(self):
+        """Guards against peers that are asked one after the other."""
+        self.state.record_read(10, time.monotonic())
+        self.state.begin_read(time.monotonic() - 1.0)
+        self.members.replies = {"b": ({"v": 5}, 0.0), "c": ({"v": 7}, 0.0)}
+        self.ask(0.1)
+        self.assertEqual(2, len(self.applied))
+
 
 class ListenerTest(testtools.TestCase):
     """Tests of a VM in a large zone in which two others watch the store."""
@@ -277,12 +422,12 @@
             events,
             lambda now: None,
             time.monotonic,
+            BOUNDS,
         )
         self.store = UnchangedStore()
 
     def follow(self, prefix=platform.SERVER_PREFIX):
-        thread = eventlet.spawn(self.watch.follow, prefix, self.store)
-        self.addCleanup(thread.kill)
+        follow(self, self.watch, prefix, self.store)
         eventlet.sleep(0.05)
 
     def receive(self, since, until, rows, prefix=platform.SERVER_PREFIX):
@@ -300,7 +445,7 @@
     def test_listener_reads_the_store_once(self):
         """Guards against a watch on each of hundreds of VMs."""
         self.follow()
-        eventlet.sleep(2 * fleet_watch.REVISION_POLL_S)
+        eventlet.sleep(2 * fleet_watch.POLL_S)
         self.assertEqual(["read_all"], self.store.calls)
 
     def test_propagated_changes_are_applied_and_relayed_once(self):
@@ -316,7 +461,7 @@
         )
         self.receive(12, 14, [[f"{platform.SERVER_PREFIX}s1", None, 14]])
         self.assertTrue(self.server_registry.is_leaving("s1"))
-        eventlet.sleep(2 * fleet_watch.REVISION_POLL_S)
+        eventlet.sleep(2 * fleet_watch.POLL_S)
         self.assertEqual(["read_all"], self.store.calls)
 
     def test_gap_is_read_from_the_store(self):
@@ -324,7 +469,7 @@
         self.follow()
         self.store.revision = 30
         self.receive(20, 22, [self.row("s1", 22)])
-        eventlet.sleep(2 * fleet_watch.REVISION_POLL_S)
+        eventlet.sleep(2 * fleet_watch.POLL_S)
         self.assertEqual(["read_all"] * 2, self.store.calls)
 
     def test_configuration_is_read_by_each_vm(self):
@@ -332,12 +477,13 @@
         self.follow(platform.CONFIGURATION_PREFIX)
         self.store.revision = 30
         self.receive(10, 22, None, platform.CONFIGURATION_PREFIX)
-        eventlet.sleep(2 * fleet_watch.REVISION_POLL_S)
+        eventlet.sleep(2 * fleet_watch.POLL_S)
         self.assertEqual(["get"] * 2, self.store.calls)
 
     def test_unexpected_error_does_not_end_the_watch(self):
         """Guards against a VM that misses all changes after one error."""
-        self.patch(fleet_watch, "MAX_RETRY_S", 0.05)
+        state = self.watch.states[platform.SERVER_PREFIX]
+        self.patch(state, "_retry_s", 0.05)
         read_all, self.store.read_all = self.store.read_all, None
         self.follow()
         self.store.read_all = read_all
