Keep the newest removal of a server when a peer tells an older one

A removal that a peer told replaced the revision of a newer one. An entry with a revision between the two, told by a peer that is behind, was listed again, and requests went to a server that had left.

Removals only replace older ones now, and no longer live longer because a peer repeats them. The new test failed before: ['s1'] was usable after revisions 9 (removed), 5 (removed) and 7 (listed).

--- a/savoryspar/fleet/server_registry.py
+++ b/savoryspar/fleet/server_registry.py
@@ -87,7 +87,8 @@
     def remove(self, name: str, revision: int, source: str, now: float) -> None:
         """Removes an entry as of a revision; its server becomes lapsed."""
         known = self._entries.get(name)
-        self._tombstones[name] = (revision, now)
+        if revision > self._tombstones.get(name, (-1, 0.0))[0]:
+            self._tombstones[name] = (revision, now)
         if known is None or known.revision > revision:
             return
         if name not in self._lapsed:
--- a/tests/fleet/test_server_registry.py
+++ b/tests/fleet/test_server_registry.py
@@ -49,6 +49,15 @@
         self.server_registry.put(entry(revision=3), "peer", 11.0)
         self.assertEqual([], self.names())
 
+    def test_older_removal_does_not_replace_a_newer_one(self):
+        """Guards against a server that an outdated peer lists again."""
+        self.server_registry.put(entry(), "store", 0.0)
+        self.server_registry.remove("s1", 9, "store", 1.0)
+        self.server_registry.expire(5.0)
+        self.server_registry.remove("s1", 5, "peer", 6.0)
+        self.server_registry.put(entry(revision=7), "peer", 7.0)
+        self.assertEqual([], self.names())
+
     def test_lapsed_server_is_a_last_resort_until_it_expires(self):
         """Guards against a pool lost when the store's entries expire."""
         self.server_registry.put(entry("s1"), "store", 0.0)
