Read links while the handlers of their requests wait

A VM handled at most 256 requests of peers at a time, and the thread that reads a link waited for a free handler. Claims for permits of a server with a rate limit wait up to 2.25 s each in their handler, so a VM that grants the permits read neither heartbeats nor the changes of the store that its peers told while that many waited: a fact that had arrived waited for a call of somebody else.

Each kind of request has its own 256 handlers and a queue of at most 4,096 requests, so the reader never waits. Requests beyond it are refused, which the sender gets as an error, and which is logged.

tests/membership/test_processes.py, with processes and sockets, failed before: 'did not reply to echo' within 1 s beside 276 requests that wait 4 s.

--- a/savoryspar/membership/calls.py
+++ b/savoryspar/membership/calls.py
@@ -13,6 +13,9 @@
 
 MAX_SEEN_BROADCASTS = 8192
 MAX_RUNNING_HANDLERS = 256
+"""Handlers of one kind that run at the same time."""
+MAX_QUEUED_REQUESTS = 4096
+"""Requests of one kind that wait for a handler; more are refused."""
 NO_REPLY = 0
 """Request number of a one-way message, which gets no reply."""
 
@@ -20,6 +23,46 @@
 """Called with the sender's incarnation and the body; returns the reply."""
 
 
+class HandlerQueue:
+    """Runs the handlers of one kind in green threads, in order.
+
+    Submitting never waits, as it is done by the thread that reads a link: all
+    other messages of the peer would wait too.
+    """
+
+    __slots__ = ("_queue", "_running")
+
+    def __init__(self) -> None:
+        self._queue: collections.deque[tuple[Callable[..., None], tuple]] = (
+            collections.deque()
+        )
+        self._running = 0
+
+    def submit(self, handler: Callable[..., None], *args: Any) -> bool:
+        """Runs a handler once fewer than ``MAX_RUNNING_HANDLERS`` run.
+
+        Returns:
+            Whether it was accepted; False if too many wait.
+        """
+        if self._running < MAX_RUNNING_HANDLERS:
+            self._running += 1
+            eventlet.spawn_n(self._run, handler, args)
+        elif len(self._queue) < MAX_QUEUED_REQUESTS:
+            self._queue.append((handler, args))
+        else:
+            return False
+        return True
+
+    def _run(self, handler: Callable[..., None], args: tuple) -> None:
+        try:
+            handler(*args)
+            while self._queue:
+                handler, args = self._queue.popleft()
+                handler(*args)
+        finally:
+            self._running -= 1
+
+
 class Calls:
     """Pending requests, handlers by kind, and seen broadcasts.
 
@@ -33,7 +76,7 @@
         "_handlers",
         "_logger",
         "_own",
-        "_pool",
+        "_queues",
         "_seen",
         "_waiting",
         "late_replies",
@@ -47,7 +90,9 @@
         self._seen: collections.OrderedDict[tuple[str, int], None] = (
             collections.OrderedDict()
         )
-        self._pool = eventlet.GreenPool(MAX_RUNNING_HANDLERS)
+        self._queues: collections.defaultdict[Handler | None, HandlerQueue] = (
+            collections.defaultdict(HandlerQueue)
+        )
         self._logger = log.new_logger("membership")
         self.late_replies = 0
 
@@ -116,7 +161,15 @@
     def serve(self, link: links.Link, body: list) -> None:
         """Runs the handler of a request in a green thread."""
         number, kind, content = body
-        self._pool.spawn_n(self._serve, link, number, kind, content)
+        queue = self._queues[self._handlers.get(kind)]
+        if not queue.submit(self._serve, link, number, kind, content):
+            self._refuse(link, number, kind)
+
+    def _refuse(self, link: links.Link, number: int, kind: str) -> None:
+        error = f"too many requests of kind {kind!r:.40} wait"
+        self._logger.error(f"Request refused. {error}")
+        if number != NO_REPLY:
+            link.post("reply", [number, error, None])
 
     def _serve(
         self, link: links.Link, number: int, kind: str, content: Any
@@ -148,8 +201,10 @@
             return False
         self._mark_seen((origin, number))
         handler = self._handlers.get(kind)
-        if handler is not None:
-            self._pool.spawn_n(self._run, handler, origin, kind, content)
+        if handler is not None and not self._queues[handler].submit(
+            self._run, handler, origin, kind, content
+        ):
+            self._logger.error(f"Broadcast not handled. kind={kind}")
         return True
 
     def _run(
--- a/tests/membership/test_calls.py
+++ b/tests/membership/test_calls.py
@@ -45,6 +45,30 @@
         eventlet.sleep(0)
         self.assertEqual([], replies.frames)
 
+    def test_waiting_requests_are_handled_in_order(self):
+        """Guards against requests that are lost while all handlers wait."""
+        receiver, replies = calls.Calls("i1"), FakeLink()
+        receiver.handle("wait", lambda sender, body: eventlet.sleep(0.05))
+        count = 2 * calls.MAX_RUNNING_HANDLERS + 1
+        for number in range(1, count + 1):
+            receiver.serve(replies, [number, "wait", None])
+        self.assertEqual([], replies.frames)
+        eventlet.sleep(0.5)
+        numbers = [body[0] for _, body in replies.frames]
+        self.assertEqual([*range(1, count + 1)], numbers)
+
+    def test_requests_beyond_the_queue_are_refused(self):
+        """Guards against memory that grows with requests that all wait."""
+        receiver, replies = calls.Calls("i1"), FakeLink()
+        receiver.handle("wait", lambda sender, body: eventlet.sleep(9.0))
+        self.patch(calls, "MAX_QUEUED_REQUESTS", 2)
+        for number in range(1, calls.MAX_RUNNING_HANDLERS + 4):
+            receiver.serve(replies, [number, "wait", None])
+        ((kind, body),) = replies.frames
+        self.assertEqual("reply", kind)
+        self.assertEqual(calls.MAX_RUNNING_HANDLERS + 3, body[0])
+        self.assertIn("too many", body[1])
+
 
 class Records:
     def __init__(self, *records):
--- a/tests/membership/test_processes.py
+++ b/tests/membership/test_processes.py
@@ -1,11 +1,13 @@
 """Tests of membership with real processes, signals and TLS."""
 
+from concurrent import futures
 import time
 
 import testtools
 
 from savoryspar.bench import deployments, keys
 from savoryspar.bench import fleet as fleet_lib
+from savoryspar.membership import calls
 
 TIMEOUT_S = 15.0
 
@@ -97,6 +99,25 @@
         fact = {self.names[0]: {"n": 5}}
         self.wait(lambda: self.stats(others[0])["facts"] == fact)
 
+    def test_waiting_handlers_do_not_delay_other_messages(self):
+        """Guards against a link that is not read while handlers wait.
+
+        When as many claims for permits waited as a VM has handlers, it read no
+        heartbeat and no change of the store from that peer.
+        """
+        first, second, _ = self.processes
+        count = calls.MAX_RUNNING_HANDLERS + 20
+        with futures.ThreadPoolExecutor(count) as executor:
+            for _ in range(count):
+                executor.submit(
+                    self.request, first, self.names[1], "sleep", 4, 6.0
+                )
+            time.sleep(1.0)
+            reply = self.request(first, self.names[1], "echo", {"a": 1}, 1.0)
+            seen = self.seen(second)
+        self.assertEqual({"reply": {"echo": {"a": 1}}}, reply)
+        self.assertIn(self.names[0], seen)
+
     def test_killed_member_leaves_the_view_and_gets_no_requests(self):
         """Guards against a dead member in the view.
 
