--- a/savoryspar/gateway/node.py
+++ b/savoryspar/gateway/node.py
@@ -153,6 +153,7 @@
             self._events,
             self._apply_change,
             clock,
+            _new_bounds(section),
         )
         self._metrics = counters.new_counters()
         self._app = app.new_gateway_app(
@@ -270,6 +271,8 @@
             return "no configuration"
         if not self._server_registry.usable():
             return "no backend servers"
+        if not self._watch.is_synced:
+            return "neither the store nor several peers answered yet"
         if not self._blame.is_ready:
             return "no peer told of crashes yet"
         return ""
@@ -277,6 +280,7 @@
     def reload(self, cfg: conf.Settings) -> None:
         """Applies changed settings; addresses need a restart."""
         self._cfg = cfg
+        self._watch.set_bounds(_new_bounds(cfg.gateway))
         self._events.state_change(
             "settings reloaded",
             self._clock(),
@@ -380,6 +384,7 @@
             "configuration_version": lambda: self._holder.version,
             "store_calls": self._watch.calls,
             "store_changes": self._watch.changes,
+            "store_peer_reads": self._watch.peer_reads,
             "store_behind_seconds": self._watch.behind_s,
             "ignored_entries": lambda: self._watch.ignored.count,
             "peers": lambda: len(self._members.view(self._clock()).members),
@@ -464,6 +469,12 @@
     )
 
 
+def _new_bounds(section: conf.Section) -> fleet_watch.Bounds:
+    return fleet_watch.Bounds(
+        section.config_ms / 1000.0, section.drain_ms / 1000.0
+    )
+
+
 def _address(text: str) -> tuple[str, int]:
     host, _, port = text.rpartition(":")
     return host, int(port)
