Ask several peers at once for records of crashes at the start

A VM that starts asked one peer after the other, 0.5 s each, and served after 1.5 s without any record if the first three were frozen, although others knew which requests crash servers.

It asks eight peers at the same time and is ready when one of them has replied and the others have replied or timed out.

--- a/savoryspar/gateway/blaming.py
+++ b/savoryspar/gateway/blaming.py
@@ -27,6 +27,9 @@
 LEARN_TIMEOUT_S = 1.5
 """Time after which a VM that started serves although no peer has replied."""
 LEARN_INTERVAL_S = 0.05
+LEARN_PEERS = 8
+"""Peers that a VM asks at the same time when it starts; those that are frozen
+delay the replies of the others by ``LIST_TIMEOUT_S`` at most."""
 COMPARE_INTERVAL_S = 2.0
 SLOW_COMPARE_INTERVAL_S = 30.0
 RECENT_S = 120.0
@@ -307,20 +310,21 @@
         return self._encode(self.table.reports(), now)
 
     def _learn(self) -> None:
-        """Asks one peer after another for its records, until one replies."""
+        """Asks several peers at once for their records until one replies."""
         ends_at = self._clock() + LEARN_TIMEOUT_S
-        asked: set[str] = set()
         while not self.is_ready and self._clock() < ends_at:
             now = self._clock()
-            peers = [
-                member.incarnation
-                for member in self._members.view(now).members
-                if member.incarnation not in asked
-            ]
-            if peers:
-                asked.add(peers[0])
-                self.is_ready = self._exchange(peers[0])
-            else:
+            replies = membership.ask_peers(
+                self._members,
+                LIST_KIND,
+                self._encode(self.table.reports(), now),
+                LIST_TIMEOUT_S,
+                LEARN_PEERS,
+                now,
+            )
+            valid = [self._apply_reply(peer, reply) for peer, reply in replies]
+            self.is_ready = any(valid)
+            if not self.is_ready:
                 eventlet.sleep(LEARN_INTERVAL_S)
         self.is_ready = True
 
--- a/tests/gateway/lone_vm.py
+++ b/tests/gateway/lone_vm.py
@@ -34,9 +34,9 @@
         self.broadcasts.append((kind, body))
 
 
-def new_blame(router, events, clock):
-    """Returns records without crashes."""
-    members = Members()
+def new_blame(router, events, clock, members=None):
+    """Returns records without crashes, of a VM without peers by default."""
+    members = members or Members()
     registry = fleet.new_server_registry(events)
     crash_blame = blaming.new_fleet_blame(
         registry,
