Compress the configuration that a VM gets from a peer

A configuration of 1 MiB did not fit into a frame with the servers beside it, so the link between the VMs was closed instead, and a VM that the store ignores served by the old version until the store answered it again.

Peers that accept it get the document compressed; earlier versions get it as before. A document that is malformed or has more than 8 MiB is refused.

--- a/savoryspar/gateway/fleet_watch.py
+++ b/savoryspar/gateway/fleet_watch.py
@@ -344,9 +344,12 @@
 
     def _apply_peer_state(self, reply: dict, peer: str) -> None:
         now = self._clock()
-        if reply["document"]:
-            self._apply_configuration(reply["document"], f"peer {peer}", now)
-        # Processes of earlier versions send neither of these.
+        document = reply["document"]
+        # Processes of earlier versions send none of these.
+        if reply.get("compressed"):
+            document = peer_reads.decompress(reply["compressed"])
+        if document:
+            self._apply_configuration(document, f"peer {peer}", now)
         versions = reply.get("versions", {})
         revisions = reply.get("revisions", {})
         entries = [
@@ -371,8 +374,13 @@
         if body.get("is_store_lost"):
             self._read_for_peers()
         is_newer = self._holder.version > body["version"]
+        document = self._holder.document if is_newer else b""
+        is_compressed = document and body.get("accepts_compressed")
         return {
-            "document": self._holder.document if is_newer else b"",
+            "document": b"" if is_compressed else document,
+            "compressed": peer_reads.compress(document)
+            if is_compressed
+            else b"",
             "servers": [
                 [
                     entry.name,
--- a/savoryspar/gateway/peer_reads.py
+++ b/savoryspar/gateway/peer_reads.py
@@ -1,8 +1,10 @@
 """Reads the store's contents from peers, for VMs that the store ignores."""
 
 from collections.abc import Callable, Iterable
+import functools
 import random
 from typing import Any
+import zlib
 
 import eventlet
 
@@ -23,6 +25,9 @@
 """Replies that a VM needs to start without the store, if it has as many peers:
 a single one may itself be behind."""
 
+MAX_DOCUMENT_BYTES = 8 << 20
+"""Size limit of a configuration, as for the store's answers."""
+
 Reply = dict[str, Any]
 Apply = Callable[[Reply, str], None]
 """Applies the reply of a peer, given the peer's name.
@@ -31,6 +36,31 @@
 """
 
 
+@functools.lru_cache(maxsize=1)
+def compress(document: bytes) -> bytes:
+    """Compresses a configuration; a large one does not fit into a frame."""
+    return zlib.compress(document, 1)
+
+
+def decompress(data: bytes) -> bytes:
+    """Returns the configuration that a peer compressed.
+
+    Raises:
+        TypeError, ValueError: The data is malformed or too large.
+    """
+    decompressor = zlib.decompressobj()
+    try:
+        document = decompressor.decompress(data, MAX_DOCUMENT_BYTES)
+    except zlib.error as exc:
+        raise ValueError(f"the configuration is malformed: {exc}") from exc
+    if not decompressor.eof:
+        raise ValueError(
+            "the configuration is incomplete or has more than"
+            f" {MAX_DOCUMENT_BYTES} bytes"
+        )
+    return document
+
+
 class PeerReads:
     """Requests for the store's contents to peers.
 
@@ -136,6 +166,7 @@
     ) -> Reply | None:
         body = {
             "version": self._version(),
+            "accepts_compressed": True,
             "is_store_lost": any(
                 state.is_refused or state.unanswered_s(self._clock())
                 for state in self._states
--- a/tests/gateway/test_fleet_watch.py
+++ b/tests/gateway/test_fleet_watch.py
@@ -395,6 +395,14 @@
         self.assertFalse(self.reads.has_started)
         self.assertEqual([], self.applied)
 
+    def test_malformed_configuration_of_a_peer_is_an_error(self):
+        """Guards against a peer's message that uses up the memory."""
+        document = b"x" * (peer_reads.MAX_DOCUMENT_BYTES + 1)
+        good = peer_reads.compress(b"{}")
+        self.assertEqual(b"{}", peer_reads.decompress(good))
+        for data in (b"", b"x", good[:-1], peer_reads.compress(document)):
+            self.assertRaises(ValueError, peer_reads.decompress, data)
+
     def test_frozen_peer_does_not_delay_the_others(self):
         """Guards against peers that are asked one after the other."""
         self.state.record_read(10, time.monotonic())
--- a/tests/gateway/test_stale_versions.py
+++ b/tests/gateway/test_stale_versions.py
@@ -23,6 +23,8 @@
 """Longer than a watch in a zone with VMs that do not watch."""
 BEGIN_S = 0.5
 """Time in which VMs act on a change and begin to watch again."""
+LARGE_BYTES = 1 << 20
+"""Size of a large configuration; a frame between VMs may have no more."""
 REFUSED = "503 Service Unavailable"
 
 
@@ -80,6 +82,19 @@
     )
 
 
+def add_many_routes(configuration):
+    """Adds a route, and others so that the document has ``LARGE_BYTES``."""
+    add_route(configuration)
+    route = configuration["routes"][-1]
+    size = len(json.dumps(route)) + 9
+    configuration["routes"] += [
+        {**route, "name": f"r{number}", "prefix": f"/r{number}/"}
+        for number in range(LARGE_BYTES // size - 40)
+    ]
+    padding = "x" * (LARGE_BYTES - len(json.dumps(configuration)))
+    configuration["routes"][-1]["name"] += padding
+
+
 def withdraw_key(configuration):
     configuration["tenants"][0]["api-keys"] = ["key-2"]
 
@@ -196,6 +211,15 @@
         self.platform.publish(add_route)
         self.assert_in_time(200)
 
+    def test_large_version_known_to_peers_does_not_wait_for_the_store(self):
+        """Guards against a document that does not fit into a peer's frame."""
+        self.fronts[0].set_mode("silent")
+        self.platform.publish(add_many_routes)
+        self.assertEqual(
+            LARGE_BYTES, len(json.dumps(self.platform.configuration))
+        )
+        self.assert_in_time(200)
+
     def test_withdrawn_key_is_refused_despite_a_silent_watch(self):
         """Guards against a caller served by a key that was withdrawn."""
         self.fronts[0].set_mode("silent", "normal")
