Announce many changes of servers instead of sending them

A VM that reads all keys tells its peers the changes that it had missed. After an outage these may be all servers of the fleet, sent by each VM to each of its neighbours. Above 256 changes only the revision is sent, and relayed as such, and each VM reads the store once.

--- a/savoryspar/gateway/fleet_watch.py
+++ b/savoryspar/gateway/fleet_watch.py
@@ -23,6 +23,9 @@
 """Interval at which servers expire and missing changes are reported."""
 BEHIND_REPORT_S = 1.0
 """Time after which the log tells that a change known to a peer is missing."""
+MAX_PROPAGATED = 256
+"""Changes in one message to peers. Of more, as after an outage of the store,
+only the revision is sent, and each VM reads them."""
 LOST_READ_INTERVAL_S = 1.0
 """Shortest time between reads on behalf of peers that the store ignores."""
 
@@ -190,15 +193,26 @@
         prefix: str,
         since: int,
         until: int,
-        items: Sequence[platform.Item],
+        items: Sequence[platform.Item] | None,
         exclude: str = "",
     ) -> None:
         """Propagates changes to the neighbours in the mesh.
 
         Of the configuration only the revision is sent: a configuration may have
         1 MB, so each VM reads it from the store.
+
+        Args:
+            prefix: Key prefix.
+            since: Revision after which the changes were made.
+            until: Revision up to which they are complete.
+            items: The changes; None if only the revision is known.
+            exclude: Incarnation of the peer that sent them.
         """
-        has_items = prefix != platform.CONFIGURATION_PREFIX
+        has_items = (
+            prefix != platform.CONFIGURATION_PREFIX
+            and items is not None
+            and len(items) <= MAX_PROPAGATED
+        )
         self._members.send_to_neighbours(
             CHANGES_KIND,
             [
@@ -220,8 +234,8 @@
         if until <= state.applied:
             return
         is_new = until > self._election.newest_revisions[prefix]
-        items = [platform.Item(*row) for row in rows or ()]
-        if rows is not None and since <= state.applied:
+        items = None if rows is None else [platform.Item(*row) for row in rows]
+        if items is not None and since <= state.applied:
             self.apply(prefix, items, f"peer {sender}")
             state.record_applied(until)
         elif not is_new:
--- a/tests/gateway/test_fleet_watch.py
+++ b/tests/gateway/test_fleet_watch.py
@@ -472,6 +472,17 @@
         eventlet.sleep(2 * fleet_watch.POLL_S)
         self.assertEqual(["read_all"], self.store.calls)
 
+    def test_many_changes_are_only_announced(self):
+        """Guards against messages that are too large for a frame."""
+        many = fleet_watch.MAX_PROPAGATED + 1
+        items = [platform.Item("servers/s1", b"x", 12)] * many
+        for count, has_rows in ((many - 1, True), (many, False)):
+            self.watch.propagate("servers/", 10, 12, items[:count])
+            rows = self.members.sent[-1][0][3]
+            self.assertEqual(has_rows, rows is not None)
+        self.receive(10, 14, None)
+        self.assertIsNone(self.members.sent[-1][0][3])
+
     def test_gap_is_read_from_the_store(self):
         """Guards against a change lost between two propagated ones."""
         self.follow()
