--- a/savoryspar/gateway/fleet_watch.py
+++ b/savoryspar/gateway/fleet_watch.py
@@ -26,6 +26,9 @@
 """Interval at which servers expire and missing changes are reported."""
 BEHIND_REPORT_S = 1.0
 """Time after which the log tells that a change known to a peer is missing."""
+MAX_PROPAGATED = 256
+"""Changes in one message to peers. Of more, as after an outage of the store,
+only the revision is sent, and each VM reads them."""
 LOST_READ_INTERVAL_S = 1.0
 """Shortest time between reads on behalf of peers that the store ignores."""
 
@@ -196,15 +199,26 @@
         prefix: str,
         since: int,
         until: int,
-        items: Sequence[platform.Item],
+        items: Sequence[platform.Item] | None,
         exclude: str = "",
     ) -> None:
         """Propagates changes to the neighbours in the mesh.
 
         Of the configuration only the revision is sent: a configuration may have
         1 MB, so each VM reads it from the store.
+
+        Args:
+            prefix: Key prefix.
+            since: Revision after which the changes were made.
+            until: Revision up to which they are complete.
+            items: The changes; None if only the revision is known.
+            exclude: Incarnation of the peer that sent them.
         """
-        has_items = prefix != platform.CONFIGURATION_PREFIX
+        has_items = (
+            prefix != platform.CONFIGURATION_PREFIX
+            and items is not None
+            and len(items) <= MAX_PROPAGATED
+        )
         self._members.send_to_neighbours(
             CHANGES_KIND,
             [
@@ -227,15 +241,17 @@
             return
         is_new = until > self._election.newest_revisions[prefix]
         source = f"peer {sender}"
+        items = None
         try:
-            items = [platform.decode_peer_item(row) for row in rows or ()]
+            if rows is not None:
+                items = [platform.decode_peer_item(row) for row in rows]
         except fleet.DocumentError as exc:
             # The reading thread reads the changes from the store.
             self._ignore(f"{rows!r:.200}", until, 0, source, exc)
             self._election.record_revision(prefix, until)
             state.record_told(until, sender, self._clock())
             return
-        if rows is not None and since <= state.applied:
+        if items is not None and since <= state.applied:
             self.apply(prefix, items, source)
             state.record_applied(until)
         elif not is_new:
@@ -374,34 +390,48 @@
         now = self._clock()
         source = f"peer {peer}"
         with decoding.reading("the reply"):
-            if reply["document"]:
-                self._apply_configuration(reply["document"], source, now)
-            # Processes of earlier versions send neither of these.
-            versions = {**reply.get("versions", {})}
+            # Processes of earlier versions send no compressed document.
+            document = reply["document"]
+            if reply.get("compressed"):
+                document = peer_reads.decompress(reply["compressed"])
+            if document:
+                self._apply_configuration(document, source, now)
             revisions = {
                 prefix: decoding.integer(revision, 0)
                 for prefix, revision in reply.get("revisions", {}).items()
             }
-            entries = []
-            for row in reply["servers"]:
-                with self._ignoring(row, source):
-                    entries.append(platform.decode_peer_entry(row, versions))
-            is_whole = len(entries) == len(reply["servers"])
-            self._server_registry.replace(
-                entries,
-                revisions.get(platform.SERVER_PREFIX, 0) if is_whole else 0,
-                source,
-                now,
+            is_whole = self._apply_peer_servers(
+                reply, revisions.get(platform.SERVER_PREFIX, 0), source, now
             )
-            for row in reply["removed"]:
-                with self._ignoring(row, source):
-                    name, revision = platform.decode_peer_removal(row)
-                    self._server_registry.remove(name, revision, source, now)
         if is_whole:
             for prefix, state in self.states.items():
                 state.record_applied(revisions.get(prefix, 0))
         self._on_change(now)
 
+    def _apply_peer_servers(
+        self, reply: Mapping[str, Any], revision: int, source: str, now: float
+    ) -> bool:
+        """Applies the servers that a peer knows as of a revision.
+
+        Returns:
+            Whether all entries were valid; otherwise none was removed for
+            being absent.
+        """
+        versions = {**reply.get("versions", {})}
+        entries = []
+        for row in reply["servers"]:
+            with self._ignoring(row, source):
+                entries.append(platform.decode_peer_entry(row, versions))
+        is_whole = len(entries) == len(reply["servers"])
+        self._server_registry.replace(
+            entries, revision if is_whole else 0, source, now
+        )
+        for row in reply["removed"]:
+            with self._ignoring(row, source):
+                name, removed_at = platform.decode_peer_removal(row)
+                self._server_registry.remove(name, removed_at, source, now)
+        return is_whole
+
     @contextlib.contextmanager
     def _ignoring(self, row: Any, source: str) -> Iterator[None]:
         """Skips an entry of a peer that is malformed, with a log line."""
@@ -416,8 +446,13 @@
         if body.get("is_store_lost"):
             self._read_for_peers()
         is_newer = self._holder.version > body["version"]
+        document = self._holder.document if is_newer else b""
+        is_compressed = document and body.get("accepts_compressed")
         return {
-            "document": self._holder.document if is_newer else b"",
+            "document": b"" if is_compressed else document,
+            "compressed": peer_reads.compress(document)
+            if is_compressed
+            else b"",
             "servers": [
                 platform.encode_peer_entry(entry)
                 for entry in self._server_registry.entries()
--- a/tests/gateway/test_fleet_watch.py
+++ b/tests/gateway/test_fleet_watch.py
@@ -426,6 +426,14 @@
         self.assertFalse(self.reads.has_started)
         self.assertEqual([], self.applied)
 
+    def test_malformed_configuration_of_a_peer_is_an_error(self):
+        """Guards against a peer's message that uses up the memory."""
+        document = b"x" * (peer_reads.MAX_DOCUMENT_BYTES + 1)
+        good = peer_reads.compress(b"{}")
+        self.assertEqual(b"{}", peer_reads.decompress(good))
+        for data in (b"", b"x", good[:-1], peer_reads.compress(document)):
+            self.assertRaises(ValueError, peer_reads.decompress, data)
+
     def test_frozen_peer_does_not_delay_the_others(self):
         """Guards against peers that are asked one after the other."""
         self.state.record_read(10, time.monotonic())
@@ -495,6 +503,17 @@
         eventlet.sleep(2 * fleet_watch.POLL_S)
         self.assertEqual(["read_all"], self.store.calls)
 
+    def test_many_changes_are_only_announced(self):
+        """Guards against messages that are too large for a frame."""
+        many = fleet_watch.MAX_PROPAGATED + 1
+        items = [platform.Item("servers/s1", b"x", 12)] * many
+        for count, has_rows in ((many - 1, True), (many, False)):
+            self.watch.propagate("servers/", 10, 12, items[:count])
+            rows = self.members.sent[-1][0][3]
+            self.assertEqual(has_rows, rows is not None)
+        self.receive(10, 14, None)
+        self.assertIsNone(self.members.sent[-1][0][3])
+
     def test_gap_is_read_from_the_store(self):
         """Guards against a change lost between two propagated ones."""
         self.follow()
