Decode numbers in fields, events and reports of servers with limits

Callers got 502 in place of a server's whole answer when its `Savoryspar-Load` or `Keep-Alive` had a digit that is not ASCII, and 500 in place of a stream with an event ID of 5,000 digits: `str.isdigit` accepts texts that `int` and `float` do not, and `int` refuses more than 4,300 digits. A load report of 1e999 raised OverflowError, which the poll of the engines' reports does not expect, so one report ended the reading of all.

Numbers are ASCII digits of limited length now, and reports of engines use `savoryspar.decoding`. A caller's `Last-Event-Id` must fit into 64 bits.

--- a/savoryspar/backends/client.py
+++ b/savoryspar/backends/client.py
@@ -1,14 +1,19 @@
 """Calls backend servers over HTTP with reused connections."""
 
 import json
+import re
 
 import urllib3
 
+from savoryspar import decoding
 from savoryspar.backends import exceptions, guarded, model, relay, reports
 
 CONNECT_TIMEOUT_S = 0.5
 CONNECTIONS_PER_SERVER = 64
 REPORT_TIMEOUT_S = 1.0
+LOAD = re.compile(r"[0-9]{1,9}")
+MAX_OUTPUT_BYTES = 64 << 20
+"""Limit for the output of a stage."""
 NOT_RUN_STATUSES = frozenset({409, 429, 503})
 
 
@@ -39,8 +44,8 @@
         _check_status(server, resp)
         self._check_attempt(server, call, resp)
         try:
-            output = json.loads(resp.data)
-        except ValueError as exc:
+            output = decoding.decode_envelope(resp.data, MAX_OUTPUT_BYTES)
+        except decoding.DecodingError as exc:
             raise exceptions.CallOutcomeUnknownError(
                 server.name,
                 f"the answer is not JSON: {exc}",
@@ -214,7 +219,7 @@
 
 def _reported_load(resp: urllib3.BaseHTTPResponse) -> int:
     text = resp.headers.get("X-Load", "")
-    return int(text) if text.isdigit() else -1
+    return int(text) if LOAD.fullmatch(text) else -1
 
 
 def _is_leaving(resp: urllib3.BaseHTTPResponse) -> bool:
--- a/savoryspar/backends/reports.py
+++ b/savoryspar/backends/reports.py
@@ -1,7 +1,9 @@
 """Reports that engines publish: load and cache events."""
 
-import json
+from savoryspar import decoding
 
+MAX_LOAD = 1e9
+MAX_REPORT_BYTES = 8 << 20
 LOAD_NAMES = ("engine_running", "engine_waiting")
 
 
@@ -45,16 +47,17 @@
     """Decodes ``GET /load`` (Prometheus text).
 
     Raises:
-        ValueError: The text is not a load report.
+        DecodingError: The text is not a load report.
     """
     if not text.endswith("\n"):
         raise ValueError("the load report ends within a line")
     lines = (line.split() for line in text.splitlines())
     values = {line[0]: line[1] for line in lines if len(line) == 2}
-    try:
-        running, waiting = (int(float(values[name])) for name in LOAD_NAMES)
-    except KeyError as exc:
-        raise ValueError(f"the load report lacks {exc}") from exc
+    with decoding.reading("not a load report"):
+        running, waiting = (
+            int(decoding.number(float(values[name]), 0, MAX_LOAD))
+            for name in LOAD_NAMES
+        )
     return LoadReport(running, waiting)
 
 
@@ -67,22 +70,20 @@
         after: Sequence number that was requested.
 
     Raises:
-        ValueError: The text is not a valid report.
+        DecodingError: The text is not a valid report.
     """
-    try:
-        document = json.loads(text)
-        last = int(document["last"])
+    document = decoding.decode_json(text, MAX_REPORT_BYTES)
+    with decoding.reading("not a report of cache events"):
+        last = decoding.integer(document["last"], 0)
         events = document["events"]
         states = {
             int(block, 16): event["kind"]
             for event in events
             for block in event["blocks"]
         }
-    except (KeyError, TypeError) as exc:
-        raise ValueError(f"not a report of cache events: {exc!r}") from exc
-    return CacheReport(
-        [block for block, kind in states.items() if kind == "stored"],
-        [block for block, kind in states.items() if kind == "removed"],
-        last,
-        len(events) != last - after,
-    )
+        return CacheReport(
+            [block for block, kind in states.items() if kind == "stored"],
+            [block for block, kind in states.items() if kind == "removed"],
+            last,
+            len(events) != last - after,
+        )
--- a/savoryspar/gateway/events.py
+++ b/savoryspar/gateway/events.py
@@ -1,10 +1,12 @@
 """Splits a stream of server-sent events and reads the event IDs."""
 
 from collections.abc import Iterable
+import re
 
 EVENT_END = b"\n\n"
 ID_FIELD = b"id:"
 COMMENT = b":"
+EVENT_ID = re.compile(rb"[0-9]{1,18}")
 MAX_EVENT_BYTES = 1 << 18
 """Largest incomplete event that is buffered, for each stream. Events of the
 platform's engines have less than 1 KB."""
@@ -116,6 +118,7 @@
     """Returns the last ID in the lines of an event, None without one."""
     event_id = None
     for line in lines:
-        if line.startswith(ID_FIELD) and line[3:].strip().isdigit():
-            event_id = int(line[3:])
+        text = line[len(ID_FIELD) :].strip()
+        if line.startswith(ID_FIELD) and EVENT_ID.fullmatch(text):
+            event_id = int(text)
     return event_id
--- a/savoryspar/platform/headers.py
+++ b/savoryspar/platform/headers.py
@@ -5,7 +5,7 @@
 import math
 import re
 
-from savoryspar import backends, log, ratelimits
+from savoryspar import backends, decoding, log, ratelimits
 
 logger = log.new_logger("platform")
 
@@ -85,6 +85,7 @@
 server gets calls again and may request another one."""
 
 DECIMAL = re.compile(r"\d{1,12}(\.\d{0,12})?|\.\d{1,12}", re.ASCII)
+WHOLE = re.compile(r"\d{1,9}", re.ASCII)
 MAX_SHOWN_CHARS = 40
 """Characters of a malformed field that are kept for the log."""
 
@@ -111,10 +112,13 @@
             for text in get(PROMPT_PARTS).split(",")
             if text
         ]
-        resume_after = int(get(RESUME_AFTER)) if get(RESUME_AFTER) else None
+        resume_after = (
+            _parse_event_id(get(RESUME_AFTER)) if get(RESUME_AFTER) else None
+        )
     except ValueError as exc:
         raise backends.BadRequestError(
-            f"a header field of the request is malformed: {exc}",
+            "a header field of the request is malformed:"
+            f" {decoding.describe(exc)}",
             "send the fields in the documented format",
         ) from exc
     return backends.CallerRequest(
@@ -159,6 +163,10 @@
     return deadline_s
 
 
+def _parse_event_id(text: str) -> int:
+    return decoding.integer(int(text), -decoding.MAX_INTEGER)
+
+
 def _parse_counts(text: str, maximum: int) -> list[int]:
     """Parses a comma-separated list of numbers from 0 to a maximum.
 
@@ -228,9 +236,7 @@
         is_encoded="content-encoding" in found,
         is_closing="close" in found.get("connection", "").lower(),
         idle_timeout_s=_idle_timeout_s(found.get("keep-alive", "")),
-        load=sum(int(n) for n in load[:2] if n.strip().isdigit())
-        if len(load) == 3
-        else -1,
+        load=sum(map(_parse_whole, load[:2])) if len(load) == 3 else -1,
         is_leaving=_is_set(found.get(LEAVING.lower(), "")),
         pause_s=_pause_s(fields) if status == 503 else 0.0,
         limit_per_s=limit_per_s,
@@ -298,11 +304,16 @@
 def _idle_timeout_s(text: str) -> float | None:
     for item in text.split(","):
         name, _, value = item.strip().partition("=")
-        if name.lower() == "timeout" and value.isdigit():
+        if name.lower() == "timeout" and WHOLE.fullmatch(value):
             return float(value)
     return None
 
 
+def _parse_whole(text: str) -> int:
+    """Returns a whole number, 0 if the text is none."""
+    return int(text) if WHOLE.fullmatch(text.strip()) else 0
+
+
 def forwarded_headers(
     fields: Iterable[tuple[str, str]],
 ) -> list[tuple[str, str]]:
