Let the fault proxy end answers at any byte and repeat them late

The users' VMs took answers as whole that had ended inside the line of the stamp or of a head. The proxy could only reset connections after a number of request bytes, so no test or soak with processes met such an end.

It now ends or resets a connection at a random byte of the target's data, half of them in its first 250 bytes, and sends whole answers a second time up to 0.3 s later. The defaults change nothing, and the seeds of the other faults draw the same numbers as before.

--- a/savoryspar/standins/fault_proxy.py
+++ b/savoryspar/standins/fault_proxy.py
@@ -8,6 +8,7 @@
 from collections.abc import Mapping
 import contextlib
 import random
+import re
 import socket
 import struct
 import time
@@ -28,6 +29,14 @@
 """SO_LINGER value with which closing a socket resets the connection."""
 MAX_RESET_BYTES = 4096
 """Upper limit of the bytes that a client sends before a random reset."""
+ABORT_DELAY_S = 0.02
+"""Delay of the reset of a connection after the part of an answer that passes;
+a reset discards what the client has not read yet."""
+HEAD_BYTES = 250
+HEAD_SHARE = 0.5
+"""Share of the early ends that lie in the first bytes of a chunk of data."""
+MAX_COPY_DELAY_S = 0.3
+CONTENT_LENGTH = re.compile(rb"\r\nContent-Length: (\d+)\r\n", re.IGNORECASE)
 
 
 class Faults:
@@ -42,11 +51,20 @@
             random number of bytes.
         reorder_ms: Maximum random delay before a new connection is opened to
             the target, which changes the order of connections.
+        end_percent: Percentage of the target's chunks of data in which the
+            connection ends at a random byte.
+        abort_percent: Percentage of the target's chunks of data in which the
+            connection is reset at a random byte.
+        copy_percent: Percentage of the target's answers that are sent a second
+            time, late. Only answers with a length that arrive as one chunk are.
     """
 
     __slots__ = (
+        "abort_percent",
+        "copy_percent",
         "cut",
         "delay_ms",
+        "end_percent",
         "jitter_ms",
         "refuse",
         "reorder_ms",
@@ -60,6 +78,9 @@
         self.refuse = False
         self.reset_percent = 0.0
         self.reorder_ms = 0.0
+        self.end_percent = 0.0
+        self.abort_percent = 0.0
+        self.copy_percent = 0.0
 
     def change(self, document: Mapping[str, Any]) -> None:
         """Sets the given faults; the others stay.
@@ -203,6 +224,31 @@
         jitter_ms = self._rng.random() * self._faults.jitter_ms
         return (self._faults.delay_ms + jitter_ms) / 1000.0
 
+    def end_at(self, size: int) -> tuple[int, bool] | None:
+        """Returns where in a chunk of data the connection ends.
+
+        Returns:
+            Number of bytes that pass, and whether a reset follows them; None
+            if the connection does not end.
+        """
+        faults = self._faults
+        percent = faults.end_percent + faults.abort_percent
+        if not percent or self._rng.random() * 100.0 >= percent:
+            return None
+        is_reset = self._rng.random() * percent < faults.abort_percent
+        if self._rng.random() < HEAD_SHARE:
+            size = min(size, HEAD_BYTES)
+        return self._rng.randrange(size), is_reset
+
+    def copy_delay_s(self, data: bytes) -> float | None:
+        """Returns the delay of a second copy of an answer, None for none."""
+        percent = self._faults.copy_percent
+        if not percent or not is_whole_answer(data):
+            return None
+        if self._rng.random() * 100.0 >= percent:
+            return None
+        return self._rng.random() * MAX_COPY_DELAY_S
+
 
 class Link:
     """One proxied connection."""
@@ -262,7 +308,17 @@
                 if 0 <= limit < passed:
                     self.reset()
                     return
-                chunks.put((time.monotonic() + self._proxy.delay_s(), data))
+                due_at = time.monotonic() + self._proxy.delay_s()
+                if direction == "down":
+                    end = self._proxy.end_at(len(data))
+                    if end:
+                        self._end_early(chunks, due_at, data, *end)
+                        return
+                chunks.put((due_at, data))
+                if direction == "down":
+                    copy_delay_s = self._proxy.copy_delay_s(data)
+                    if copy_delay_s is not None:
+                        chunks.put((due_at + copy_delay_s, data))
         except OSError:
             # A connection that fails on one side is reset on the other too.
             self._proxy.wait_until_connected(direction)
@@ -270,6 +326,22 @@
             return
         chunks.put((time.monotonic() + self._proxy.delay_s(), b""))
 
+    def _end_early(
+        self,
+        chunks: queue.LightQueue,
+        due_at: float,
+        data: bytes,
+        size: int,
+        is_reset: bool,
+    ) -> None:
+        if size:
+            chunks.put((due_at, data[:size]))
+        if is_reset:
+            eventlet.sleep(due_at - time.monotonic() + ABORT_DELAY_S)
+            self.reset()
+        else:
+            chunks.put((due_at, b""))
+
     def _write(
         self, chunks: queue.LightQueue, sink: Any, direction: str
     ) -> None:
@@ -290,6 +362,17 @@
                 return
 
 
+def is_whole_answer(data: bytes) -> bool:
+    """Returns whether the data is one HTTP answer with a length, whole."""
+    head, _, body = data.partition(b"\r\n\r\n")
+    found = CONTENT_LENGTH.search(head + b"\r\n")
+    return (
+        head.startswith(b"HTTP/1.")
+        and found is not None
+        and len(body) == int(found[1])
+    )
+
+
 def new_fault_proxy(target: str, seed: int, port: int) -> FaultProxy:
     """Returns a proxy to ``IP:port`` that already listens."""
     host, _, target_port = target.rpartition(":")
--- a/tests/standins/test_fault_proxy.py
+++ b/tests/standins/test_fault_proxy.py
@@ -106,6 +106,51 @@
         sock.shutdown(socket.SHUT_WR)
         self.assertEqual(b"", sock.recv(9))
 
+    def receive_all(self, data):
+        """Returns what the client gets after it sends data, and any reset."""
+        sock = self.connect()
+        sock.sendall(data)
+        received = b""
+        try:
+            while part := sock.recv(65536):
+                received += part
+        except ConnectionResetError:
+            return received, True
+        return received, False
+
+    def test_answers_end_at_a_random_byte(self):
+        """Guards against answers that are cut only between two writes."""
+        data = bytes(range(200))
+        for fault, is_reset in (
+            ("end_percent", False),
+            ("abort_percent", True),
+        ):
+            self.fleet.control(self.proxy, {fault: 100})
+            ends = [self.receive_all(data) for _ in range(6)]
+            self.fleet.control(self.proxy, {fault: 0})
+            self.assertEqual({is_reset}, {was_reset for _, was_reset in ends})
+            for received, _ in ends:
+                self.assertTrue(data.startswith(received))
+            sizes = {len(received) for received, _ in ends}
+            self.assertGreater(len(sizes), 2)
+            self.assertNotIn(len(data), sizes)
+
+    def test_answers_are_sent_twice(self):
+        """Guards against a second copy of data that is not a whole answer."""
+        self.fleet.control(self.proxy, {"copy_percent": 100})
+        head = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n"
+        sock = self.connect()
+        sock.sendall(head + b"o")
+        self.assertEqual(head + b"o", sock.recv(999))
+        sock.settimeout(2.0 * SHORT_S)
+        self.assertRaises(TimeoutError, sock.recv, 9)
+        sock.settimeout(LONG_S)
+        sock.sendall(head + b"ok")
+        copies = b""
+        while len(copies) < 2 * len(head + b"ok"):
+            copies += sock.recv(999)
+        self.assertEqual(2 * (head + b"ok"), copies)
+
     def test_unknown_fault_is_refused(self):
         """Guards against a misspelt fault, without which a test would pass."""
         answer = self.fleet.control(self.proxy, {"delay": 5})
