--- a/savoryspar/soak/callers.py
+++ b/savoryspar/soak/callers.py
@@ -10,7 +10,8 @@
 from savoryspar.platform import standin
 from savoryspar.soak import checker, configurations, vms
 
-ROUTES = ("order", "lookup", "chat", "resume", "staged")
+PLAIN_ROUTES = ("order", "lookup")
+ROUTES = (*PLAIN_ROUTES, "chat", "resume", "staged")
 TIMEOUT_S = 9.0
 """Longer than the timeout and grace of every route, so that the VM times out
 before the caller does."""
@@ -27,6 +28,8 @@
         answers: All answers received by callers.
         probes: Answers to requests that show the configuration in force.
         version: Version of the newest configuration, which is probed.
+        is_calm: Whether probers send plain requests too, so that each server
+            of a VM's zone gets some.
     """
 
     def __init__(self, fleet: list[vms.EntryVm], seed: int, clock_start: float):
@@ -38,6 +41,7 @@
         self.answers: list[checker.Answer] = []
         self.probes: list[checker.Answer] = []
         self.version = 0
+        self.is_calm = False
 
     def start(self, count: int) -> list:
         """Starts the callers and one prober per VM; returns their threads."""
@@ -121,6 +125,8 @@
                 if self._probe(pool, vm, f"v{version}").status == 200:
                     served = version
                     break
+            for route in PLAIN_ROUTES if self.is_calm else ():
+                self.answers.append(self._send_request(pool, vm, route))
             eventlet.sleep(PROBE_INTERVAL_S * len(self._vms))
 
     def _probe(
--- a/savoryspar/soak/runs.py
+++ b/savoryspar/soak/runs.py
@@ -175,6 +175,7 @@
             The servers that are gone, and the time in seconds of the soak after
             which each VM must have recovered.
         """
+        self._callers.is_calm = True
         gone = [s for s in self._servers if s.entry.name in REPLACED]
         for server in self._servers:
             server.is_refusing = False
