Relay a stream that a stopping VM took until the very end

The deadline of each request that a stopping VM takes is moved before the end of the process. For a stream this means that its engine stops it up to 0.8 s before the process ends, with a grace period of less than 5 s in its first five sixths, in which the platform expects service.

Streams now keep their deadline; only their stages must be done in time. New test, grace period 3 s, streams of 0.3 s and one of 9 s: without the change "LOST: a6 /chat/9000 status=200 complete=False closed, sent 0.30 s after SIGTERM"; with it, the engine works until the end.

--- a/savoryspar/gateway/draining.py
+++ b/savoryspar/gateway/draining.py
@@ -85,11 +85,12 @@
         """
         if self.started_at is None:
             return
-        self._limit(job)
+        last_at = self.ends_at - ANSWER_MARGIN_S
+        self._limit(job, last_at)
         if not job.is_shortened:
             return
         needed_s = 0.0 if job.sends else self._needed_s(job)
-        if max(now, job.admitted_at + needed_s) <= job.deadline_at:
+        if max(now, job.admitted_at + needed_s) <= last_at:
             return
         need = f"may take {needed_s:.1f} s"
         if needed_s == math.inf:
@@ -100,12 +101,17 @@
             f" {need}"
         )
 
-    def _limit(self, job: model.Job) -> None:
-        """Moves a deadline after the end of the process to before it."""
-        if job.deadline_at > self.ends_at - ANSWER_MARGIN_S:
-            job.deadline_at = self.ends_at - ANSWER_MARGIN_S
-            job.abandon_at = min(job.abandon_at, job.deadline_at)
-            job.is_shortened = True
+    def _limit(self, job: model.Job, last_at: float) -> None:
+        """Moves a deadline after the end of the process to before it.
+
+        A stream keeps its deadline: it is relayed for as long as possible.
+        """
+        if job.deadline_at <= last_at:
+            return
+        job.is_shortened = True
+        job.abandon_at = min(job.abandon_at, last_at)
+        if job.route.kind is not fleet.RouteKind.STREAM:
+            job.deadline_at = last_at
 
     def _needed_s(self, job: model.Job) -> float:
         """Returns the time after which a request has surely ended."""
--- a/savoryspar/gateway/model.py
+++ b/savoryspar/gateway/model.py
@@ -33,8 +33,8 @@
         is_sending: Whether a send has begun whose outcome is not known yet.
         admitted_at: When the request had been read and its route was found, in
             monotonic seconds.
-        is_shortened: Whether its deadline was moved, because this process ends
-            before it.
+        is_shortened: Whether this process ends before its deadline, which was
+            then moved, unless the request is a stream.
         check_stop: Called with the job and the monotonic time before each send;
             raises ``GatewayError`` if it may not be passed on because this
             process ends, else limits its deadline.
--- a/tests/gateway/test_stops.py
+++ b/tests/gateway/test_stops.py
@@ -116,6 +116,29 @@
         )
 
 
+class LongStreamTest(StopCase):
+    grace_s = 3
+
+    def test_stream_that_is_longer_than_others_is_relayed_to_the_end(self):
+        """Guards against a stream that is broken off earlier than needed.
+
+        Its deadline was moved before the end of the process, so the engine
+        stopped its work within the first five sixths of the grace time.
+        """
+        for _ in range(6):
+            self.send("/chat/300")
+        self.pool.waitall()
+        self.terminate()
+        self.sleep_until(0.3)
+        self.send("/chat/9000")
+        self.finish()
+        calls, runs = self.callers.calls, self.platform.runs
+        self.assertEqual("200", calls[-1].status)
+        self.assertEqual(
+            [], stop_load.faults(calls, runs, self.stopped_at, self.ends_at)
+        )
+
+
 class AdmissionTest(StopCase):
     def keep_busy(self):
         """Sends a request that runs almost until the end of the grace time."""
