Test that cut streams and cut messages of peers are never used as whole

Streams of engines (chunked, with a length, ended by the connection, and resumed by another engine at any point) are cut after every byte, by an end and by a reset, on new connections and on those in use again, and relayed by the forwarder over real sockets. A stream is complete only if its answer is, and what was sent before is always whole events in order. Messages of peers are cut after every byte of their WebSocket frames, also in fragments.

--- a/tests/backends/cut_answers.py
+++ b/tests/backends/cut_answers.py
@@ -39,7 +39,8 @@
     Attributes:
         address: ``IP:port``.
         whole: Answers sent on a connection before the one that is cut.
-        cut: Bytes of the last answer, and whether a reset ends it.
+        cut: Bytes of the last answer, and whether a reset ends it; or a
+            function of the request that returns both.
         reads_bodies: Whether requests are read whole.
     """
 
@@ -66,8 +67,9 @@
                 conn.close()
                 return
             conn.sendall(text)
-        text, is_reset = cut
-        if read_request(conn) if self.reads_bodies else conn.recv(100):
+        req = read_request(conn) if self.reads_bodies else conn.recv(100)
+        if req:
+            text, is_reset = cut(req) if callable(cut) else cut
             conn.sendall(text)
             if is_reset:
                 conn.setsockopt(
