Restart tasks of the process that end with an error

A VM followed the store no longer after it had asked a peer whose reply was malformed: `_query_peers` runs while a failed call is handled, where the `except` clauses of the loop don't apply, so an AttributeError ended the green thread. The VM went on to serve by what it knew, with a traceback on standard error only. The loops that accept connections, expire servers, compare records of crashes, poll engines' reports, follow the list of VMs and watch the configuration service ended with any error as well.

Loops over reports of engines, reports of peers and records of crashes go on after one that is malformed, as a restart would begin with the first again.

--- a/savoryspar/cli/background.py
+++ b/savoryspar/cli/background.py
@@ -8,6 +8,7 @@
 from savoryspar import (
     backends,
     conf,
+    decoding,
     discovery,
     log,
     membership,
@@ -103,6 +104,12 @@
                 reports.read(server, time.monotonic())
             except backends.BackendError as exc:
                 logger.debug(f"Cannot read engine reports. {exc}")
+            except Exception as exc:
+                # The reports of the other engines are read all the same.
+                logger.error(
+                    f"Cannot apply engine reports. server={server.name}"
+                    f" {decoding.describe(exc)}"
+                )
         reports.retain(frozenset(server.address for server in engines))
         if not engines:
             eventlet.sleep(interval_s)
@@ -124,12 +131,20 @@
     scheduler: scheduling.Scheduler, members: membership.Membership
 ) -> None:
     """Exchanges service and backlog with the zone's peers; never returns."""
+    logger = log.new_logger("scheduling")
     while True:
         now = time.monotonic()
         members.publish_fact(SCHEDULING_FACT, scheduler.service_report(now))
         facts = members.peer_facts(SCHEDULING_FACT, now)
         for incarnation, report in facts.items():
-            scheduler.store_peer_report(incarnation, report, now)
+            try:
+                scheduler.store_peer_report(incarnation, report, now)
+            except Exception as exc:
+                # A peer of another version may send another report.
+                logger.warning(
+                    f"Report of a peer is malformed. peer={incarnation}"
+                    f" {decoding.describe(exc)}"
+                )
         eventlet.sleep(EXCHANGE_INTERVAL_S)
 
 
--- a/savoryspar/cli/node.py
+++ b/savoryspar/cli/node.py
@@ -18,6 +18,7 @@
     routing,
     scheduling,
     sheet,
+    tasks,
 )
 from savoryspar.cli import background, suspects
 from savoryspar.http import app as http_app
@@ -115,8 +116,9 @@
         components.server.start()
         self._serve_operators()
         interval_s = self._cfg.routing.report_interval_s
-        eventlet.spawn(components.sheet_watch.run)
-        eventlet.spawn(
+        tasks.spawn_task("configuration watch", components.sheet_watch.run)
+        tasks.spawn_task(
+            "VM list",
             background.follow_vm_list,
             self._cfg,
             components.vm_list,
@@ -124,19 +126,26 @@
             components.members,
             components.dispatcher,
         )
-        eventlet.spawn(
+        tasks.spawn_task(
+            "placement",
             background.run_placement,
             self._cfg.placement.interval_s,
             components.dispatcher,
         )
-        eventlet.spawn(components.suspect_fetch.run, time.monotonic())
-        eventlet.spawn(background.poll_scheduler, components.scheduler)
-        eventlet.spawn(
+        tasks.spawn_task(
+            "crash suspects", components.suspect_fetch.run, time.monotonic()
+        )
+        tasks.spawn_task(
+            "scheduler", background.poll_scheduler, components.scheduler
+        )
+        tasks.spawn_task(
+            "scheduling reports",
             background.exchange_reports,
             components.scheduler,
             components.members,
         )
-        eventlet.spawn(
+        tasks.spawn_task(
+            "engine reports",
             background.poll_engine_reports,
             interval_s,
             self._cfg.routing.report_reads_per_s,
--- a/savoryspar/cli/suspects.py
+++ b/savoryspar/cli/suspects.py
@@ -9,7 +9,7 @@
 
 import eventlet
 
-from savoryspar import log, membership, routing
+from savoryspar import decoding, log, membership, routing
 
 BROADCAST_KIND = "suspect"
 LIST_REQUEST_KIND = "suspect_list"
@@ -111,9 +111,17 @@
             reply = self._members.request(
                 peers[0].incarnation, LIST_REQUEST_KIND, {}, LIST_TIMEOUT_S
             )
-        except membership.PeerUnreachableError as exc:
+            with decoding.reading("the reply"):
+                records = [*reply["records"]]
+        except (decoding.DecodingError, membership.PeerUnreachableError) as exc:
             logger.warning(f"Cannot fetch crash suspects. {exc}")
             return False
-        for record in reply["records"]:
-            self._suspects.import_record(record, now)
+        for record in records:
+            try:
+                self._suspects.import_record(record, now)
+            except Exception as exc:
+                # The other records apply all the same.
+                logger.warning(
+                    f"Crash suspect is malformed. {decoding.describe(exc)}"
+                )
         return True
--- a/savoryspar/gateway/fleet_watch.py
+++ b/savoryspar/gateway/fleet_watch.py
@@ -7,7 +7,7 @@
 
 import eventlet
 
-from savoryspar import decoding, fleet, log, membership, platform
+from savoryspar import decoding, fleet, log, membership, platform, tasks
 from savoryspar.gateway import ignored, model, watchers
 
 WATCH_TIMEOUT_S = 5.0
@@ -120,8 +120,8 @@
     def start(self) -> None:
         """Starts the green threads that watch the store and expire servers."""
         for prefix, client in self._clients.items():
-            eventlet.spawn(self.follow, prefix, client)
-        eventlet.spawn(self._expire_servers)
+            tasks.spawn_task(f"store {prefix}", self.follow, prefix, client)
+        tasks.spawn_task("server expiry", self._expire_servers)
 
     def calls(self) -> int:
         """Returns the number of calls made to the store."""
--- a/savoryspar/http/server.py
+++ b/savoryspar/http/server.py
@@ -13,7 +13,7 @@
 import eventlet
 from eventlet import greenio, wsgi
 
-from savoryspar import conf, log
+from savoryspar import conf, log, tasks
 from savoryspar.http import protocol
 
 BACKLOG = 1024
@@ -83,7 +83,7 @@
 
     def start(self) -> None:
         """Starts the accept loop in a green thread."""
-        self._thread = eventlet.spawn(self._accept)
+        self._thread = tasks.spawn_task("accepts", self._accept)
 
     @property
     def connections(self) -> int:
--- a/savoryspar/membership/connector.py
+++ b/savoryspar/membership/connector.py
@@ -9,7 +9,7 @@
 from eventlet import event
 from websockets.sync import server
 
-from savoryspar import decoding, log
+from savoryspar import decoding, log, tasks
 from savoryspar.membership import exceptions, links, model, opening, tls
 
 RETRY_S = 1.0
@@ -94,7 +94,7 @@
         """
         self._own = own
         self._run = run
-        eventlet.spawn(self._listen)
+        tasks.spawn_task("peer accepts", self._listen)
 
     def stop(self) -> None:
         """Stops listening and closes every link."""
--- a/savoryspar/membership/service.py
+++ b/savoryspar/membership/service.py
@@ -7,7 +7,7 @@
 
 import eventlet
 
-from savoryspar import conf, log
+from savoryspar import conf, log, tasks
 from savoryspar.membership import (
     calls,
     connector,
@@ -110,7 +110,7 @@
         self.connector.start(
             lambda: self.records.own_record, self.reader.run_link
         )
-        eventlet.spawn(self._tick_loop)
+        tasks.spawn_task("membership", self._tick_loop)
 
     def leave(self, now: float) -> None:
         """Announces that this process drains; links to peers stay open."""
--- a/tests/gateway/odd_store.py
+++ b/tests/gateway/odd_store.py
@@ -158,8 +158,11 @@
         items: Current values by key.
         raw_items: Items added to each list as they are.
         events: All changes so far, as the store reports them.
+        is_down: Whether the store refuses all calls.
     """
 
+    is_down = False
+
     servers = ("desk-a", "desk-b")
 
     def __init__(self):
@@ -203,6 +206,9 @@
     def store(self, environ, start_response):
         query = dict(parse.parse_qsl(environ["QUERY_STRING"]))
         path = environ["PATH_INFO"]
+        if self.is_down:
+            start_response("503 Service Unavailable", [])
+            return [b"{}"]
         start_response("200 OK", [("Content-Type", "application/json")])
         if path == "/-/kv-key":
             body = dict(self.items[query["key"]])
--- a/tests/gateway/test_odd_peers.py
+++ b/tests/gateway/test_odd_peers.py
@@ -183,3 +183,49 @@
         with eventlet.Timeout(TIMEOUT_S):
             dialled.accept()
         self.check_link()
+
+    def test_malformed_reply_of_a_peer_does_not_end_the_watch(self):
+        """Guards against a VM that follows the store no longer.
+
+        While the store was away, the VM asked its peers. A reply without
+        versions raised an error that ended the thread which follows the store.
+        """
+        self.connect()
+        self.platform.is_down = True
+        row = ["i-x", "desk", "127.0.0.1:9", "z1", 4, False, 0, 5]
+        valid = {"document": b"", "servers": [], "versions": {}, "removed": []}
+        replies = itertools.cycle(
+            [
+                *[{**valid, "servers": [row], "versions": []}] * 3,
+                {**valid, "servers": [[*row[:7], HUGE]]},
+                *({**valid, name: 7} for name in valid),
+                *VALUES[:6],
+            ]
+        )
+        replied = 0
+        for _ in range(60):
+            self.send("heartbeat", VALID_HEARTBEAT)
+            replied += self.reply_to_requests(replies)
+            eventlet.sleep(0.1)
+        self.assertGreater(replied, 0)
+        self.platform.is_down = False
+        self.platform.put_server("desk-b")
+        self.platform.put("servers/i-desk-a", None)
+        fields = [("Savoryspar-Key", "key-1")]
+        with eventlet.Timeout(TIMEOUT_S):
+            while not self.request(
+                "callers", "POST", "/o/1", fields, b"1"
+            ).endswith(b"desk-b"):
+                eventlet.sleep(0.05)
+
+    def reply_to_requests(self, replies):
+        """Replies to the requests for servers; returns their number."""
+        replied = 0
+        while True:
+            try:
+                frame = frames.decode(self.conn.recv(timeout=0.01))
+            except TimeoutError:
+                return replied
+            if frame.kind == "request" and frame.body[1] == "fleet":
+                self.send("reply", [frame.body[0], "", next(replies)])
+                replied += 1
