Check the numbers in peers' messages, and their lists one by one

One malformed record of a crash or of a rate limit cost all records after it in a peer's reply. A submitted stage with 2**60 pieces would create an object for each of them, and a claim whose patience is NaN would set a timer that compares false with all others.

The records apply one by one, and the message fails with the first error after that.

--- a/savoryspar/gateway/blaming.py
+++ b/savoryspar/gateway/blaming.py
@@ -13,7 +13,7 @@
 
 import eventlet
 
-from savoryspar import blame, fleet, log, membership
+from savoryspar import blame, decoding, fleet, log, membership, tasks
 from savoryspar.gateway import model, trials
 
 REPORT_KIND = "crash_report"
@@ -97,8 +97,8 @@
         """
         self.is_ready = not has_peers
         if has_peers:
-            eventlet.spawn(self._learn)
-        eventlet.spawn(self._compare_records)
+            tasks.spawn_task("crash records", self._learn)
+        tasks.spawn_task("crash comparison", self._compare_records)
 
     def find_servers(
         self, work: blame.Work, pool: str, now: float
@@ -244,15 +244,13 @@
             if isinstance(reply, membership.PeerUnreachableError):
                 raise reply
             self._apply(reply, now)
-        except (
-            membership.PeerUnreachableError,
-            KeyError,
-            TypeError,
-            ValueError,
-        ) as exc:
+        except (membership.PeerUnreachableError, ValueError) as exc:
             # Comparing the records later makes up for it.
             self._events.state_change(
-                "peer gave no crashes", now, peer=peer, cause=repr(exc)
+                "peer gave no crashes",
+                now,
+                peer=peer,
+                cause=decoding.describe(exc),
             )
             return False
         return True
@@ -260,15 +258,32 @@
     def _apply(self, body: Any, now: float) -> None:
         """Records the reports and the sound runs that a peer sent.
 
+        The valid ones are recorded, whatever the others are.
+
         Raises:
-            KeyError, TypeError, ValueError: The message is malformed.
+            DecodingError: The message or one of them is malformed.
         """
-        for item in body["reports"][:MAX_LISTED]:
-            self.table.record_crash(_decode_report(item, now), now)
-        for part, version, age_s in body["sound"]:
-            self.table.record_sound_part(
-                str(part), str(version), "", now - _age_s(age_s)
-            )
+        with decoding.reading("the reports"):
+            listed = [*body["reports"][:MAX_LISTED]]
+            sound = [*body["sound"]]
+        faults = []
+        for item in listed:
+            try:
+                with decoding.reading("a report"):
+                    report = _decode_report(item, now)
+                self.table.record_crash(report, now)
+            except decoding.DecodingError as exc:
+                faults.append(exc)
+        for item in sound:
+            try:
+                with decoding.reading("a sound run"):
+                    part, version, age_s = item
+                    at = now - _age_s(age_s)
+                self.table.record_sound_part(str(part), str(version), "", at)
+            except decoding.DecodingError as exc:
+                faults.append(exc)
+        if faults:
+            raise faults[0]
 
     def _encode(
         self, reports: Iterable[blame.CrashReport], now: float
--- a/savoryspar/gateway/limit_reports.py
+++ b/savoryspar/gateway/limit_reports.py
@@ -11,7 +11,7 @@
 
 import eventlet
 
-from savoryspar import log, membership, ratelimits
+from savoryspar import decoding, log, membership, ratelimits
 from savoryspar.gateway import model
 
 REPORT_KIND = "limit_report"
@@ -140,17 +140,17 @@
         Raises:
             ValueError: The report is malformed.
         """
-        name, address, started_ms, limit_per_s, age_s = report
-        server = (str(name), str(address))
-        if limit_per_s is not None and not (
-            0.0 <= float(limit_per_s) <= ratelimits.MAX_LIMIT_PER_S
-        ):
-            raise ValueError(f"{limit_per_s!r:.40} is not a valid rate limit")
-        if not 0.0 <= float(age_s) < MAX_AGE_S:
-            # The peer has no statement, or one that is too old to matter.
-            return server
+        with decoding.reading("a rate limit"):
+            name, address, started_ms, limit_per_s, age_s = report
+            server = (str(name), str(address))
+            decoding.integer(started_ms, 0)
+            if limit_per_s is not None:
+                decoding.number(limit_per_s, 0, ratelimits.MAX_LIMIT_PER_S)
+            if not 0.0 <= float(age_s) < MAX_AGE_S:
+                # The peer has no statement, or one too old to matter.
+                return server
         previous = self.table.record_report(
-            server, int(started_ms), limit_per_s, now - float(age_s), source
+            server, started_ms, limit_per_s, now - float(age_s), source
         )
         if previous is not None:
             self._log_change(server, previous, now)
@@ -171,21 +171,25 @@
     def _learn_from(self, peer: str) -> None:
         try:
             reply = self._members.request(peer, LIST_KIND, None, LIST_TIMEOUT_S)
-            for report in reply["limits"]:
+            with decoding.reading("the reply"):
+                listed = [*reply["limits"]]
+        except (membership.PeerUnreachableError, ValueError) as exc:
+            self._log_no_limits(peer, exc)
+            return
+        for report in listed:
+            try:
                 self.apply(report, peer, self._clock())
-        except (
-            membership.PeerUnreachableError,
-            KeyError,
-            TypeError,
-            ValueError,
-        ) as exc:
-            # Servers name their limits in the next answer again.
-            self._events.state_change(
-                "peer gave no limits",
-                self._clock(),
-                peer=peer,
-                cause=repr(exc),
-            )
+            except decoding.DecodingError as exc:
+                self._log_no_limits(peer, exc)
+
+    def _log_no_limits(self, peer: str, exc: Exception) -> None:
+        # Servers name their limits in the next answer again.
+        self._events.state_change(
+            "peer gave no limits",
+            self._clock(),
+            peer=peer,
+            cause=decoding.describe(exc),
+        )
 
     def _serve_report(self, sender: str, body: Any) -> None:
         self.apply(body, sender, self._clock())
--- a/savoryspar/gateway/limiting.py
+++ b/savoryspar/gateway/limiting.py
@@ -18,7 +18,15 @@
 import eventlet
 from eventlet import event
 
-from savoryspar import fleet, log, membership, ratelimits, stages
+from savoryspar import (
+    decoding,
+    fleet,
+    log,
+    membership,
+    ratelimits,
+    stages,
+    tasks,
+)
 from savoryspar.gateway import limit_reports, model
 
 CLAIM_KIND = "limit_claim"
@@ -124,7 +132,7 @@
 
     def start(self) -> None:
         """Starts to ask peers for the limits that they know."""
-        eventlet.spawn(self.reports.learn)
+        tasks.spawn_task("rate limits", self.reports.learn)
 
     def update(
         self, starts: Mapping[ratelimits.Server, int], now: float
@@ -367,7 +375,13 @@
     def _serve_claim(self, sender: str, body: Any) -> dict[str, Any]:
         report, rank, workspace, key, patience_s = body
         server = self.reports.apply(report, sender, self._clock())
-        req = ratelimits.PermitRequest(int(rank), str(workspace), str(key))
+        req = ratelimits.PermitRequest(
+            decoding.integer(rank, -decoding.MAX_INTEGER),
+            str(workspace),
+            str(key),
+        )
+        # A timer that expires at NaN would break the order of all timers.
+        decoding.number(patience_s, 0.0, math.inf)
         return self._claim_here(
             server, req, min(float(patience_s), ratelimits.MAX_PATIENCE_S)
         )
--- a/savoryspar/gateway/placing.py
+++ b/savoryspar/gateway/placing.py
@@ -12,10 +12,12 @@
 
 from collections.abc import Callable
 import itertools
+import math
 from typing import Any
 
 from savoryspar import (
     backends,
+    decoding,
     fleet,
     log,
     membership,
@@ -393,7 +395,9 @@
             self._router.availability.record(
                 choice.server.key,
                 bool(is_leaving),
-                min(float(pause_s), platform.MAX_PAUSE_S),
+                min(
+                    decoding.number(pause_s, 0, math.inf), platform.MAX_PAUSE_S
+                ),
                 now,
             )
 
--- a/savoryspar/platform/headers.py
+++ b/savoryspar/platform/headers.py
@@ -5,7 +5,7 @@
 import math
 import re
 
-from savoryspar import backends, decoding, log, ratelimits
+from savoryspar import backends, decoding, log, ratelimits, stages
 
 logger = log.new_logger("platform")
 
@@ -76,8 +76,6 @@
 """Answer fields that are for the entry VM only. The entry VM decides when a
 caller may retry, and sends its own ``Retry-After``."""
 
-MAX_PIECES = 4096
-"""Maximum pieces of one stage; requests on the platform have fewer than 100."""
 MAX_TOKENS = 1 << 24
 """Maximum tokens of a prompt or a part; engines hold fewer than a million."""
 MAX_PAUSE_S = 60.0
@@ -106,7 +104,7 @@
     try:
         deadline_s = _deadline_s(get(DEADLINE)) if get(DEADLINE) else None
         prompt_tokens, output_tokens = _parse_token_counts(get(TOKENS), 2)
-        pieces = tuple(_parse_counts(get(PIECES), MAX_PIECES))
+        pieces = tuple(_parse_counts(get(PIECES), stages.MAX_PIECES))
         parts = [
             _parse_prompt_part(text)
             for text in get(PROMPT_PARTS).split(",")
--- a/savoryspar/stages/__init__.py
+++ b/savoryspar/stages/__init__.py
@@ -7,5 +7,11 @@
     choose_gatherer,
     rendezvous,
 )
-from savoryspar.stages.model import Failure, Group, Piece, decode_group
+from savoryspar.stages.model import (
+    MAX_PIECES,
+    Failure,
+    Group,
+    Piece,
+    decode_group,
+)
 from savoryspar.stages.zones import ZoneWaits, new_zone_waits
--- a/savoryspar/stages/model.py
+++ b/savoryspar/stages/model.py
@@ -6,8 +6,15 @@
 
 from collections.abc import Sequence
 import enum
+import math
 from typing import Any
 
+from savoryspar import decoding
+
+MAX_PIECES = 4096
+"""Maximum pieces of one stage; requests on the platform have fewer than 100."""
+MAX_RESULT_BYTES = 1e15
+
 
 class Failure(enum.Enum):
     """Why a piece has no result.
@@ -160,7 +167,8 @@
     """Decodes a group that a peer sent.
 
     Raises:
-        ValueError, TypeError: The body is malformed.
+        ValueError, TypeError: The body is malformed. An object is created for
+            each piece, so a large number would exhaust the memory.
     """
     (
         request_id,
@@ -177,12 +185,12 @@
     return Group(
         str(request_id),
         str(pool),
-        int(stage),
-        int(pieces),
+        decoding.integer(stage, 0),
+        decoding.integer(pieces, 0, MAX_PIECES),
         str(key),
         [str(handle) for handle in inputs],
-        int(rank),
-        now + float(objective_s),
-        now + float(deadline_s),
-        int(result_bytes),
+        decoding.integer(rank, -decoding.MAX_INTEGER),
+        now + decoding.number(objective_s, -math.inf, math.inf),
+        now + decoding.number(deadline_s, -math.inf, math.inf),
+        int(decoding.number(result_bytes, 0, MAX_RESULT_BYTES)),
     )
