--- a/savoryspar/gateway/fleet_watch.py
+++ b/savoryspar/gateway/fleet_watch.py
@@ -11,7 +11,7 @@
 
 import eventlet
 
-from savoryspar import decoding, fleet, log, membership, platform
+from savoryspar import decoding, fleet, log, membership, platform, tasks
 from savoryspar.gateway import (
     ignored,
     model,
@@ -128,10 +128,10 @@
 
     def start(self) -> None:
         """Starts the green threads that follow the store."""
-        for follower in self._followers:
-            eventlet.spawn(follower.watch)
-            eventlet.spawn(follower.read)
-        eventlet.spawn(self._poll)
+        for prefix, follower in zip(self.states, self._followers, strict=True):
+            tasks.spawn_task(f"watch of {prefix}", follower.watch)
+            tasks.spawn_task(f"reads of {prefix}", follower.read)
+        tasks.spawn_task("store", self._poll)
 
     @property
     def is_synced(self) -> bool:
