--- a/tests/gateway/stop_load.py
+++ b/tests/gateway/stop_load.py
@@ -9,7 +9,7 @@
 
 from savoryspar import platform
 from savoryspar.platform import standin
-from savoryspar.soak import environment
+from savoryspar.soak import environment, store_ports
 
 PIECE_S = 0.1
 """Time between the events of a stream, and of a call to a stage server."""
@@ -97,7 +97,8 @@
     def __init__(self):
         self.runs = {}
         self.store = environment.Store()
-        self.addresses = {"store": self.store.address}
+        port = store_ports.StorePort(self.store)
+        self.addresses = {"store": port.address}
         self._versions = itertools.count(1)
         self.publish(ROUTES)
         for name in self.servers:
--- a/tests/gateway/test_stale_versions.py
+++ b/tests/gateway/test_stale_versions.py
@@ -91,8 +91,9 @@
         {**route, "name": f"r{number}", "prefix": f"/r{number}/"}
         for number in range(LARGE_BYTES // size - 40)
     ]
+    configuration["unknown"] = ""
     padding = "x" * (LARGE_BYTES - len(json.dumps(configuration)))
-    configuration["routes"][-1]["name"] += padding
+    configuration["unknown"] = padding
 
 
 def withdraw_key(configuration):
