Wait for the first requests of the mixed load before the stop

The test needs streams of 6 s that have ended before SIGTERM, as the VM would otherwise not know how long they take. It slept for 6.5 s, in which they did not all end at a load of 16: one run of two failed, with a stream that was taken and cut. It now waits for them; the checks are the same.

--- a/tests/gateway/test_stops.py
+++ b/tests/gateway/test_stops.py
@@ -200,7 +200,7 @@
         rng = random.Random(1)
         for _ in range(120):
             self._send_random(rng)
-        eventlet.sleep(6.5)
+        self.pool.waitall()
         self._load(rng, 1.0)
         self.terminate()
         while self.process.poll() is None:
