Name the servers that failed when a call finds no other server

A request whose only servers had failed or refused it before was answered "no server is live", as if none was listed: the failure that test_orders test_rolling_replacement showed once cannot be told apart from an empty list. The error now names these servers. New test in test_router; without the change the error has no names.

--- a/savoryspar/routing/selection.py
+++ b/savoryspar/routing/selection.py
@@ -119,9 +119,13 @@
     states: Sequence[servers.ServerState], call: model.Call, now: float
 ) -> servers.ServerState:
     if not states:
-        raise exceptions.NoServerError(
-            call.pool, "no server is live", RETRY_AFTER_S
-        )
+        reason = "no server is live"
+        if call.excluded:
+            reason = (
+                "no server is live besides those that failed or refused it:"
+                f" {', '.join(sorted(call.excluded))}"
+            )
+        raise exceptions.NoServerError(call.pool, reason, RETRY_AFTER_S)
     reachable = [state for state in states if not state.health.is_unreachable]
     due = reachable or [
         state for state in states if state.health.may_probe(now)
--- a/tests/routing/test_router.py
+++ b/tests/routing/test_router.py
@@ -53,6 +53,17 @@
         )
         self.assertEqual("far", builders.run(router, 2.0, size_bytes=200))
 
+    def test_servers_that_failed_are_named(self):
+        """Guards against a refusal that hides the failures before it.
+
+        The only server of a pool had failed, and the error said that no server
+        was live.
+        """
+        router = builders.new_router([builders.new_server("s1", "z1", "r1")])
+        call = builders.new_call(excluded=frozenset({"s1"}))
+        exc = self.assertRaises(routing.NoServerError, router.choose, call, 0.0)
+        self.assertIn("refused it: s1", exc.message)
+
     def test_capacity_counts_other_regions_partially(self):
         """Counting them in full would admit calls that only they can run."""
         router = self.new_router(initial_limit=10)
