Give the test of a broken engine link the retries that it needs

test_stream_behind_a_broken_engine_link_is_resumed failed at times with 502, "the retry budget of the pool is exhausted". The test asks for 12 of 12 answers while the proxy resets 60% of the connections to one engine; each broken answer takes a retry, and a pool starts with 3 and earns 0.08 a call. Which connections are reset follows from their order, in which the reads of load reports take part, so it depends on timing.

The test guards the resumption, not the budget. It now starts with a retry for each request, and still asks for all 12 answers, whole.

--- a/tests/standins/test_fault_proxy.py
+++ b/tests/standins/test_fault_proxy.py
@@ -115,9 +115,16 @@
 class EntryBehindProxyTest(testtools.TestCase):
     def test_stream_behind_a_broken_engine_link_is_resumed(self):
         """Guards against lost answers when connections to an engine reset."""
+        requests = 12
         with fleet_lib.Fleet() as fleet:
+            # The engine may break any of the requests, each of which then
+            # needs a retry: by default, 3 and 8% of the calls are allowed.
             entry = deployments.start(
-                deployments.GESTO, fleet, entries=1, backends_share=0.25
+                deployments.GESTO,
+                fleet,
+                entries=1,
+                backends_share=0.25,
+                settings={"routing": {"retry_reserve": requests}},
             )[0]
             proxy = fleet.insert_proxy(fleet.processes["jurado-lm-0"], 3)
             fleet.control(proxy, {"reset_percent": 60})
@@ -128,7 +135,7 @@
                 "max_tokens": 20,
                 "messages": [{"role": "user", "content": "Guion " * 600}],
             }
-            for _ in range(12):
+            for _ in range(requests):
                 resp = fleet.http.request(
                     "POST",
                     f"{entry.url}/v1/chat/completions",
