Treat every lost connection as a reset, not as the end of a body

The sockets of eventlet report ENOTCONN and ESHUTDOWN as the end of file, like ECONNRESET, but only the last one was recorded. A body that ends with its connection counted as complete then. Other errors (a timeout of keep-alive probes, an unreachable host) were raised and safe.

test_lost_connection_does_not_complete_a_body_without_length failed before; it fails reads with each error. Neither error was seen from a kernel on a connected socket, so this is found by reading.

--- a/savoryspar/backends/bounded.py
+++ b/savoryspar/backends/bounded.py
@@ -12,6 +12,7 @@
 
 import eventlet
 from eventlet import greenio
+from eventlet.greenio import base
 
 from savoryspar.backends import strict
 
@@ -28,7 +29,7 @@
     """A socket with a deadline and a limit on the bytes received.
 
     Attributes:
-        is_reset: Whether the peer reset the connection, which the base class
+        is_reset: Whether the connection was reset or lost, which the base class
             reports as end of file. A body without a length ends with its
             connection and is complete only if that was closed normally.
         names_attempts: Whether an answer on the connection named the attempt
@@ -64,8 +65,9 @@
         def receive(*call_args):
             try:
                 return recv_meth(*call_args)
-            except ConnectionResetError:
-                self.is_reset = True
+            except OSError as exc:
+                if exc.errno in base.SOCKET_CLOSED:
+                    self.is_reset = True
                 raise
 
         self._apply_deadline()
--- a/tests/backends/test_connections.py
+++ b/tests/backends/test_connections.py
@@ -1,5 +1,6 @@
 """Tests of connections to backend servers against scripted sockets."""
 
+import errno
 import socket
 import struct
 import time
@@ -91,6 +92,17 @@
     return head + body
 
 
+class LostSocket:
+    """A socket of which reads fail."""
+
+    def __init__(self, sock, fail):
+        self._sock = sock
+        self.recv_into = fail
+
+    def __getattr__(self, name):
+        return getattr(self._sock, name)
+
+
 class ConnectionsTest(testtools.TestCase):
     def setUp(self):
         super().setUp()
@@ -120,6 +132,34 @@
         server = ScriptedServer(send_and_reset(head + b"half"))
         self.assertRaises(backends.CallOutcomeUnknownError, self.fetch, server)
 
+    def test_lost_connection_does_not_complete_a_body_without_length(self):
+        """Guards against errors that eventlet reports as end of file."""
+        head = HEAD % b"a" + b"Connection: close\r\n\r\n"
+        for code in (
+            errno.ECONNRESET,
+            errno.ENOTCONN,
+            errno.ESHUTDOWN,
+            errno.ETIMEDOUT,
+            errno.EHOSTUNREACH,
+            errno.ENETUNREACH,
+            errno.ECONNABORTED,
+            errno.EPIPE,
+        ):
+            server = ScriptedServer(send(head + b"half"))
+            answer = self.connections.send(
+                ("s", server.address), "GET", "/", [], b"", 2.0, "a"
+            )
+
+            def fail(*args, code=code):
+                raise OSError(code, "lost")
+
+            until = time.monotonic() + 2.0
+            self.assertEqual(b"half", answer.read_part(until))
+            answer._sock.fd = LostSocket(answer._sock.fd, fail)
+            self.assertRaises(
+                backends.CallOutcomeUnknownError, answer.read_part, until
+            )
+
     def test_normal_close_completes_a_body_without_length(self):
         """Guards against an error for answers that end correctly."""
         head = HEAD % b"a" + b"Connection: close\r\n\r\n"
