--- a/tests/gateway/test_early_ends.py
+++ b/tests/gateway/test_early_ends.py
@@ -167,6 +167,35 @@
                 self.ask("/o/x", lambda fields, t=text, c=cut: (t[:c], True))
             )
 
+    def test_answer_with_a_malformed_head_is_not_passed_on(self):
+        """Guards against a cut body whose framing a bad line has hidden."""
+        for target, line in itertools.product(
+            ("/o/x", "/once/x"), (b"garbage", b"X: a\rb", b"X : y")
+        ):
+            for framing, body in (
+                (b"Content-Length: 99", event(0)),
+                (b"Transfer-Encoding: chunked", chunks(event(0))),
+            ):
+                self.assert_failed(
+                    self.ask(
+                        target,
+                        lambda fields, lines=(line, framing), body=body: (
+                            head(fields, *lines) + body,
+                            True,
+                        ),
+                    )
+                )
+
+    def test_interim_answer_is_not_passed_on(self):
+        """Guards against an early hint in place of the answer."""
+        early = b"HTTP/1.1 103 Early Hints\r\n" + SEAL + b"\r\n"
+        answer = self.ask(
+            "/o/x", lambda fields: (early + whole(fields, b"ok"), False)
+        )
+        self.assertTrue(answer.startswith(b"HTTP/1.1 200 "), answer)
+        self.assertTrue(answer.endswith(b"\r\n\r\nok"), answer)
+        self.assert_failed(self.ask("/o/x", lambda fields: (early, True)))
+
     def test_stream_that_ends_in_its_head_is_not_passed_on(self):
         """Guards against an empty stream that looks complete."""
         for cut in (30, -3, -1):
