Do not run requests whose chunked body ended early or is malformed

eventlet took the end of a caller's connection for the end of a chunk size and of the trailers: a body cut after the "0" of a chunk size "05" was sent on as an empty, whole body. Sizes such as "+5" and "0x5", and any line after a chunk, were accepted, so the VM could read another end of a body than the caller or a proxy, with the rest read as a request of its own.

The input of chunked requests now requires complete lines, sizes by their grammar, and the end of each chunk. An error holds for all further reads, so nothing behind a malformed body is read as a request. Callers get 400 as for other malformed bodies.

--- a/savoryspar/http/protocol.py
+++ b/savoryspar/http/protocol.py
@@ -12,6 +12,8 @@
 import eventlet
 from eventlet import wsgi
 
+from savoryspar.http import chunks
+
 TARGET_KEY = "savoryspar.target"
 """Environment key of the request target, unchanged from the request line."""
 FIELDS_KEY = "savoryspar.fields"
@@ -155,6 +157,9 @@
         # The base class merges slashes at the start of the path.
         environ[TARGET_KEY] = self.requestline.split()[1]
         environ[FIELDS_KEY] = self.headers.items()
+        if environ["eventlet.input"].chunked_input:
+            body = chunks.new_chunked_input(environ["eventlet.input"])
+            environ["wsgi.input"] = environ["eventlet.input"] = body
         return environ
 
     def send_error(
