Do not run requests whose head ended early

The parser of callers' request heads took the end of a connection for the end of the head. A request cut inside a header line was sent on with the fields that had arrived: with a cut attempt ID, without its deadline, or without its body's length. A CR inside a line also began a new field there.

Each line of a head must now be complete, as in answers of servers, and have no CR or NUL inside; the request is answered 400 otherwise.

test_request_that_ends_in_its_head_is_not_run cuts a head after every byte through a VM process.

--- a/savoryspar/http/protocol.py
+++ b/savoryspar/http/protocol.py
@@ -40,6 +40,29 @@
     wsgi.WSGI_LOCAL.is_cut = True
 
 
+class MalformedLineError(Exception):
+    """A line of a head is malformed, or the connection ended within it."""
+
+
+class _HeadLines:
+    """Reads the lines of a head, which must be complete.
+
+    The parser of header fields takes the end of a connection for the end of
+    the head, and a CR inside a line for the end of the line.
+    """
+
+    __slots__ = ("_file",)
+
+    def __init__(self, file: wsgi.FileObjectForHeaders):
+        self._file = file
+
+    def readline(self, size: int = -1) -> bytes:
+        line = self._file.readline(size)
+        if not line.endswith(b"\n") or b"\r" in line[:-2] or b"\0" in line:
+            raise MalformedLineError(f"{line!r:.80}")
+        return line
+
+
 class TimedProtocol(wsgi.HttpProtocol):
     """An HTTP protocol with a head timeout and strict request framing.
 
@@ -77,8 +100,12 @@
     def parse_request(self) -> bool:
         """Parses the request head; returns False if it was rejected."""
         timer = eventlet.Timeout(self.server.head_timeout_s)
+        # The base class restores the file after the head.
+        self.rfile = _HeadLines(self.rfile)
         try:
             is_parsed = super().parse_request()
+        except MalformedLineError:
+            return self._reject(400, "Bad Request")
         except eventlet.Timeout as exc:
             if exc is not timer:
                 raise
--- a/tests/gateway/test_cut_requests.py
+++ b/tests/gateway/test_cut_requests.py
@@ -34,6 +34,18 @@
         self.assertFalse(answer.startswith(b"HTTP/1.1 200 "), (text, answer))
         self.assertEqual([], self.platform.received, (text, answer))
 
+    def test_request_that_ends_in_its_head_is_not_run(self):
+        """Guards against a request with cut fields sent to a server."""
+        head = (
+            b"GET /o/x?y HTTP/1.1\r\nHost: h.example\r\n"
+            b"Savoryspar-Key: key-1\r\nSavoryspar-Attempt-Id: abcdef\r\n"
+            b"Savoryspar-Deadline-Ms: 1000\r\n\r\n"
+        )
+        for cut in range(len(head)):
+            self.check_not_run(head[:cut])
+        for text in (b"\rX: y", b"\0", b"\r"):
+            self.check_not_run(head.replace(b"abcdef", b"abcdef" + text))
+
     def test_request_that_ends_early_is_not_run(self):
         """Guards against a part of a body sent on as the whole body."""
         for cut in range(len(BODY)):
