Let other VMs watch the store as soon as a watching VM is suspected

If both VMs that watch for their zone are frozen or killed, the others learnt changes only when these counted as dead. A suspected VM is left out of the election now; if it is suspected wrongly, more VMs watch for a while.

--- a/savoryspar/gateway/watchers.py
+++ b/savoryspar/gateway/watchers.py
@@ -158,7 +158,14 @@
     ) -> tuple[bool, int]:
         """Returns whether this VM is elected, and the size of its zone."""
         zone = all_members[0].zone
-        vms = [m for m in all_members if m.zone == zone and not m.is_leaving]
+        # A suspect may be frozen; if it is not, more VMs watch for a while.
+        vms = [
+            m
+            for m in all_members
+            if m.zone == zone
+            and not m.is_leaving
+            and m.state is not membership.State.SUSPECT
+        ]
         if len(vms) <= SMALL_ZONE_VMS:
             return True, len(vms)
         ranked = sorted(
--- a/tests/gateway/test_fleet_watch.py
+++ b/tests/gateway/test_fleet_watch.py
@@ -198,24 +198,33 @@
 PREFIXES = (platform.CONFIGURATION_PREFIX, platform.SERVER_PREFIX)
 
 
-def all_members(*names, leaving=()):
+def all_members(*names, leaving=(), suspects=()):
     """Returns members of one zone; the first is this process."""
-    return tuple(
+    records = (
         membership.Record(name, name, "r", "z", "a", is_leaving=name in leaving)
         for name in names
     )
+    return tuple(
+        record.changed(state=membership.State.SUSPECT)
+        if record.name in suspects
+        else record
+        for record in records
+    )
 
 
 class WatcherElectionTest(testtools.TestCase):
     """Guards against zones of 33 VMs in which every VM watches the store."""
 
-    def elected(self, names, leaving=(), at=watchers.SETTLE_S):
+    def elected(self, names, leaving=(), at=watchers.SETTLE_S, suspects=()):
         return [
             name
             for name in names
             if watchers.new_watcher_election(name, PREFIXES, 0.0).must_watch(
                 all_members(
-                    name, *(n for n in names if n != name), leaving=leaving
+                    name,
+                    *(n for n in names if n != name),
+                    leaving=leaving,
+                    suspects={*suspects} - {name},
                 ),
                 at,
             )
@@ -247,6 +256,14 @@
         self.assertIn(second, elected)
         self.assertEqual(2, len(elected))
 
+    def test_suspected_watchers_are_replaced(self):
+        """Guards against changes missed until frozen watchers count as dead."""
+        suspects = self.elected(MANY)
+        elected = self.elected(MANY, suspects=suspects)
+        # Those that are suspected wrongly go on watching.
+        self.assertEqual(4, len(elected))
+        self.assertLess({*suspects}, {*elected})
+
     def test_all_watch_without_a_recent_contact(self):
         """Guards against changes missed while the watchers are cut off."""
         limit_s = watchers.contact_limit_s(len(MANY))
--- a/tests/gateway/test_stale_versions.py
+++ b/tests/gateway/test_stale_versions.py
@@ -176,8 +176,10 @@
             thread.wait()
         return last
 
-    def assert_in_time(self, status, path="/added/1", bound_s=BOUND_S):
-        times = self.times_until(status, path)
+    def assert_in_time(
+        self, status, path="/added/1", bound_s=BOUND_S, numbers=None
+    ):
+        times = self.times_until(status, path, numbers)
         self.assertLess(max(times.values()), bound_s, times)
 
     def assert_server_unused(self, server):
@@ -355,6 +357,16 @@
         self.platform.publish(add_route)
         self.assert_in_time(200)
 
+    def test_version_is_in_force_although_watching_vms_are_frozen(self):
+        """Guards against VMs that wait for two others that are frozen."""
+        frozen = self.watchers()
+        for number in frozen:
+            self.processes[number].send_signal(signal.SIGSTOP)
+            self.addCleanup(self.processes[number].send_signal, signal.SIGCONT)
+        self.platform.publish(add_route)
+        others = {*range(self.vm_count)} - {*frozen}
+        self.assert_in_time(200, numbers=others)
+
 
 class NineVmsTest(StaleVersionCase):
     """Two VMs of a zone of nine, with a ring of links, watch the store."""
