Fetch a sheet from another peer when one does not reply

A process of savoryspar entry fetched a revision from one peer at a time. If that peer froze, the revision that all others announced waited for 5 s.

After 0.5 s a fetch from another peer that announces the revision begins beside it, up to three.

--- a/savoryspar/membership/sheet_replicator.py
+++ b/savoryspar/membership/sheet_replicator.py
@@ -17,6 +17,10 @@
 """Larger deltas are announced without their rows, which peers request."""
 
 REQUEST_TIMEOUT_S = 5.0
+FETCH_PATIENCE_S = 0.5
+"""Time after which a fetch begins from another peer too."""
+MAX_FETCHES = 3
+"""Fetches at the same time, each from another peer."""
 DIGEST_PREFIX_BYTES = 8
 """Length of the digest prefix in heartbeats."""
 
@@ -70,7 +74,8 @@
             collections.OrderedDict()
         )
         self._last_accepted: sheet.Sheet | None = sheets.current
-        self._fetching = ""
+        # When the fetches in progress began, by peer.
+        self._fetching: dict[str, float] = {}
         self._source_peer = ""
         self._retry_at = float("-inf")
         self._index: rows.BucketIndex | None = None
@@ -171,13 +176,18 @@
             self._source_peer = ""
 
     def _start_fetch(self, sender: str, revision: int) -> None:
-        # One fetch at a time; the next heartbeat announces a newer revision.
-        if self._fetching or (
-            revision == self._sheets.refused_revision
-            and self._clock() < self._retry_at
+        # A peer that is not asked announces the revision in each heartbeat.
+        now = self._clock()
+        if (
+            sender in self._fetching
+            or len(self._fetching) >= MAX_FETCHES
+            or now - max(self._fetching.values(), default=float("-inf"))
+            < FETCH_PATIENCE_S
         ):
             return
-        self._fetching = sender
+        if revision == self._sheets.refused_revision and now < self._retry_at:
+            return
+        self._fetching[sender] = now
         eventlet.spawn(self._fetch, sender)
 
     def _fetch(self, sender: str) -> None:
@@ -188,7 +198,7 @@
         except (TypeError, ValueError, KeyError) as exc:
             self._logger.error(f"Sheet not fetched. peer={sender} {exc!r}")
         finally:
-            self._fetching = ""
+            del self._fetching[sender]
 
     def _fetch_from(self, sender: str) -> None:
         base = self._sheets.current
