Ask peers for their sheet at the same time at the first start

A process of savoryspar entry that starts asked each peer in turn, 1 s each, whether it has a sheet, so frozen peers delayed its first read of the service.

They are asked at the same time, 32 at most. The new test failed before: five peers of which four are frozen took more than 2 s.

--- a/savoryspar/membership/sheet_watch.py
+++ b/savoryspar/membership/sheet_watch.py
@@ -7,6 +7,7 @@
 from savoryspar import discovery, log, sheet
 from savoryspar.membership import (
     exceptions,
+    polls,
     service,
     sheet_replicator,
     topology,
@@ -22,6 +23,8 @@
 """
 
 REQUEST_TIMEOUT_S = 1.0
+PEERS_ASKED = 32
+"""Peers asked at the same time whether they have a sheet."""
 MIN_POLL_S = 1.0
 STANDBY_POLL_S = 0.25
 RETRY_S = 1.0
@@ -98,20 +101,19 @@
         """Returns whether no peer is listed or some peer has no sheet yet."""
         if self._members.is_alone():
             return True
-        peers = self._members.view(now).members
-        return any(self._has_no_sheet(peer.incarnation) for peer in peers)
-
-    def _has_no_sheet(self, incarnation: str) -> bool:
-        try:
-            reply = self._members.request(
-                incarnation,
-                sheet_replicator.REQUEST,
-                [0, None, 0],
-                REQUEST_TIMEOUT_S,
-            )
-        except exceptions.PeerUnreachableError:
-            return False
-        return reply["kind"] == "none"
+        replies = polls.ask_peers(
+            self._members,
+            sheet_replicator.REQUEST,
+            [0, None, 0],
+            REQUEST_TIMEOUT_S,
+            PEERS_ASKED,
+            now,
+        )
+        return any(
+            not isinstance(reply, exceptions.PeerUnreachableError)
+            and reply["kind"] == "none"
+            for _, reply in replies
+        )
 
     def run(self) -> None:
         """Watches the service until the process exits."""
--- a/tests/membership/test_sheet_watch.py
+++ b/tests/membership/test_sheet_watch.py
@@ -1,9 +1,12 @@
 """Tests of the election of watchers of the configuration service."""
 
+import time
+
+import eventlet
 import testtools
 
 from savoryspar import discovery, sheet
-from savoryspar.membership import model, sheet_watch
+from savoryspar.membership import exceptions, model, sheet_watch
 
 NAMES = [f"m{number}" for number in range(6)]
 
@@ -12,6 +15,7 @@
     def __init__(self, own, live, facts):
         self.own, self.live, self.facts = own, live, facts
         self.has_sheet = False
+        self.frozen = ()
 
     def view(self, now):
         members = [
@@ -20,6 +24,12 @@
         ]
         return model.View(members[0], tuple(members[1:]), True)
 
+    def all_members(self, now):
+        return tuple(
+            model.Record(name, name, "r", "z", "a")
+            for name in (self.own, *self.live)
+        )
+
     def peer_facts(self, name, now):
         return dict(self.facts)
 
@@ -30,6 +40,9 @@
         return not self.live
 
     def request(self, incarnation, kind, body, timeout_s):
+        if incarnation in self.frozen:
+            eventlet.sleep(timeout_s)
+            raise exceptions.PeerUnreachableError("no reply", "wait", True)
         return {"kind": "whole" if self.has_sheet else "none"}
 
 
@@ -102,6 +115,18 @@
         self.assertEqual(2, len(readers))
         self.assertTrue(new_watch("m0", start=100.0).may_read(100.1))
 
+    def test_frozen_peers_do_not_delay_the_first_read(self):
+        """Guards against a start that waits for one frozen peer after another.
+
+        A process asked each peer in turn, for up to 1 s each.
+        """
+        own = self.watchers(NAMES)[0]
+        watch = new_watch(own, NAMES, start=time.monotonic())
+        others = [name for name in NAMES if name != own]
+        watch._members.frozen = others[:-1]
+        with eventlet.Timeout(2.0 * sheet_watch.REQUEST_TIMEOUT_S):
+            self.assertTrue(watch.may_read(time.monotonic()))
+
     def test_refused_revision_is_not_read_in_a_loop(self):
         """Guards against an invalid sheet that uses up the call budget."""
         client = FakeClient(7)
