Skip malformed entries of the VM list, and check the service's documents

One malformed entry made the whole list of VMs useless for `savoryspar entry`: servers that were gone stayed in use. A list, revision, manifest or bucket that is nested too deep (RecursionError), has a number too large (OverflowError) or is not UTF-8 ended the thread that read it.

Entries are decoded one by one, and malformed ones are logged when they change; the rest uses `savoryspar.decoding`.

--- a/savoryspar/discovery/config.py
+++ b/savoryspar/discovery/config.py
@@ -1,17 +1,17 @@
 """Read-only client of the configuration service."""
 
-import json
 import time
 
 import eventlet
 import urllib3
 
-from savoryspar import backends
+from savoryspar import backends, decoding
 from savoryspar.discovery import budget, exceptions
 
 CONNECT_TIMEOUT_S = 1.0
 READ_TIMEOUT_S = 2.0
 WATCH_MARGIN_S = 2.0
+MAX_WATCH_BYTES = 4096
 
 
 class ConfigClient:
@@ -34,9 +34,15 @@
 
         Raises:
             PlatformError: The service is unavailable or limits the rate, or the
-                key does not exist.
+                key does not exist or has no text.
         """
-        return self._fetch(f"/v1/keys/{key}", READ_TIMEOUT_S).decode()
+        try:
+            return self._fetch(f"/v1/keys/{key}", READ_TIMEOUT_S).decode()
+        except UnicodeDecodeError as exc:
+            raise exceptions.PlatformError(
+                f"the value of {key} is not UTF-8: {exc}",
+                "publish the key again",
+            ) from exc
 
     def watch(self, after: int, timeout_s: float) -> int:
         """Waits for a revision above ``after`` and returns the newest revision.
@@ -55,8 +61,10 @@
             timeout_s + WATCH_MARGIN_S,
         )
         try:
-            return int(json.loads(body)["revision"])
-        except (ValueError, KeyError, TypeError) as exc:
+            with decoding.reading("the revision"):
+                document = decoding.decode_json(body, MAX_WATCH_BYTES)
+                return decoding.integer(document["revision"], 0)
+        except decoding.DecodingError as exc:
             raise exceptions.PlatformError(
                 f"the watch returned the invalid body {body[:80]!r}",
                 "check [platform] config_url",
--- a/savoryspar/discovery/vms.py
+++ b/savoryspar/discovery/vms.py
@@ -3,17 +3,21 @@
 The list may lag behind the actual state.
 """
 
-from collections.abc import Mapping
-import json
+from collections.abc import Iterable
 from typing import Any
 
 import urllib3
 
-from savoryspar import backends
+from savoryspar import backends, decoding, log
 from savoryspar.discovery import exceptions
 
 CONNECT_TIMEOUT_S = 1.0
 READ_TIMEOUT_S = 2.0
+MAX_LIST_BYTES = 8 << 20
+NO_PORT = ":0"
+"""End of the peer address of a VM that serves no peers."""
+
+logger = log.new_logger("platform")
 
 
 class Vm:
@@ -65,11 +69,12 @@
 class VmListClient:
     """Reads the VM list."""
 
-    __slots__ = ("_pool", "_url")
+    __slots__ = ("_faults", "_pool", "_url")
 
     def __init__(self, url: str, pool: urllib3.PoolManager):
         self._url = url.rstrip("/")
         self._pool = pool
+        self._faults: list[str] = []
 
     def read(self) -> list[Vm]:
         """Returns the current list of the platform.
@@ -84,30 +89,61 @@
             resp = self._pool.request(
                 "GET", f"{self._url}/v1/vms", timeout=timeout, retries=False
             )
-            return [_decode(item) for item in json.loads(resp.data)["vms"]]
+            with decoding.reading("the VM list"):
+                body = decoding.decode_envelope(resp.data, MAX_LIST_BYTES)
+                items = [*body["vms"]]
         except urllib3.exceptions.HTTPError as exc:
             raise exceptions.PlatformError(
                 f"the VM list service does not answer: {exc}",
                 "the last list stays in use; check [platform] vm_list_url",
             ) from exc
-        except (ValueError, KeyError, TypeError) as exc:
+        except decoding.DecodingError as exc:
             raise exceptions.PlatformError(
-                f"the VM list cannot be decoded: {exc!r}",
+                f"the VM list cannot be decoded: {exc}",
                 "the last list stays in use; check [platform] vm_list_url",
             ) from exc
+        return self._decode_each(items)
+
+    def _decode_each(self, items: Iterable[Any]) -> list[Vm]:
+        """Decodes the entries, and logs malformed ones when they change."""
+        vms, faults = [], []
+        for item in items:
+            try:
+                vms.append(_decode(item))
+            except decoding.DecodingError as exc:
+                faults.append(f"{exc}: {item!r:.80}")
+        if faults != self._faults:
+            self._faults = faults
+            for fault in faults:
+                logger.warning(f"Entry of the VM list ignored. {fault}")
+        return vms
+
+
+def _decode(item: Any) -> Vm:
+    """Decodes an entry.
+
+    Raises:
+        DecodingError: A field is missing or malformed.
+    """
+    with decoding.reading("an entry"):
+        pool = item.get("pool")
+        return Vm(
+            name=decoding.text(item["name"]),
+            address=decoding.address(item["address"]),
+            region=decoding.text(item["region"]),
+            zone=decoding.text(item["zone"]),
+            role=decoding.text(item["role"]),
+            pool=decoding.text(pool) if pool else "",
+            is_leaving=decoding.text(item["state"]) == "leaving",
+            peer_address=_peer_address(item.get("peer_address")),
+        )
 
 
-def _decode(item: Mapping[str, Any]) -> Vm:
-    return Vm(
-        name=item["name"],
-        address=item["address"],
-        region=item["region"],
-        zone=item["zone"],
-        role=item["role"],
-        pool=item.get("pool", ""),
-        is_leaving=item["state"] == "leaving",
-        peer_address=item.get("peer_address", ""),
-    )
+def _peer_address(value: Any) -> str:
+    """Returns the address for peers, empty if it is absent or has port 0."""
+    if not value or decoding.text(value).endswith(NO_PORT):
+        return ""
+    return decoding.address(value)
 
 
 def new_vm_list_client(url: str) -> VmListClient:
--- a/savoryspar/sheet/keys.py
+++ b/savoryspar/sheet/keys.py
@@ -5,6 +5,7 @@
 import json
 import sys
 
+from savoryspar import decoding
 from savoryspar.sheet import exceptions, model, validate
 
 MANIFEST_KEY = "manifest"
@@ -12,6 +13,8 @@
 MAX_CHANGES_BYTES = 900_000
 """Stays below the limit of the service, 1 MB per value."""
 
+MAX_VALUE_BYTES = 8 << 20
+"""Limit for a value that is decoded."""
 DIGEST_MODULUS = 2**256
 _MAX_INTERNED_LENGTH = 16
 """Values up to this length repeat in many rows, so they are interned."""
@@ -136,18 +139,19 @@
         SheetError: The text is not a valid manifest.
     """
     try:
-        data = json.loads(text)
-        return Manifest(
-            revision=int(data["revision"]),
-            previous=int(data["previous"]),
-            digest=str(data["digest"]),
-            changes=dict(_decode_entries(data["changes"])),
-            buckets={
-                int(number, 16): int(digest, 16)
-                for number, digest in data["buckets"].items()
-            },
-        )
-    except (ValueError, KeyError, TypeError, AttributeError) as exc:
+        data = decoding.decode_json(text.encode(), MAX_VALUE_BYTES)
+        with decoding.reading("a field"):
+            return Manifest(
+                revision=decoding.integer(data["revision"], 0),
+                previous=decoding.integer(data["previous"], 0),
+                digest=str(data["digest"]),
+                changes=dict(_decode_entries(data["changes"])),
+                buckets={
+                    int(number, 16): int(digest, 16)
+                    for number, digest in data["buckets"].items()
+                },
+            )
+    except ValueError as exc:
         raise _decode_error("manifest", exc) from exc
 
 
@@ -158,8 +162,10 @@
         SheetError: The text is not a valid bucket.
     """
     try:
-        return dict(_decode_entries(json.loads(text)["rows"]))
-    except (ValueError, KeyError, TypeError) as exc:
+        data = decoding.decode_json(text.encode(), MAX_VALUE_BYTES)
+        with decoding.reading("a row"):
+            return dict(_decode_entries(data["rows"]))
+    except ValueError as exc:
         raise _decode_error("bucket", exc) from exc
 
 
