Decode the states of engines for placement with limits

A state that is nested too deep, or has a number of slots of 1e999, failed the whole round of placement, as RecursionError and OverflowError were not errors of that engine; the next rounds failed with the same state. The new test of tests/placement/test_client.py failed on (RecursionError) and passes now.

--- a/savoryspar/placement/client.py
+++ b/savoryspar/placement/client.py
@@ -5,11 +5,14 @@
 
 import urllib3
 
-from savoryspar import backends
+from savoryspar import backends, decoding, log
 from savoryspar.backends import guarded
 from savoryspar.placement import exceptions, model
 
 TIMEOUT_S = 1.0
+MAX_STATE_BYTES = 1 << 20
+
+logger = log.new_logger("placement")
 
 
 class EngineClient:
@@ -28,11 +31,11 @@
         """
         resp = self._request("GET", server, "/models", None)
         try:
-            document = json.loads(resp.data)
+            document = decoding.decode_json(resp.data, MAX_STATE_BYTES)
             return model.decode_state(server.name, server.pool, document, now)
-        except (ValueError, KeyError, TypeError) as exc:
+        except decoding.DecodingError as exc:
             raise _request_error(
-                server, f"its models cannot be decoded: {exc!r}"
+                server, f"its models cannot be decoded: {exc}"
             ) from exc
 
     def send(
@@ -101,8 +104,11 @@
 
 def _reported_number(data: bytes) -> int:
     try:
-        return int(json.loads(data)["fencing_number"])
-    except (ValueError, KeyError, TypeError):
+        with decoding.reading("an answer"):
+            document = decoding.decode_json(data, MAX_STATE_BYTES)
+            return decoding.integer(document["fencing_number"], 0)
+    except decoding.DecodingError as exc:
+        logger.debug(f"An engine reported no fencing number. {exc}")
         return 0
 
 
--- a/savoryspar/placement/model.py
+++ b/savoryspar/placement/model.py
@@ -4,6 +4,11 @@
 import functools
 from typing import Any
 
+from savoryspar import decoding
+
+MAX_NUMBER = 1e15
+"""Limit for ages in seconds and for demands."""
+
 
 class CopyState(enum.Enum):
     """State of a model on an engine."""
@@ -80,25 +85,30 @@
 def decode_state(
     name: str, pool: str, document: dict[str, Any], now: float
 ) -> EngineState:
-    """Decodes a state; raises ``KeyError``, ``TypeError``, ``ValueError``."""
-    copies = {
-        item["name"]: Copy(
-            item["name"],
-            CopyState(item["state"]),
-            float(item["age_s"]),
-            float(item.get("demand", 0.0)),
+    """Decodes a state; raises ``DecodingError`` if it is malformed."""
+    with decoding.reading("a state"):
+        copies = {
+            item["name"]: Copy(
+                decoding.text(item["name"]),
+                CopyState(item["state"]),
+                _finite(item["age_s"]),
+                _finite(item.get("demand", 0.0)),
+            )
+            for item in document["models"]
+        }
+        return EngineState(
+            name,
+            pool,
+            decoding.integer(document["slots"], 0),
+            copies,
+            tuple(map(_finite, document.get("load_ages_s", ()))),
+            decoding.integer(document.get("fencing_number", 0), 0),
+            now,
         )
-        for item in document["models"]
-    }
-    return EngineState(
-        name,
-        pool,
-        int(document["slots"]),
-        copies,
-        tuple(float(age) for age in document.get("load_ages_s", ())),
-        int(document.get("fencing_number", 0)),
-        now,
-    )
+
+
+def _finite(value: Any) -> float:
+    return decoding.number(value, -MAX_NUMBER, MAX_NUMBER)
 
 
 class _Action:
