Write odd settings only for VMs of the soak that have started

The soak had written an empty settings file 0.4 s after all VMs were started again, before vm-1 had read its own; a process that finds no settings ends with conf.E003, which is right. The file is now replaced only while the VM listens.

--- a/savoryspar/soak/fault_injector.py
+++ b/savoryspar/soak/fault_injector.py
@@ -218,6 +218,9 @@
     def _write_odd_settings(self, duration_s: float) -> None:
         vm = self._rng.choice(self._vms)
         name = self._rng.choice([*odd_values.SETTINGS])
+        if not vm.is_listening:
+            # A process that starts with such settings ends, as it should.
+            return
         self._record(f"the settings of {vm.name} are odd: {name}", duration_s)
         vm.write_settings(odd_values.SETTINGS[name])
         vm.send_signal(signal.SIGHUP)
