Serve no further request behind a closing response

Refusals such as 413 carry "Connection: close", but the VM read the rest of the body, without a bound, and went on to serve the connection for up to its idle timeout. A request behind the refused one was run, although its caller may send it again elsewhere after such a response.

A response with that field now ends the connection. The rest of the body is discarded for 2 s at most, as after other responses.

--- a/savoryspar/http/protocol.py
+++ b/savoryspar/http/protocol.py
@@ -4,6 +4,7 @@
 responses to requests that are not read whole.
 """
 
+from collections.abc import Callable
 import contextlib
 import socket
 import struct
@@ -25,6 +26,8 @@
 CLOSE_NORMALLY = struct.pack("ii", 0, 0)
 CLOSE_WITH_RESET = struct.pack("ii", 1, 0)
 """Values of ``SO_LINGER``."""
+CLOSE_FIELD = ("Connection", "close")
+"""Field of a response after which no request of the connection is served."""
 LINGER_S = 2.0
 """Longest time for which the unread rest of a request is discarded."""
 DISCARD_BYTES = 65536
@@ -138,6 +141,7 @@
 
     def handle_one_response(self) -> None:
         """Responds to a request."""
+        self.application = self._closing(self.application)
         self._input = self.environ["eventlet.input"]
         wsgi.WSGI_LOCAL.is_cut = False
         if self.request_version == "HTTP/1.1":
@@ -148,6 +152,25 @@
         if not wsgi.WSGI_LOCAL.is_cut:
             self._set_reset_due(False)
 
+    def _closing(self, app: Callable) -> Callable:
+        """Returns an application whose closing responses end the connection.
+
+        The base class sends a ``Connection`` field of an application, but goes
+        on to serve the connection.
+        """
+
+        def run(environ: dict[str, Any], start_response: Callable) -> Any:
+            def start(status: str, fields: list, *args: Any) -> Callable:
+                if CLOSE_FIELD in fields:
+                    # The base class then adds the field itself.
+                    self.close_connection = True
+                    fields = [item for item in fields if item != CLOSE_FIELD]
+                return start_response(status, fields, *args)
+
+            return app(environ, start)
+
+        return run
+
     def _set_reset_due(self, is_due: bool) -> None:
         self._is_reset_due = is_due
         self.connection.setsockopt(
--- a/tests/gateway/test_unread_requests.py
+++ b/tests/gateway/test_unread_requests.py
@@ -97,3 +97,26 @@
                 (None, node_case.LARGE_BYTES, rest[:9]),
                 (exc, len(body), rest[:9]),
             )
+
+    def test_no_request_is_served_behind_a_closing_response(self):
+        """Guards against a request that runs although its caller was told.
+
+        A response with "Connection: close" states that no further request of
+        the connection is served, so callers send it again elsewhere.
+        """
+        size = 5_000_000
+        refused = self.head(b"/o/x", b"Content-Length: %d" % size)
+        found, exc = self.exchange(
+            refused.replace(b"Connection: close\r\n", b"") + b"x" * size,
+            self.head(b"/o/next", b"Content-Length: 0"),
+        )
+        self.assertTrue(found.startswith(b"HTTP/1.1 413 "), found[:99])
+        self.assertEqual(
+            (None, 1, 1),
+            (
+                exc,
+                found.count(b"HTTP/1.1 "),
+                found.count(b"Connection: close"),
+            ),
+        )
+        self.assertEqual([], self.platform.received)
