Refuse watches of a test's store at once

The stand-in waited for a change before it answered a watch with 503, so a VM that is turned away made fewer calls in the tests than it would.

--- a/tests/gateway/store_fronts.py
+++ b/tests/gateway/store_fronts.py
@@ -11,6 +11,7 @@
 from savoryspar.platform import standin
 
 WATCH_PATH = "/-/kv-watch"
+REFUSALS = ("503 Service Unavailable", "429 Too Many Requests")
 LINGER_RESET = struct.pack("ii", 1, 0)
 """Socket option with which a close resets the connection."""
 
@@ -21,7 +22,7 @@
     Attributes:
         watch_mode, read_mode: How calls are answered: ``normal``; ``silent``,
             with no byte on a connection that stays open; ``cut``, by half of
-            the answer; ``reset``; or by a status. A watch may also be
+            the answer; ``reset``; or one of ``REFUSALS``. A watch may also be
             ``deaf``, without changes at its end, if it began before them.
         delay_s: Delay before each answer, in seconds.
         calls: Path and monotonic time of each call.
@@ -68,17 +69,22 @@
         finally:
             sock.close()
 
+    def _mode(self, is_watch):
+        return self.watch_mode if is_watch else self.read_mode
+
     def _answer(self, sock, target):
         path, _, query = target.partition("?")
         began_at = time.monotonic()
         self.calls.append((path, began_at))
         began_revision = self._contents.revision
         is_watch = path == WATCH_PATH
-        status, body = standin.serve_store(
-            self._contents, {"PATH_INFO": path, "QUERY_STRING": query}
-        )
+        status, body = "", b""
+        if self._mode(is_watch) not in ("silent", "reset", *REFUSALS):
+            status, body = standin.serve_store(
+                self._contents, {"PATH_INFO": path, "QUERY_STRING": query}
+            )
         eventlet.sleep(self.delay_s)
-        mode = self.watch_mode if is_watch else self.read_mode
+        mode = self._mode(is_watch)
         if mode == "silent":
             while sock.recv(65536):
                 continue
@@ -92,7 +98,7 @@
             eventlet.sleep(max(0.0, began_at + wait_s - time.monotonic()))
             as_of = self._contents.revision
             body = json.dumps({"events": [], "as-of": as_of}).encode()
-        if mode not in ("normal", "deaf", "cut"):
+        if mode in REFUSALS:
             status, body = mode, b"{}"
         answer = (
             f"HTTP/1.1 {status}\r\nContent-Type: application/json\r\n"
--- a/tests/gateway/test_stale_versions.py
+++ b/tests/gateway/test_stale_versions.py
@@ -25,7 +25,6 @@
 """Time in which VMs act on a change and begin to watch again."""
 LARGE_BYTES = 1 << 20
 """Size of a large configuration; a frame between VMs may have no more."""
-REFUSED = "503 Service Unavailable"
 
 
 class StorePlatform(node_case.Platform):
@@ -270,7 +269,7 @@
 
     def test_version_is_in_force_at_a_vm_that_is_turned_away(self):
         """Guards against a VM that learns only from the store."""
-        for mode in (REFUSED, "429 Too Many Requests", "reset", "cut"):
+        for mode in (*store_fronts.REFUSALS, "reset", "cut"):
             path = f"/{mode.split()[0]}/"
             self.fronts[0].set_mode(mode)
             self.platform.publish(
