--- a/savoryspar/decoding.py
+++ b/savoryspar/decoding.py
@@ -15,6 +15,8 @@
 """Limit for nested lists and objects; documents have fewer than 10 levels."""
 MAX_INTEGER = 2**63 - 1
 MAX_INTEGER_CHARS = 20
+MAX_INTEGER_BYTES = 32
+"""Limit for integers in messages of peers."""
 MAX_TEXT_CHARS = 200
 """Limit for names and identifiers."""
 MAX_CAUSE_CHARS = 200
@@ -32,6 +34,9 @@
 """CBOR tags that the library would decode to objects."""
 
 
+POSITIVE_INTEGER_TAG = 2
+
+
 class DecodingError(ValueError):
     """Data from outside are malformed or exceed a limit."""
 
@@ -152,22 +157,30 @@
     return int(text)
 
 
-def _skip_tagged(decoder: cbor2.CBORDecoder, tag: Any = None) -> Any:
-    """Decodes a tagged value as ``undefined``, which no handler accepts."""
-    if tag is None:
-        decoder.decode()
+def _replace_tagged(value: Any, is_immutable: bool) -> Any:
+    """Returns ``undefined``, which no handler accepts."""
+    del value, is_immutable
     return cbor2.undefined
 
 
-_TAG_DECODERS: Mapping[int, Callable] = dict.fromkeys(
-    BUILT_IN_TAGS, _skip_tagged
-)
+def _decode_integer(value: Any, is_immutable: bool) -> Any:
+    """Decodes an integer of more than 64 bits, as digests of rows are."""
+    del is_immutable
+    if isinstance(value, bytes) and len(value) <= MAX_INTEGER_BYTES:
+        return int.from_bytes(value, "big")
+    return cbor2.undefined
+
+
+_TAG_DECODERS: Mapping[int, Callable] = {
+    **dict.fromkeys(BUILT_IN_TAGS, _replace_tagged),
+    POSITIVE_INTEGER_TAG: _decode_integer,
+}
 
 
 def decode_cbor(data: bytes) -> Any:
-    """Decodes a message, in which tagged values are replaced.
+    """Decodes a message, in which tagged values are ``undefined``.
 
-    Integers of more than 64 bits are tagged, too.
+    Positive integers of up to 256 bits are the only ones that are decoded.
 
     Raises:
         DecodingError: The message is malformed or nested too deep.
@@ -175,7 +188,7 @@
     try:
         return cbor2.loads(
             data,
-            tag_hook=_skip_tagged,
+            tag_hook=_replace_tagged,
             semantic_decoders=_TAG_DECODERS,
             max_depth=MAX_DEPTH,
             allow_indefinite=False,
