Check messages about placements before they change anything

A message that ends a placement dropped the record of the request before its outcome and load were checked, so after a malformed one the request counted as running on its server for ever; a prompt of NaN tokens or a list among its blocks became part of the router's estimates. Both are checked first now, and the record of a malformed end expires as that of a lost one.

--- a/savoryspar/gateway/placing.py
+++ b/savoryspar/gateway/placing.py
@@ -28,6 +28,7 @@
 )
 from savoryspar.gateway import model
 
+MAX_HASH = 2**64 - 1
 PLACE_KIND = "place"
 ANSWER_START_KIND = "placed_first"
 FINISH_KIND = "placed_finish"
@@ -351,17 +352,17 @@
             excluded,
         ) = body
         call = routing.Call(
-            request_id,
-            workspace,
-            rank,
-            stage,
-            pool,
-            model_name,
+            str(request_id),
+            str(workspace),
+            str(rank),
+            str(stage),
+            str(pool),
+            str(model_name),
             "",
-            frozenset(excluded),
-            blocks=tuple(blocks),
-            prompt_tokens=prompt_tokens,
-            zone=zone,
+            frozenset(map(str, excluded)),
+            blocks=tuple(decoding.integer(b, 0, MAX_HASH) for b in blocks),
+            prompt_tokens=decoding.integer(prompt_tokens, 0),
+            zone=str(zone),
         )
         try:
             choice = self._router.choose(call, now)
@@ -387,17 +388,19 @@
             self._router.record_answer_start(choice, self._clock())
 
     def _serve_finish(self, sender: str, body: Any) -> None:
-        number, outcome, load, is_leaving, pause_s = body
+        # A malformed message leaves the choice open, which then expires.
+        number, name, load, is_leaving, value = body
+        outcome = routing.Outcome(name)
+        decoding.integer(load, -1)
+        pause_s = decoding.number(value, 0, math.inf)
         choice = self._open_choices.pop((sender, number), None)
         if choice is not None:
             now = self._clock()
-            self._router.observe(choice, routing.Outcome(outcome), load, now)
+            self._router.observe(choice, outcome, load, now)
             self._router.availability.record(
                 choice.server.key,
                 bool(is_leaving),
-                min(
-                    decoding.number(pause_s, 0, math.inf), platform.MAX_PAUSE_S
-                ),
+                min(pause_s, platform.MAX_PAUSE_S),
                 now,
             )
 
--- a/savoryspar/gateway/trials.py
+++ b/savoryspar/gateway/trials.py
@@ -11,7 +11,15 @@
 import itertools
 from typing import Any
 
-from savoryspar import blame, fleet, log, membership, routing, stages
+from savoryspar import (
+    blame,
+    decoding,
+    fleet,
+    log,
+    membership,
+    routing,
+    stages,
+)
 from savoryspar.gateway import model, placing
 
 BEGIN_KIND = "trial_begin"
@@ -214,21 +222,21 @@
         ) = body
         now = self._clock()
         self._expire(now)
-        lane = self._lanes.setdefault(pool, blame.new_trial_lane())
-        if not lane.is_free(now):
-            return {"is_busy": True}
-        zones = [self._members.zone]
         call = routing.Call(
-            request_id,
-            workspace,
-            rank,
+            str(request_id),
+            str(workspace),
+            str(rank),
             "",
-            pool,
-            model_name,
+            str(pool),
+            str(model_name),
             "",
-            frozenset(excluded),
-            prompt_tokens=int(tokens),
+            frozenset(map(str, excluded)),
+            prompt_tokens=decoding.integer(tokens, 0),
         )
+        lane = self._lanes.setdefault(call.pool, blame.new_trial_lane())
+        if not lane.is_free(now):
+            return {"is_busy": True}
+        zones = [self._members.zone]
         try:
             call.server = self._router.quietest(
                 pool, zones, call.excluded, frozenset(crashed), now
@@ -278,7 +286,8 @@
 
     def _serve_finish(self, sender: str, body: Any) -> None:
         number, outcome, load, *_ = body
-        holder = (sender, int(number))
+        holder = (sender, decoding.integer(number, 0))
+        decoding.integer(load, -1)
         choice = self._open_choices.get(holder)
         if choice is not None:
             self._end(holder, routing.Outcome(outcome), load, self._clock())
--- a/tests/gateway/test_placing.py
+++ b/tests/gateway/test_placing.py
@@ -1,5 +1,6 @@
 """Tests of placing requests through another VM."""
 
+import math
 import time
 
 import testtools
@@ -83,6 +84,46 @@
         self.assertEqual("s2", placement.server.name)
         self.assertEqual([2, "cancelled", -1, True, 0.0], members.sent[-1][2])
 
+    def test_malformed_messages_change_no_load(self):
+        """Guards against a server that counts as busy for ever.
+
+        The record of a request was dropped before the message that ended it
+        was checked, so the request counted as running on its server.
+        """
+        placer, _ = self._new_placer()
+        self.router.replace_servers(
+            [backends.Server("s1", "127.0.0.1:1", "r", "z1", "p")], 0.0
+        )
+        body = ["p", "z1", "a", "w", "0", "r", "m", [5], 7, []]
+        for at, value in ((7, [-1]), (7, ["x"]), (7, [2.5]), (8, math.nan)):
+            self.assertRaises(
+                ValueError,
+                placer._serve_place,
+                "peer",
+                [*body[:at], value, *body[at + 1 :]],
+            )
+        self.assertEqual(0, self.running())
+        number = placer._serve_place("peer", body)["number"]
+        self.assertEqual(1, self.running())
+        finish = [number, "ok", 3, False, 0.0]
+        for at, value in (
+            *((1, "odd"), (1, None), (2, math.nan), (2, -2), (2, "3")),
+            *((4, math.nan), (4, -1.0), (4, None)),
+        ):
+            self.assertRaises(
+                ValueError,
+                placer._serve_finish,
+                "peer",
+                [*finish[:at], value, *finish[at + 1 :]],
+            )
+            self.assertEqual(1, self.running())
+        placer._serve_finish("peer", finish)
+        self.assertEqual(0, self.running())
+
+    def running(self):
+        servers = self.router.status(time.monotonic())["p"]
+        return sum(server["in_flight"] for server in servers.values())
+
     def _new_placer(self, leaving=""):
         events = event_logs.new_event_log(self)
         server_registry = fleet.new_server_registry(events)
