--- a/savoryspar/decoding.py
+++ b/savoryspar/decoding.py
@@ -35,6 +35,15 @@
 
 
 POSITIVE_INTEGER_TAG = 2
+ERRORS = (
+    ArithmeticError,
+    AttributeError,
+    LookupError,
+    RecursionError,
+    TypeError,
+    ValueError,
+)
+"""Errors of code that reads data of an unexpected form."""
 
 
 class DecodingError(ValueError):
@@ -52,14 +61,7 @@
         yield
     except DecodingError:
         raise
-    except (
-        ArithmeticError,
-        AttributeError,
-        LookupError,
-        RecursionError,
-        TypeError,
-        ValueError,
-    ) as exc:
+    except ERRORS as exc:
         raise DecodingError(f"{subject}: {describe(exc)}") from exc
 
 
--- a/savoryspar/platform/store.py
+++ b/savoryspar/platform/store.py
@@ -269,18 +269,23 @@
     Raises:
         DecodingError: It has no key or no valid revision.
     """
+    try:
+        return Item(_key(body), _value(body), _revision(body["revision"]))
+    except decoding.ERRORS as exc:
+        return _malformed_item(body, exc)
+
+
+def _malformed_item(body: Any, exc: Exception) -> Item:
     with decoding.reading("an item"):
-        shown = body["key"].encode(errors="replace").decode()[:MAX_KEY_BYTES]
+        shown = body["key"].encode(errors="replace").decode()
         revision = _revision(body["revision"])
-    try:
-        with decoding.reading("an item"):
-            key = _key(body)
-            if body.get("deleted"):
-                return Item(key, None, revision)
-            value = base64.b64decode(body["value"], validate=True)
-    except decoding.DecodingError as exc:
-        return Item(shown, b"", revision, str(exc))
-    return Item(key, value, revision)
+    return Item(shown[:MAX_KEY_BYTES], b"", revision, decoding.describe(exc))
+
+
+def _value(body: Mapping[str, Any]) -> bytes | None:
+    if body.get("deleted"):
+        return None
+    return base64.b64decode(body["value"], validate=True)
 
 
 def _key(body: Mapping[str, Any]) -> str:
