Hide changes of the soak's store only from open watches

The trace: for 2.5 and 2.9 s the soak's store had answered all VMs' successive new watches from an old revision without the changes after it. The platform's page says that a watch returns events as soon as one exists, so only watches that were open at the change may miss it; a new one gets it.

--- a/savoryspar/soak/store_ports.py
+++ b/savoryspar/soak/store_ports.py
@@ -20,7 +20,8 @@
 HIDDEN = "hidden"
 WATCH_FAULTS = (DEAF, DEAF_AND_SILENT, HIDDEN)
 """Watches that are open at any time of the fault are not answered, without or
-with the reads that begin in it; or watches end without the changes."""
+with the reads that begin in it; or watches end without the changes that are
+made while they are open."""
 UNANSWERED_S = 60.0
 """Time after which an unanswered call ends; longer than every timeout."""
 
@@ -74,8 +75,9 @@
         """Waits for changes after a revision, as ``Store.wait`` does."""
         ends_at = time.monotonic() + wait_s
         deaf_times = self._deaf_times
+        is_open_before = not self._store.wait(prefix, after, 0.0)
         changes = self._store.wait(prefix, after, wait_s)
-        if self._fault == HIDDEN:
+        if self._fault == HIDDEN and is_open_before and changes:
             eventlet.sleep(max(0.0, ends_at - time.monotonic()))
             return []
         if (
