Tell peers only the changes that a read is complete for

A read of servers/ told its neighbours the changes after the revision that was applied when the read began. A removal that a message brought during the read was not among them, as the server was no longer known, but lay inside the range that was told. A peer that had lost the message about the removal took the range as applied and kept the server until its next full read.

The range now begins at the revision that is applied when the read ends.

The new test fails before: the message covered revisions 11 to 13, with the removal at 12 missing; it covers 12 to 13 now.

--- a/savoryspar/gateway/store_follower.py
+++ b/savoryspar/gateway/store_follower.py
@@ -185,13 +185,14 @@
             StoreError: The call failed.
         """
         state, client = self._state, self._read_client
-        since = state.applied
         if state.prefix == platform.CONFIGURATION_PREFIX:
             snapshot = client.get(platform.CONFIGURATION_KEY)
         else:
             snapshot = client.read_all(state.prefix)
         # The store may close an idle connection before the next read.
         client.close()
+        # A server that a message removed during the read is not among ``gone``.
+        since = state.applied
         gone = self._contents.apply_all(state.prefix, snapshot)
         changes = [
             item for item in [*snapshot.items, *gone] if item.revision > since
--- a/tests/gateway/test_fleet_watch.py
+++ b/tests/gateway/test_fleet_watch.py
@@ -123,10 +123,12 @@
 
     Attributes:
         calls: Names of the methods called.
+        delay_s: Delay of reads, in seconds.
     """
 
     def __init__(self, revision=10):
         self.calls = []
+        self.delay_s = 0.0
         self.revision = revision
         self.items = []
 
@@ -141,6 +143,7 @@
     def read_all(self, prefix):
         del prefix
         self.calls.append("read_all")
+        eventlet.sleep(self.delay_s)
         return platform.Snapshot([*self.items], self.revision)
 
     def watch(self, prefix, after, wait_s):
@@ -539,6 +542,26 @@
         eventlet.sleep(2 * fleet_watch.POLL_S)
         self.assertEqual(["read_all"] * 2, self.store.calls)
 
+    def test_changes_that_arrive_during_a_read_are_not_hidden(self):
+        """Guards against peers that keep a server which has been removed.
+
+        What a read tells peers lacked a removal that arrived during the read,
+        but covered its revision, so a lost message about it was not missed.
+        """
+        self.follow()
+        self.receive(10, 11, [self.row("s1", 11)])
+        self.store.delay_s = 0.2
+        self.store.revision = 14
+        self.store.items = [platform.Item(*self.row("s2", 13))]
+        # The gap before this change makes the VM read.
+        self.receive(12, 13, [self.row("s2", 13)])
+        eventlet.sleep(prefix_state.GAP_GRACE_S + 0.1)
+        self.receive(11, 12, [[f"{platform.SERVER_PREFIX}s1", None, 12]])
+        self.members.sent.clear()
+        eventlet.sleep(0.3)
+        ((body, _),) = self.members.sent
+        self.assertEqual([12, 13], body[1:3])
+
     def test_configuration_is_read_by_each_vm(self):
         """Guards against a configuration taken from a peer's message."""
         self.follow(platform.CONFIGURATION_PREFIX)
