Do not tell peers a list beyond its revision as complete

What was told to peers reached up to the newest item of any page, so a removal from the first page between the two revisions was inside the range but not in the message. Peers took the range as applied, dropped the watch's message about the removal if it ended there, and kept the server.

Only changes up to the revision of the list are told; later ones follow by the watch.

The new test fails before: the message covered revisions 10 to 25 for a list as of 20; it covers 10 to 15 now.

--- a/savoryspar/gateway/store_follower.py
+++ b/savoryspar/gateway/store_follower.py
@@ -194,8 +194,11 @@
         # A server that a message removed during the read is not among ``gone``.
         since = state.applied
         gone = self._contents.apply_all(state.prefix, snapshot)
+        # Later pages may have newer items, without removals from earlier ones.
         changes = [
-            item for item in [*snapshot.items, *gone] if item.revision > since
+            item
+            for item in [*snapshot.items, *gone]
+            if since < item.revision <= snapshot.revision
         ]
         self._record_answer("read", snapshot.revision, bool(changes))
         state.record_read(snapshot.revision, self._clock())
--- a/tests/gateway/test_fleet_watch.py
+++ b/tests/gateway/test_fleet_watch.py
@@ -562,6 +562,24 @@
         ((body, _),) = self.members.sent
         self.assertEqual([12, 13], body[1:3])
 
+    def test_items_newer_than_a_list_are_not_told_as_complete(self):
+        """Guards against peers that miss a change between two pages.
+
+        A later page has items that are newer than the revision of the list,
+        which is the one of its first page.
+        """
+        self.follow()
+        self.store.revision = 20
+        self.store.items = [
+            platform.Item(*self.row("s1", 15)),
+            platform.Item(*self.row("s2", 25)),
+        ]
+        self.receive(12, 13, None)
+        self.members.sent.clear()
+        eventlet.sleep(2 * fleet_watch.POLL_S)
+        ((body, _),) = self.members.sent
+        self.assertEqual([10, 15], body[1:3])
+
     def test_configuration_is_read_by_each_vm(self):
         """Guards against a configuration taken from a peer's message."""
         self.follow(platform.CONFIGURATION_PREFIX)
