Keep a change that is told during the read of an earlier one

A read that began after the first missing change was told lowered the told revision to that of its answer, also if a later change had been told meanwhile, after the store had answered. The later change was forgotten until the next heartbeat of a peer.

The read is now compared with the time at which the newest revision was told.

The new test fails before: the VM did not count as behind.

--- a/savoryspar/gateway/prefix_state.py
+++ b/savoryspar/gateway/prefix_state.py
@@ -69,6 +69,7 @@
         "_read_began_at",
         "_retry_at",
         "_retry_s",
+        "_told_at",
         "_wakeups",
         "applied",
         "behind_since",
@@ -107,6 +108,7 @@
         self._read_began_at: float | None = None
         self._retry_at = -math.inf
         self._retry_s = RETRY_S
+        self._told_at = -math.inf
         self._wakeups: queue.LightQueue = queue.LightQueue(1)
 
     @property
@@ -131,7 +133,7 @@
         """Records the revision of the newest change that a peer knows."""
         if revision <= self.told:
             return
-        self.told, self.told_by = revision, peer
+        self.told, self.told_by, self._told_at = revision, peer, now
         if self.behind_since is None and self.is_behind:
             self.behind_since = now
             self.wake()
@@ -175,7 +177,7 @@
         self._retry_at = now + (
             CHANGE_BATCH_DELAY_S if revision else MISSING_RETRY_S
         )
-        if self.behind_since is not None and began_at >= self.behind_since:
+        if self.behind_since is not None and began_at >= self._told_at:
             # Answers are linearizable, so there is no later change.
             self.told = min(self.told, max(revision, self.applied))
         self.record_applied(revision)
--- a/tests/gateway/test_fleet_watch.py
+++ b/tests/gateway/test_fleet_watch.py
@@ -390,6 +390,20 @@
         state.record_read(20, 11.1)
         self.assertTrue(state.is_behind)
 
+    def test_change_told_during_the_read_of_another_is_read(self):
+        """Guards against a change that is forgotten.
+
+        A read that began after the first missing change was taken to have all
+        changes that were told until its answer.
+        """
+        state = self.new_watching_state()
+        state.record_told(12, "a", 11.0)
+        state.begin_read(11.5)
+        state.record_told(13, "a", 11.6)
+        state.record_read(12, 11.7)
+        self.assertTrue(state.is_behind)
+        self.assertLess(state.read_due_at(), 12.0)
+
     def test_silent_store_is_read_again_within_the_bound(self):
         """Guards against a pause after a read that already took long."""
         state = self.new_watching_state()
