Take no removed server back from an answer that is behind

A server that is not in the registry was added from any answer that listed it: from a peer that had missed its removal, and from a watch that was answered before the removal but arrived after a read that did not list the server any more. If the removal was not known here, or had expired after 120 s, the server was used until the next full read.

All changes up to the applied revision are known, so changes of a watch up to it are skipped, and unknown servers up to it in the reply of a peer that is behind. The reply of a peer that is not behind is taken in full, as before.

Both new tests fail before: the server that had left was usable again.

--- a/savoryspar/gateway/fleet_watch.py
+++ b/savoryspar/gateway/fleet_watch.py
@@ -423,6 +423,8 @@
             with self._ignoring(row, source):
                 entries.append(platform.decode_peer_entry(row, versions))
         is_whole = len(entries) == len(reply["servers"])
+        if revision < self.states[platform.SERVER_PREFIX].applied:
+            entries = [e for e in entries if not self._is_outdated(e)]
         self._server_registry.replace(
             entries, revision if is_whole else 0, source, now
         )
@@ -432,6 +434,16 @@
                 self._server_registry.remove(name, removed_at, source, now)
         return is_whole
 
+    def _is_outdated(self, entry: fleet.BackendEntry) -> bool:
+        """Returns whether an entry is older than all that is applied.
+
+        A server that is not known then has been removed; its removal may be
+        unknown here, or have expired.
+        """
+        applied = self.states[platform.SERVER_PREFIX].applied
+        is_known = self._server_registry.find(entry.name) is not None
+        return entry.revision <= applied and not is_known
+
     @contextlib.contextmanager
     def _ignoring(self, row: Any, source: str) -> Iterator[None]:
         """Skips an entry of a peer that is malformed, with a log line."""
--- a/savoryspar/gateway/store_follower.py
+++ b/savoryspar/gateway/store_follower.py
@@ -170,7 +170,10 @@
         )
         revision = next_revision(since, changes)
         self._record_answer("watch", revision, bool(changes.items))
-        self._contents.apply(state.prefix, changes.items, "store watch")
+        # Meanwhile a read may have found that a server is gone whose removal is
+        # not among these changes.
+        items = [i for i in changes.items if i.revision > state.applied]
+        self._contents.apply(state.prefix, items, "store watch")
         state.record_applied(revision)
         if not changes.items:
             self._contents.record_quiet_watch()
--- a/tests/gateway/test_fleet_watch.py
+++ b/tests/gateway/test_fleet_watch.py
@@ -594,6 +594,64 @@
         ((body, _),) = self.members.sent
         self.assertEqual([10, 15], body[1:3])
 
+    def test_peer_that_is_behind_brings_no_server_back(self):
+        """Guards against a server that left and is used again.
+
+        A peer that had missed a removal replied after this VM had read the
+        store, and the removal was not known here or had expired.
+        """
+        self.follow()
+        reply = {
+            "document": b"",
+            "servers": [
+                [name, "p", "127.0.0.1:1", "z", 1, False, 0, revision]
+                for name, revision in (("s1", 5), ("s2", 11))
+            ],
+            "versions": {},
+            "removed": [],
+        }
+        for revisions in ({}, {platform.SERVER_PREFIX: 6}):
+            self.watch._apply_peer_state(
+                {**reply, "revisions": revisions}, "vm-2"
+            )
+            self.assertEqual(
+                ["s2"], [e.name for e in self.server_registry.usable()]
+            )
+        # A peer that is not behind may know what the store did not report.
+        self.watch._apply_peer_state(
+            {**reply, "revisions": {platform.SERVER_PREFIX: 12}}, "vm-2"
+        )
+        self.assertEqual(2, len(self.server_registry.usable()))
+
+    def test_late_answer_of_a_watch_brings_no_server_back(self):
+        """Guards against a server that left and is used again.
+
+        The watch was answered before the server left, and arrived after the
+        answer of a read that did not list it any more.
+        """
+        state = self.watch.states[platform.SERVER_PREFIX]
+        self.patch(self.watch._election, "_settled_at", 0.0)
+        self.patch(self.watch._election, "contact_at", 0.0)
+        items = [platform.Item(*self.row("s1", 12))]
+
+        def watch(prefix, after, wait_s):
+            del prefix, after
+            eventlet.sleep(0.2)
+            found, items[:] = [*items], []
+            if not found:
+                eventlet.sleep(wait_s)
+            return platform.Snapshot(found, 12 if found else 20)
+
+        self.store.watch = watch
+        self.follow()
+        eventlet.sleep(fleet_watch.POLL_S)
+        self.store.revision = 20
+        state.require_read()
+        eventlet.sleep(2 * fleet_watch.POLL_S)
+        self.assertEqual([], items)
+        self.assertEqual(20, state.applied)
+        self.assertEqual([], self.server_registry.usable())
+
     def test_configuration_is_read_by_each_vm(self):
         """Guards against a configuration taken from a peer's message."""
         self.follow(platform.CONFIGURATION_PREFIX)
