Accept requests with bodies of several parts

Callers that uploaded a file got 400: the library parses a head as a whole e-mail, looks for the parts of a multipart body in it, and notes that they are missing. A request was rejected for any defect that the library had noted.

Only defects of the lines of the head count now.

A malformed line beside such a type is still rejected.

--- a/savoryspar/decoding.py
+++ b/savoryspar/decoding.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable, Iterator, Mapping, Sequence
 import contextlib
+from email import errors, message
 import ipaddress
 import itertools
 import json
@@ -30,6 +31,14 @@
     *(35, 36, 37, 43, 52, 54, 100, 256, 258, 260, 261, 1004, 43000, 55799),
 )
 """CBOR tags that the library would decode to objects."""
+PART_DEFECTS = (
+    errors.CloseBoundaryNotFoundDefect,
+    errors.InvalidMultipartContentTransferEncodingDefect,
+    errors.MultipartInvariantViolationDefect,
+    errors.NoBoundaryInMultipartDefect,
+    errors.StartBoundaryNotFoundDefect,
+)
+"""Defects of the parts of a body, which the parser of a head has not got."""
 
 
 class DecodingError(ValueError):
@@ -185,6 +194,17 @@
         raise DecodingError(f"invalid CBOR: {describe(exc)}") from exc
 
 
+def head_defects(fields: message.Message) -> list[errors.MessageDefect]:
+    """Returns the defects of the lines of an HTTP head.
+
+    The library parses a head as a whole e-mail, so it misses the parts of a
+    body whose type is ``multipart``.
+    """
+    return [
+        item for item in fields.defects if not isinstance(item, PART_DEFECTS)
+    ]
+
+
 def integer(value: Any, minimum: int, maximum: int = MAX_INTEGER) -> int:
     """Returns an integer within limits.
 
--- a/savoryspar/http/protocol.py
+++ b/savoryspar/http/protocol.py
@@ -12,6 +12,7 @@
 import eventlet
 from eventlet import wsgi
 
+from savoryspar import decoding
 from savoryspar.http import chunks
 
 TARGET_KEY = "savoryspar.target"
@@ -139,7 +140,7 @@
             or not all(text.strip().isdigit() for text in lengths)
             or not all(text.strip().lower() == "chunked" for text in encodings)
             or (self.request_version != "HTTP/1.1" and bool(encodings))
-            or bool(self.headers.defects)
+            or bool(decoding.head_defects(self.headers))
         )
 
     def handle_one_response(self) -> None:
--- a/tests/http/test_protocol.py
+++ b/tests/http/test_protocol.py
@@ -72,6 +72,20 @@
         self.assertIn(b"body:abc", answer)
         self.assertIn(b"/a%2f//b", answer)
 
+    def test_multipart_body_is_read(self):
+        """Guards against uploads that are refused.
+
+        The parser of the head looked for the parts of the body in it.
+        """
+        for kind in ("multipart/form-data; boundary=b", "multipart/mixed"):
+            head = (
+                f"POST / HTTP/1.1\r\nHost: h\r\nContent-Type: {kind}\r\n"
+                "Content-Transfer-Encoding: base64\r\n"
+            ).encode()
+            answer = self.send_request(head + b"Content-Length: 3\r\n\r\nabc")
+            self.assertTrue(answer.startswith(b"HTTP/1.1 200"), answer)
+            self.assert_refused(head + b"bad line\r\nContent-Length: 3\r\n\r\n")
+
     def test_leading_slashes_are_kept(self):
         """Guards against the path rewriting of the server library."""
         answer = self.send_request(b"GET //a HTTP/1.1\r\nHost: h\r\n\r\n")
