--- a/tests/backends/test_malformed_heads.py
+++ b/tests/backends/test_malformed_heads.py
@@ -59,6 +59,15 @@
                 LENGTH + b"\r\n0123456789",
             ):
                 self.check_rejected(HEAD + line + b"\r\n" + rest)
+        for kind in (b"multipart/x; boundary=b", b"multipart/x", b"message/x"):
+            self.check_rejected(
+                HEAD
+                + b"Content-Type: "
+                + kind
+                + b"\r\ngarbage\r\n"
+                + LENGTH
+                + b"\r\n"
+            )
         self.check_rejected(b"HTTP/1.1 200 OK\r\nFrom x\r\n" + LENGTH + b"\r\n")
         self.check_rejected(b"HTTP/1.1 200 OK\r\n X: y\r\n" + LENGTH + b"\r\n")
 
@@ -151,6 +160,10 @@
             HEAD + b"Content-Length:10 \r\n\r\n0123456789",
             HEAD + b"X:\r\nY: \xe9\x85\x0b\r\n" + LENGTH + b"\r\n0123456789",
             HEAD + b"Content-Type: multipart/x; boundary=b\r\n\r\n0123456789",
+            HEAD + b"Content-Type: multipart/x\r\n\r\n0123456789",
+            HEAD
+            + b"Content-Transfer-Encoding: base64\r\n"
+            + b"Content-Type: multipart/x; boundary=b\r\n\r\n0123456789",
             HEAD + b"\r\n0123456789",
             HEAD + CHUNKED + b"\r\n" + CHUNKS,
             HEAD + b"transfer-encoding: Chunked\r\n\r\n0" + CHUNKS.upper(),
