Accept configurations with limits of 2 GiB and more

The limit is now 2^53, up to which all readers of JSON agree on integers.

The new test fails before with DocumentError.

--- a/savoryspar/platform/documents.py
+++ b/savoryspar/platform/documents.py
@@ -25,7 +25,7 @@
 """Entries of servers have less than 1 KB."""
 MAX_PATTERN_CHARS = 4000
 """Limit for hosts and path prefixes."""
-MAX_COUNT = 1 << 31
+MAX_COUNT = 1 << 53
 """Limit for slots, queues, ranks and sizes in tokens or bytes."""
 MAX_DURATION_MS = 1e10
 MAX_RESULT_BYTES = 1e15
--- a/tests/platform/test_translation.py
+++ b/tests/platform/test_translation.py
@@ -80,6 +80,13 @@
         self.assertIsNone(current.find_workspace("k3"))
         self.assertEqual(0.15, current.services["s"].stage_pool.call_s)
 
+    def test_large_limits_are_accepted(self):
+        """Guards against a version that is never in force."""
+        limits = {"max-body-bytes": 1 << 33, "max-header-bytes": 1 << 31}
+        document = json.dumps({**CONFIGURATION, "limits": limits}).encode()
+        current = platform.decode_configuration(document)
+        self.assertEqual(1 << 33, current.limits.max_body_bytes)
+
     def test_malformed_configuration_is_rejected(self):
         """Guards against an incomplete configuration put in force."""
         for document in (b"{", b"[]", b'{"version": 1}'):
