Ask peers less often for a change that none of them has

While a told change was missing, a VM that the store does not answer asked three peers every 0.25 s, and each reply has all servers. If the only VM that had read the change was gone, all VMs did so for the whole outage of the store.

From 5 s after the newest change was told, they ask every 1.6 s, as without a missing change.

The new test fails before: 4 rounds in 1.1 s for a change told 60 s ago, now 1. For one told 1 s ago there are 4, as before.

--- a/savoryspar/gateway/peer_reads.py
+++ b/savoryspar/gateway/peer_reads.py
@@ -19,6 +19,9 @@
 PEERS_ASKED_AT_START = 5
 BEHIND_INTERVAL_S = 0.25
 """Shortest time between two rounds of requests while a change is missing."""
+BEHIND_LIMIT_S = 5.0
+"""Time after the newest such change was told from which peers are not expected
+to have it; each reply has all servers."""
 INTERVAL_S = 1.6
 """Shortest time between two other rounds of requests."""
 MIN_START_REPLIES = 2
@@ -111,7 +114,8 @@
         if not needs_peers or self._is_asking:
             return
         is_urgent = self._is_starting() or any(
-            state.is_behind for state in self._states
+            state.is_behind and state.told_s(now) < BEHIND_LIMIT_S
+            for state in self._states
         )
         interval_s = BEHIND_INTERVAL_S if is_urgent else INTERVAL_S
         peers = self._choose_peers(now)
--- a/savoryspar/gateway/prefix_state.py
+++ b/savoryspar/gateway/prefix_state.py
@@ -125,6 +125,10 @@
         """Returns for how long a told change has not been applied."""
         return 0.0 if self.behind_since is None else now - self.behind_since
 
+    def told_s(self, now: float) -> float:
+        """Returns how long ago the newest change was told."""
+        return now - self._told_at
+
     def unanswered_s(self, now: float) -> float:
         """Returns for how long the read in progress has not been answered."""
         return 0.0 if self._read_began_at is None else now - self._read_began_at
--- a/tests/gateway/test_fleet_watch.py
+++ b/tests/gateway/test_fleet_watch.py
@@ -468,6 +468,26 @@
         for data in (b"", b"x", good[:-1], peer_reads.compress(document)):
             self.assertRaises(ValueError, peer_reads.decompress, data)
 
+    def test_change_that_no_peer_has_is_not_asked_for_all_the_time(self):
+        """Guards against a fleet that is busy with requests in an outage.
+
+        The only VM that had read a change may be gone.
+        """
+        now = time.monotonic()
+        self.state.record_read(10, now)
+        self.state.begin_read(now)
+        self.members.replies = {name: ({"v": 5}, 0.0) for name in "abc"}
+        for behind_s, rounds in ((1.0, 4), (60.0, 1)):
+            self.state.told, self.reads.rounds = 0, 0
+            self.state.behind_since = None
+            self.reads._asked_at = float("-inf")
+            self.state.record_told(12, "a", now - behind_s)
+            for at in range(12):
+                self.reads.begin_if_due(now + at / 10)
+                eventlet.sleep(0)
+                eventlet.sleep(0.01)
+            self.assertEqual(rounds, self.reads.rounds, behind_s)
+
     def test_frozen_peer_does_not_delay_the_others(self):
         """Guards against peers that are asked one after the other."""
         self.state.record_read(10, time.monotonic())
