--- a/savoryspar/gateway/store_follower.py
+++ b/savoryspar/gateway/store_follower.py
@@ -170,7 +170,10 @@
         )
         revision = next_revision(since, changes)
         self._record_answer("watch", revision, bool(changes.items))
-        self._contents.apply(state.prefix, changes.items, "store watch")
+        # Meanwhile a read may have found that a server is gone whose removal is
+        # not among these changes.
+        items = [i for i in changes.items if i.revision > state.applied]
+        self._contents.apply(state.prefix, items, "store watch")
         state.record_applied(revision)
         if not changes.items:
             self._contents.record_quiet_watch()
@@ -185,16 +188,20 @@
             StoreError: The call failed.
         """
         state, client = self._state, self._read_client
-        since = state.applied
         if state.prefix == platform.CONFIGURATION_PREFIX:
             snapshot = client.get(platform.CONFIGURATION_KEY)
         else:
             snapshot = client.read_all(state.prefix)
         # The store may close an idle connection before the next read.
         client.close()
+        # A server that a message removed during the read is not among ``gone``.
+        since = state.applied
         gone = self._contents.apply_all(state.prefix, snapshot)
+        # Later pages may have newer items, without removals from earlier ones.
         changes = [
-            item for item in [*snapshot.items, *gone] if item.revision > since
+            item
+            for item in [*snapshot.items, *gone]
+            if since < item.revision <= snapshot.revision
         ]
         self._record_answer("read", snapshot.revision, bool(changes))
         state.record_read(snapshot.revision, self._clock())
--- a/tests/gateway/test_fleet_watch.py
+++ b/tests/gateway/test_fleet_watch.py
@@ -123,10 +123,12 @@
 
     Attributes:
         calls: Names of the methods called.
+        delay_s: Delay of reads, in seconds.
     """
 
     def __init__(self, revision=10):
         self.calls = []
+        self.delay_s = 0.0
         self.revision = revision
         self.items = []
 
@@ -141,6 +143,7 @@
     def read_all(self, prefix):
         del prefix
         self.calls.append("read_all")
+        eventlet.sleep(self.delay_s)
         return platform.Snapshot([*self.items], self.revision)
 
     def watch(self, prefix, after, wait_s):
@@ -387,6 +390,20 @@
         state.record_read(20, 11.1)
         self.assertTrue(state.is_behind)
 
+    def test_change_told_during_the_read_of_another_is_read(self):
+        """Guards against a change that is forgotten.
+
+        A read that began after the first missing change was taken to have all
+        changes that were told until its answer.
+        """
+        state = self.new_watching_state()
+        state.record_told(12, "a", 11.0)
+        state.begin_read(11.5)
+        state.record_told(13, "a", 11.6)
+        state.record_read(12, 11.7)
+        self.assertTrue(state.is_behind)
+        self.assertLess(state.read_due_at(), 12.0)
+
     def test_silent_store_is_read_again_within_the_bound(self):
         """Guards against a pause after a read that already took long."""
         state = self.new_watching_state()
@@ -451,6 +468,26 @@
         for data in (b"", b"x", good[:-1], peer_reads.compress(document)):
             self.assertRaises(ValueError, peer_reads.decompress, data)
 
+    def test_change_that_no_peer_has_is_not_asked_for_all_the_time(self):
+        """Guards against a fleet that is busy with requests in an outage.
+
+        The only VM that had read a change may be gone.
+        """
+        now = time.monotonic()
+        self.state.record_read(10, now)
+        self.state.begin_read(now)
+        self.members.replies = {name: ({"v": 5}, 0.0) for name in "abc"}
+        for behind_s, rounds in ((1.0, 4), (60.0, 1)):
+            self.state.told, self.reads.rounds = 0, 0
+            self.state.behind_since = None
+            self.reads._asked_at = float("-inf")
+            self.state.record_told(12, "a", now - behind_s)
+            for at in range(12):
+                self.reads.begin_if_due(now + at / 10)
+                eventlet.sleep(0)
+                eventlet.sleep(0.01)
+            self.assertEqual(rounds, self.reads.rounds, behind_s)
+
     def test_frozen_peer_does_not_delay_the_others(self):
         """Guards against peers that are asked one after the other."""
         self.state.record_read(10, time.monotonic())
@@ -539,6 +576,102 @@
         eventlet.sleep(2 * fleet_watch.POLL_S)
         self.assertEqual(["read_all"] * 2, self.store.calls)
 
+    def test_changes_that_arrive_during_a_read_are_not_hidden(self):
+        """Guards against peers that keep a server which has been removed.
+
+        What a read tells peers lacked a removal that arrived during the read,
+        but covered its revision, so a lost message about it was not missed.
+        """
+        self.follow()
+        self.receive(10, 11, [self.row("s1", 11)])
+        self.store.delay_s = 0.2
+        self.store.revision = 14
+        self.store.items = [platform.Item(*self.row("s2", 13))]
+        # The gap before this change makes the VM read.
+        self.receive(12, 13, [self.row("s2", 13)])
+        eventlet.sleep(prefix_state.GAP_GRACE_S + 0.1)
+        self.receive(11, 12, [[f"{platform.SERVER_PREFIX}s1", None, 12]])
+        self.members.sent.clear()
+        eventlet.sleep(0.3)
+        ((body, _),) = self.members.sent
+        self.assertEqual([12, 13], body[1:3])
+
+    def test_items_newer_than_a_list_are_not_told_as_complete(self):
+        """Guards against peers that miss a change between two pages.
+
+        A later page has items that are newer than the revision of the list,
+        which is the one of its first page.
+        """
+        self.follow()
+        self.store.revision = 20
+        self.store.items = [
+            platform.Item(*self.row("s1", 15)),
+            platform.Item(*self.row("s2", 25)),
+        ]
+        self.receive(12, 13, None)
+        self.members.sent.clear()
+        eventlet.sleep(2 * fleet_watch.POLL_S)
+        ((body, _),) = self.members.sent
+        self.assertEqual([10, 15], body[1:3])
+
+    def test_peer_that_is_behind_brings_no_server_back(self):
+        """Guards against a server that left and is used again.
+
+        A peer that had missed a removal replied after this VM had read the
+        store, and the removal was not known here or had expired.
+        """
+        self.follow()
+        reply = {
+            "document": b"",
+            "servers": [
+                [name, "p", "127.0.0.1:1", "z", 1, False, 0, revision]
+                for name, revision in (("s1", 5), ("s2", 11))
+            ],
+            "versions": {},
+            "removed": [],
+        }
+        for revisions in ({}, {platform.SERVER_PREFIX: 6}):
+            self.watch._apply_peer_state(
+                {**reply, "revisions": revisions}, "vm-2"
+            )
+            self.assertEqual(
+                ["s2"], [e.name for e in self.server_registry.usable()]
+            )
+        # A peer that is not behind may know what the store did not report.
+        self.watch._apply_peer_state(
+            {**reply, "revisions": {platform.SERVER_PREFIX: 12}}, "vm-2"
+        )
+        self.assertEqual(2, len(self.server_registry.usable()))
+
+    def test_late_answer_of_a_watch_brings_no_server_back(self):
+        """Guards against a server that left and is used again.
+
+        The watch was answered before the server left, and arrived after the
+        answer of a read that did not list it any more.
+        """
+        state = self.watch.states[platform.SERVER_PREFIX]
+        self.patch(self.watch._election, "_settled_at", 0.0)
+        self.patch(self.watch._election, "contact_at", 0.0)
+        items = [platform.Item(*self.row("s1", 12))]
+
+        def watch(prefix, after, wait_s):
+            del prefix, after
+            eventlet.sleep(0.2)
+            found, items[:] = [*items], []
+            if not found:
+                eventlet.sleep(wait_s)
+            return platform.Snapshot(found, 12 if found else 20)
+
+        self.store.watch = watch
+        self.follow()
+        eventlet.sleep(fleet_watch.POLL_S)
+        self.store.revision = 20
+        state.require_read()
+        eventlet.sleep(2 * fleet_watch.POLL_S)
+        self.assertEqual([], items)
+        self.assertEqual(20, state.applied)
+        self.assertEqual([], self.server_registry.usable())
+
     def test_configuration_is_read_by_each_vm(self):
         """Guards against a configuration taken from a peer's message."""
         self.follow(platform.CONFIGURATION_PREFIX)
