--- a/tests/platform/test_translation.py
+++ b/tests/platform/test_translation.py
@@ -87,6 +87,14 @@
         current = platform.decode_configuration(document)
         self.assertEqual(1 << 33, current.limits.max_body_bytes)
 
+    def test_long_names_are_accepted(self):
+        """Guards against a version that is never in force."""
+        name = "x" * 300
+        tenants = [{"name": name, "api-keys": ["k"]}]
+        document = json.dumps({**CONFIGURATION, "tenants": tenants}).encode()
+        current = platform.decode_configuration(document)
+        self.assertEqual(name, current.find_workspace("k").name)
+
     def test_malformed_configuration_is_rejected(self):
         """Guards against an incomplete configuration put in force."""
         for document in (b"{", b"[]", b'{"version": 1}'):
