Do not read the store again and again for a revision it lacks

A read lowers a told revision that the store does not have. But each heartbeat of any peer then told the highest revision ever heard again, so all VMs that had heard a wrong one read the store about four times a second from then on, also after the peer that told it was gone; the fleet shares a limited number of reads. That maximum also hid announcements of real changes.

A heartbeat now tells only what it carries, and a refuted revision is not believed again for 2 s, nor relayed.

--- a/savoryspar/gateway/fleet_watch.py
+++ b/savoryspar/gateway/fleet_watch.py
@@ -239,7 +239,7 @@
         state = self.states[prefix]
         if decoding.integer(until, 0) <= state.applied:
             return
-        is_new = until > self._election.newest_revisions[prefix]
+        is_new = state.is_new(until, self._clock())
         source = f"peer {sender}"
         items = None
         try:
@@ -268,8 +268,8 @@
 
     def _merge_state(self, sender: str, first: int, rest: bytes) -> None:
         now = self._clock()
-        self._election.merge_state(first, rest, now)
-        for prefix, revision in self._election.newest_revisions.items():
+        told = self._election.merge_state(first, rest, now)
+        for prefix, revision in told.items():
             self.states[prefix].record_told(revision, sender, now)
 
     def apply_all(
--- a/savoryspar/gateway/prefix_state.py
+++ b/savoryspar/gateway/prefix_state.py
@@ -36,6 +36,9 @@
 MAX_RETRY_S = 1.6
 """Short enough for a configuration to be in force 2.5 s after the store is
 reachable again."""
+REFUTED_RETRY_S = 2.0
+"""Delay before a revision is believed again that the store did not have. A peer
+that tells a wrong one does so in each heartbeat."""
 MISSING_RETRY_S = 0.3
 """Delay before a key that does not exist yet is read again."""
 
@@ -67,6 +70,8 @@
     __slots__ = (
         "_expected_at",
         "_read_began_at",
+        "_refuted",
+        "_refuted_until",
         "_retry_at",
         "_retry_s",
         "_told_at",
@@ -106,6 +111,8 @@
         self.changes = 0
         self._expected_at = 0.0
         self._read_began_at: float | None = None
+        self._refuted = 0
+        self._refuted_until = -math.inf
         self._retry_at = -math.inf
         self._retry_s = RETRY_S
         self._told_at = -math.inf
@@ -133,9 +140,14 @@
         """Returns for how long the read in progress has not been answered."""
         return 0.0 if self._read_began_at is None else now - self._read_began_at
 
+    def is_new(self, revision: int, now: float) -> bool:
+        """Returns whether a revision was neither told nor just refuted."""
+        is_refuted = revision == self._refuted and now < self._refuted_until
+        return revision > self.told and not is_refuted
+
     def record_told(self, revision: int, peer: str, now: float) -> None:
         """Records the revision of the newest change that a peer knows."""
-        if revision <= self.told:
+        if not self.is_new(revision, now):
             return
         self.told, self.told_by, self._told_at = revision, peer, now
         if self.behind_since is None and self.is_behind:
@@ -183,7 +195,11 @@
         )
         if self.behind_since is not None and began_at >= self._told_at:
             # Answers are linearizable, so there is no later change.
-            self.told = min(self.told, max(revision, self.applied))
+            newest = max(revision, self.applied)
+            if self.told > newest:
+                self._refuted = self.told
+                self._refuted_until = now + REFUTED_RETRY_S
+                self.told = newest
         self.record_applied(revision)
 
     def record_failed_read(self, jitter: float, now: float) -> None:
--- a/savoryspar/gateway/watchers.py
+++ b/savoryspar/gateway/watchers.py
@@ -8,7 +8,7 @@
 there is one again.
 """
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 import math
 
 from savoryspar import membership, stages
@@ -129,12 +129,18 @@
             revision.to_bytes(REVISION_BYTES, "big") for revision in others
         )
 
-    def merge_state(self, first: int, rest: bytes, now: float) -> None:
-        """Merges the state in a heartbeat of a peer; see ``encode_state``."""
+    def merge_state(
+        self, first: int, rest: bytes, now: float
+    ) -> Mapping[str, int]:
+        """Merges the state in a heartbeat of a peer; see ``encode_state``.
+
+        Returns:
+            The revisions that it tells, by prefix; empty if it is malformed.
+        """
         if len(rest) != HEAD_BYTES + REVISION_BYTES * (
             len(self.newest_revisions) - 1
         ):
-            return
+            return {}
         age, hops = rest[:HEAD_BYTES]
         if age < evidence.MAX_AGE_UNITS:
             self.record_contact(now - age * evidence.AGE_UNIT_S, hops)
@@ -142,10 +148,10 @@
             int.from_bytes(rest[at : at + REVISION_BYTES], "big")
             for at in range(HEAD_BYTES, len(rest), REVISION_BYTES)
         )
-        for prefix, revision in zip(
-            self.newest_revisions, (first, *others), strict=True
-        ):
+        told = dict(zip(self.newest_revisions, (first, *others), strict=True))
+        for prefix, revision in told.items():
             self.record_revision(prefix, revision)
+        return told
 
     def record_revision(self, prefix: str, revision: int) -> None:
         """Records the revision of a change that a peer reported."""
--- a/tests/gateway/test_fleet_watch.py
+++ b/tests/gateway/test_fleet_watch.py
@@ -672,6 +672,28 @@
         self.assertEqual(20, state.applied)
         self.assertEqual([], self.server_registry.usable())
 
+    def test_wrong_revision_of_a_peer_does_not_cause_endless_reads(self):
+        """Guards against reads that use up the fleet's share of the store.
+
+        Each heartbeat of any peer repeated the highest revision ever told, and
+        hid the announcements of real changes.
+        """
+        self.follow()
+        wrong = bytes([1, 1]) + (10**12).to_bytes(8, "big")
+        for _ in range(15):
+            self.watch._merge_state("i1", 0, wrong)
+            eventlet.sleep(0.1)
+        self.assertEqual(["read_all"] * 2, self.store.calls)
+        self.receive(20, 10**12, None)
+        self.assertEqual([], self.members.sent)
+        right = bytes([1, 1]) + (10).to_bytes(8, "big")
+        for _ in range(15):
+            self.watch._merge_state("i2", 0, right)
+            eventlet.sleep(0.1)
+        self.assertEqual(["read_all"] * 2, self.store.calls)
+        self.receive(20, 22, None)
+        self.assertEqual(22, self.watch.states[platform.SERVER_PREFIX].told)
+
     def test_configuration_is_read_by_each_vm(self):
         """Guards against a configuration taken from a peer's message."""
         self.follow(platform.CONFIGURATION_PREFIX)
