--- a/tests/gateway/test_odd_entries.py
+++ b/tests/gateway/test_odd_entries.py
@@ -5,6 +5,7 @@
 
 import eventlet
 
+from savoryspar.gateway import watchers
 from tests.gateway import node_case, odd_store
 
 CONFIG_S = 2.5
@@ -173,3 +174,27 @@
         self.await_ready(self.vm_ports[1])
         self.await_answer(b"desk-b", self.vm_ports[1])
         self.assertEqual(1.0, self.metric("peers", self.ports))
+
+
+class ListenersBesideOddEntriesTest(OddEntriesCase):
+    """Tests of a zone in which two VMs watch the store for the others."""
+
+    vm_count = 5
+
+    def test_odd_entries_do_not_hide_the_changes_told_by_peers(self):
+        """Guards against VMs that miss changes told beside malformed ones."""
+        for ports in self.vm_ports:
+            self.await_answer(b"desk-a", ports)
+        # VMs begin to watch for others once they know each other.
+        eventlet.sleep(2 * watchers.SETTLE_S)
+        self.put_odd_entries()
+        self.replace_server()
+        eventlet.sleep(CONFIG_S)
+        for ports in self.vm_ports:
+            self.assertTrue(self.order(ports).endswith(b"desk-b"))
+        self.assertEqual([None] * 5, [p.poll() for p in self.processes])
+        peers = [self.metric("peers", ports) for ports in self.vm_ports]
+        self.assertEqual([4.0] * 5, peers)
+        told = [self.metric("ignored_entries", p) for p in self.vm_ports]
+        expected = len(odd_store.ODD_ENTRIES) + len(odd_store.ODD_KEYS)
+        self.assertTrue(all(0 < count <= 2 * expected for count in told), told)
