Report the row of a sheet whose field is too long

A field of more than 131,072 characters ended `savoryspar sheet check` with a traceback (csv.Error). It is an error of its row now, like the others. The new test failed before.

--- a/savoryspar/sheet/parse.py
+++ b/savoryspar/sheet/parse.py
@@ -66,7 +66,10 @@
     reader = csv.reader(io.StringIO(text), delimiter=delimiter)
     errors: list[exceptions.SheetError] = []
     cells: Cells = {}
-    header = [name.strip().lower() for name in next(reader, [])]
+    try:
+        header = [name.strip().lower() for name in next(reader, [])]
+    except csv.Error as exc:
+        header = [f"unreadable: {exc}"]
     if tuple(header) != COLUMNS:
         errors.append(
             exceptions.SheetError(
@@ -78,10 +81,21 @@
             )
         )
         raise ExceptionGroup("sheet", errors)
-    for values in reader:
-        stripped = [value.strip() for value in values]
-        if any(stripped):
-            _add_row(cells, stripped, reader.line_num, errors)
+    try:
+        for values in reader:
+            stripped = [value.strip() for value in values]
+            if any(stripped):
+                _add_row(cells, stripped, reader.line_num, errors)
+    except csv.Error as exc:
+        errors.append(
+            exceptions.SheetError(
+                "sheet.E002",
+                reader.line_num,
+                "-",
+                f"the row cannot be read: {exc}",
+                "shorten its fields, and check its quotes",
+            )
+        )
     if errors:
         raise ExceptionGroup("sheet", errors)
     return cells
--- a/tests/sheet/test_parse.py
+++ b/tests/sheet/test_parse.py
@@ -51,3 +51,18 @@
         manifest = sheet.decode_manifest(rendered[sheet.MANIFEST_KEY])
         rows = sheet.apply_changes(old, manifest.changes)
         self.assertEqual(manifest.digest, sheet.content_digest(rows))
+
+
+class UnreadableRowTest(testtools.TestCase):
+    def test_row_that_cannot_be_read_is_a_sheet_error(self):
+        """Guards against a traceback in place of the row to change."""
+        long = "pools,p,kind," + "x" * 200_000
+        group = self.assertRaises(
+            ExceptionGroup,
+            sheet.parse_csv,
+            f"table,name,field,value\npools,p,a,b\n{long}\n",
+            1,
+        )
+        self.assertEqual([3], [exc.row for exc in group.exceptions])
+        group = self.assertRaises(ExceptionGroup, sheet.parse_csv, long, 1)
+        self.assertEqual([1], [exc.row for exc in group.exceptions])
