Allow streams of the soak to end at their deadline

The VM ended it after six events and 5.2 s, when the caller's deadline of 5 s had passed; the soak, which runs the engine, had been held up for 2.16 s. Plain answers are still due then.

--- a/savoryspar/soak/callers.py
+++ b/savoryspar/soak/callers.py
@@ -15,7 +15,6 @@
 TIMEOUT_S = 9.0
 """Longer than the timeout and grace of every route, so that the VM times out
 before the caller does."""
-DEADLINE_S = 5.0
 MAX_PAUSE_S = 0.1
 PROBE_INTERVAL_S = 0.05
 """Time between the probes of a VM, for each VM of the fleet."""
@@ -89,7 +88,7 @@
                 headers={
                     "Host": "soak.example",
                     **standin.caller_headers(
-                        attempt_id, key, DEADLINE_S, piece_counts
+                        attempt_id, key, checker.DEADLINE_S, piece_counts
                     ),
                 },
                 preload_content=False,
--- a/savoryspar/soak/checker.py
+++ b/savoryspar/soak/checker.py
@@ -15,6 +15,8 @@
 LIMIT_NOTICE_S = 0.5
 """Time after a server first named a limit from which it is checked."""
 
+DEADLINE_S = 5.0
+"""Time for which callers wait."""
 SETTLING_S = 4.0
 """Time after a fault in which streams may still be truncated: connections that
 a fault broke are detected by timeouts of up to 2.5 s."""
@@ -224,13 +226,18 @@
     """Returns whether a fault may truncate the answer, or leave it out.
 
     Only an end of its own VM may leave out a plain answer. A planned stop may
-    only if the request was not passed on.
+    only if the request was not passed on. A stream may end at its deadline.
     """
     span = (answer.started_at, answer.ended_at)
     if records.overlap([Effect.DOWN], answer.vm, *span):
         return True
     if not sends and records.overlap([Effect.STOPPING], answer.vm, *span):
         return True
+    if (
+        answer.route in STREAM_SERVICES
+        and answer.ended_at - answer.started_at >= DEADLINE_S
+    ):
+        return True
     span = (answer.started_at - SETTLING_S, answer.ended_at)
     if answer.route == "staged" and records.overlap_any([Effect.DOWN], *span):
         # A peer may have gathered its pieces.
--- a/tests/soak/test_checker.py
+++ b/tests/soak/test_checker.py
@@ -158,6 +158,17 @@
         self.disturb(Effect.LINK, "engines", 9.0, 9.5)
         self.assertEqual(0, len(self.violations(truncated)))
 
+    def test_truncation_at_the_deadline(self):
+        """Guards against a report of streams that callers wait for no more."""
+        self.record_run()
+        stream = self.answer("chat", body=events("a", [0]), is_complete=False)
+        lost = self.answer("order", 0, is_complete=False)
+        for duration_s, count in ((4.9, 1), (5.1, 0)):
+            stream.ended_at = stream.started_at + duration_s
+            lost.ended_at = stream.ended_at
+            self.assertEqual(count, len(self.violations(stream)))
+            self.assertEqual(1, len(self.violations(lost)))
+
     def test_plain_request_that_is_lost(self):
         """Guards against requests that a planned stop leaves unanswered."""
         lost = self.answer("order", 0, is_complete=False)
