Do not count replies of peers without a configuration as a start

A VM that starts without the store applies the replies of several peers together, as a single one may be behind. Two replies of VMs that were starting too, and had nothing, ended that phase; the next reply of any single peer was then enough.

The phase now lasts until a configuration has been applied.

The new test fails before: the start counted as done after two empty replies.

--- a/savoryspar/gateway/peer_reads.py
+++ b/savoryspar/gateway/peer_reads.py
@@ -161,7 +161,8 @@
             if is_starting and len(received) >= enough:
                 for reply, peer in received:
                     self._apply_reply(reply, peer)
-                self.has_started = True
+                # Peers that start at the same time have nothing yet.
+                self.has_started = self._version() > 0
         finally:
             self._is_asking = False
 
--- a/tests/gateway/test_fleet_watch.py
+++ b/tests/gateway/test_fleet_watch.py
@@ -431,7 +431,7 @@
         self.reads = peer_reads.PeerReads(
             [self.state],
             self.members,
-            lambda: 0,
+            lambda: max([reply["v"] for reply, _ in self.applied], default=0),
             lambda reply, name: self.applied.append((reply, name)),
             event_logs.new_event_log(self),
             time.monotonic,
@@ -460,6 +460,19 @@
         self.assertFalse(self.reads.has_started)
         self.assertEqual([], self.applied)
 
+    def test_replies_of_starting_peers_do_not_suffice(self):
+        """Guards against a start by the next peer alone that replies.
+
+        The replies of peers without a configuration counted as a start.
+        """
+        self.members.replies = {"a": ({"v": 0}, 0.0), "b": ({"v": 0}, 0.0)}
+        self.ask(0.1 + peer_reads.PEER_TIMEOUT_S)
+        self.assertFalse(self.reads.has_started)
+        self.members.replies = {"c": ({"v": 5}, 0.0)}
+        self.ask(0.1 + peer_reads.PEER_TIMEOUT_S)
+        self.assertEqual(2, self.reads.rounds)
+        self.assertNotIn(({"v": 5}, "c"), self.applied)
+
     def test_malformed_configuration_of_a_peer_is_an_error(self):
         """Guards against a peer's message that uses up the memory."""
         document = b"x" * (peer_reads.MAX_DOCUMENT_BYTES + 1)
