Accept long names, empty keys and empty hosts in configurations

A configuration with an empty key or host was refused as a whole as well; accepted it, as neither can match a request.

--- a/savoryspar/platform/documents.py
+++ b/savoryspar/platform/documents.py
@@ -24,7 +24,7 @@
 MAX_ENTRY_BYTES = 1 << 16
 """Entries of servers have less than 1 KB."""
 MAX_PATTERN_CHARS = 4000
-"""Limit for hosts and path prefixes."""
+"""Limit for names, hosts and path prefixes of a configuration."""
 MAX_COUNT = 1 << 53
 """Limit for slots, queues, ranks and sizes in tokens or bytes."""
 MAX_DURATION_MS = 1e10
@@ -61,7 +61,7 @@
             service.name: service for service in map(_service, body["services"])
         },
         workspaces={
-            _pattern(key): workspace
+            _optional_pattern(key): workspace
             for item in body.get("tenants") or ()
             for workspace in [_workspace(item)]
             for key in item.get("api-keys") or ()
@@ -89,9 +89,13 @@
     return decoding.text(value, MAX_PATTERN_CHARS)
 
 
+def _optional_pattern(value: Any) -> str:
+    return "" if value == "" else _pattern(value)
+
+
 def _workspace(item: Mapping[str, Any]) -> fleet.Workspace:
     rank = item.get("priority")
-    name = decoding.text(item["name"])
+    name = _pattern(item["name"])
     # The name is sent to servers in a header field.
     name.encode("latin-1")
     return fleet.Workspace(name, None if rank is None else _rank(rank))
@@ -105,8 +109,8 @@
     timeout_ms = item.get("timeout-ms") or 30000
     stages = item.get("phases") or ()
     return fleet.Route(
-        name=decoding.text(item["name"]),
-        host=_pattern(item["host"]).lower(),
+        name=_pattern(item["name"]),
+        host=_optional_pattern(item["host"]).lower(),
         prefix=_pattern(item["prefix"]),
         kind=ROUTE_KINDS[item["route-kind"]],
         services=_services(item),
@@ -125,10 +129,10 @@
     """Returns the names and weights of a route's services."""
     split = route.get("split")
     if not split:
-        return [(decoding.text(route["service"]), 1.0)]
+        return [(_pattern(route["service"]), 1.0)]
     services = [
         (
-            decoding.text(part["service"]),
+            _pattern(part["service"]),
             decoding.number(part["weight"], 0, MAX_WEIGHT),
         )
         for part in split
@@ -140,7 +144,7 @@
 
 def _stage(item: Mapping[str, Any], stage_count: int) -> fleet.Stage:
     return fleet.Stage(
-        decoding.text(item["service"]),
+        _pattern(item["service"]),
         [
             decoding.integer(number, 0, stage_count - 1)
             for number in item.get("after") or ()
@@ -152,7 +156,7 @@
 def _service(item: Mapping[str, Any]) -> fleet.Service:
     health_path = item.get("health-path", "")
     return fleet.Service(
-        name=decoding.text(item["name"]),
+        name=_pattern(item["name"]),
         health_path=_pattern(health_path) if health_path else "",
         max_connections=_count(item.get("max-conns") or 64),
         stage_pool=_stage_pool(item.get("segments")),
--- a/tests/platform/test_translation.py
+++ b/tests/platform/test_translation.py
@@ -95,6 +95,18 @@
         current = platform.decode_configuration(document)
         self.assertEqual(name, current.find_workspace("k").name)
 
+    def test_empty_keys_and_hosts_are_accepted(self):
+        """Guards against a version that one useless key or route refuses."""
+        route = {**CONFIGURATION["routes"][0], "host": ""}
+        tenants = [{"name": "w", "api-keys": ["", "k"]}]
+        changes = {
+            "routes": [*CONFIGURATION["routes"], route],
+            "tenants": tenants,
+        }
+        document = json.dumps({**CONFIGURATION, **changes}).encode()
+        current = platform.decode_configuration(document)
+        self.assertEqual("w", current.find_workspace("k").name)
+
     def test_malformed_configuration_is_rejected(self):
         """Guards against an incomplete configuration put in force."""
         for document in (b"{", b"[]", b'{"version": 1}'):
