Reserve the ports of a test's VMs for its process

VMs share ports with SO_REUSEPORT, and processes whose IDs differ by a multiple of 60 chose their ports from the same 200, so the kernel gave a part of the connections to the VM of another test.

A process now reserves its slice by a socket bound to the first port of it, and takes the next slice if that is taken.

--- a/savoryspar/soak/runs.py
+++ b/savoryspar/soak/runs.py
@@ -2,12 +2,9 @@
 
 import collections
 from collections.abc import Sequence
-import itertools
-import os
 import pathlib
 import random
 import signal
-import socket
 import time
 
 import eventlet
@@ -22,6 +19,7 @@
     fault_injector,
     faults,
     fleet_checker,
+    ports,
     store_ports,
     version_checker,
     vms,
@@ -40,11 +38,6 @@
 a VM that does not follow the list serves nothing there as it should."""
 FAULT_FREE_S = 8.0
 """Time without faults at the end of a soak."""
-PORTS = range(20_000, 32_000)
-"""Ports of VMs; Linux uses 32768 and above for outgoing connections."""
-SLICE = 200
-"""Ports that one process chooses from, so that tests side by side do not share
-ports."""
 LAG_INTERVAL_S = 0.05
 
 
@@ -112,12 +105,12 @@
             for service, count in SERVERS.items()
             for n in range(count)
         ]
-        ports = free_ports(4 * options.vms)
+        vm_ports = ports.free_ports(4 * options.vms)
         self._store_ports = [
             store_ports.StorePort(self._store) for _ in range(options.vms)
         ]
         self._vms = [
-            vms.EntryVm(n, folder, store_port.address, ports)
+            vms.EntryVm(n, folder, store_port.address, vm_ports)
             for n, store_port in enumerate(self._store_ports)
         ]
         self._start = time.monotonic()
@@ -258,27 +251,3 @@
         ValueError: A fault does not exist.
     """
     return Soak(options, folder).run()
-
-
-def free_ports(count: int) -> list[int]:
-    """Returns unused TCP ports outside the range of outgoing connections.
-
-    The ports of a killed VM are free until it starts again, and an outgoing
-    connection of any process could take one of them.
-    """
-    start = PORTS.start + os.getpid() % (len(PORTS) // SLICE) * SLICE
-    candidates = random.SystemRandom().sample(
-        range(start, start + SLICE), SLICE
-    )
-    return list(itertools.islice(filter(_is_free, candidates), count))
-
-
-def _is_free(port: int) -> bool:
-    # VMs share ports with SO_REUSEPORT, so a socket with it would not notice
-    # the VM of another process.
-    try:
-        with socket.socket() as sock:
-            sock.bind(("127.0.0.1", port))
-    except OSError:
-        return False
-    return True
--- a/tests/gateway/node_case.py
+++ b/tests/gateway/node_case.py
@@ -12,7 +12,7 @@
 from eventlet import wsgi
 import testtools
 
-from savoryspar.soak import runs
+from savoryspar.soak import ports as soak_ports
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 LARGE_BYTES = 3_000_000
@@ -186,7 +186,7 @@
         super().setUp()
         self.platform = self.platform_class()
         names = ("callers", "ready", "peers", "metrics")
-        free = iter(runs.free_ports(len(names) * self.vm_count))
+        free = iter(soak_ports.free_ports(len(names) * self.vm_count))
         self.vm_ports = [
             {name: next(free) for name in names} for _ in range(self.vm_count)
         ]
--- a/tests/gateway/test_odd_entries.py
+++ b/tests/gateway/test_odd_entries.py
@@ -167,7 +167,7 @@
         self.await_answer(b"desk-b")
         self.platform.addresses["store"] = "127.0.0.1:1"
         first = self.vm_ports[0]
-        names = node_case.runs.free_ports(len(first))
+        names = node_case.soak_ports.free_ports(len(first))
         self.vm_ports.append(dict(zip(first, names, strict=True)))
         self.processes.append(None)
         self.start_vm(1)
