Log that the store came back from a copy

Nothing told a store that lost its newest changes from one that merely dropped its history: both end a watch with 410. Answers now carry the store's era, the number of times that it was restored; a change of it is the event 'store restored' with the revision of the answer and the one applied before, and the gauge store_era. A list whose pages are of two eras is an error. What the VM does with revisions is unchanged.

--- a/savoryspar/gateway/counters.py
+++ b/savoryspar/gateway/counters.py
@@ -19,6 +19,7 @@
     "connections": "Open connections of callers.",
     "configuration_version": "Version of the active configuration, 0 if none.",
     "store_calls": "Calls to the platform's store since the start.",
+    "store_era": "Times that the store came back from a copy, as it tells.",
     "store_changes": "Changes that the store reported since the start.",
     "ignored_entries": "Malformed entries of the store and of peers that were"
     " ignored since the start, one for each revision.",
--- a/savoryspar/gateway/fleet_watch.py
+++ b/savoryspar/gateway/fleet_watch.py
@@ -158,6 +158,10 @@
         """Returns the number of changes that the store reported."""
         return sum(state.changes for state in self.states.values())
 
+    def era(self) -> int:
+        """Returns how often the store came back from a copy, as it tells."""
+        return max(state.era for state in self.states.values())
+
     def behind_s(self) -> float:
         """Returns for how long a change that a peer told has been missing."""
         now = self._clock()
--- a/savoryspar/gateway/node.py
+++ b/savoryspar/gateway/node.py
@@ -386,6 +386,7 @@
             "store_changes": self._watch.changes,
             "store_peer_reads": self._watch.peer_reads,
             "store_behind_seconds": self._watch.behind_s,
+            "store_era": self._watch.era,
             "ignored_entries": lambda: self._watch.ignored.count,
             "peers": lambda: len(self._members.view(self._clock()).members),
             "backend_connections_opened": lambda: self._connections.opened,
--- a/savoryspar/gateway/prefix_state.py
+++ b/savoryspar/gateway/prefix_state.py
@@ -49,6 +49,8 @@
     Attributes:
         prefix: The key prefix.
         bound_s: Time in which a change must be in force.
+        era: Number of times that the store came back from a copy, as its
+            newest answer told; 0 if it does not tell.
         applied: Revision up to which all changes are applied, 0 before the
             first read.
         listed_until: Revision as of which the last page of a list was read.
@@ -83,6 +85,7 @@
         "behind_since",
         "bound_s",
         "changes",
+        "era",
         "has_read",
         "is_connected",
         "is_refused",
@@ -100,6 +103,7 @@
     def __init__(self, prefix: str, bound_s: float):
         self.prefix = prefix
         self.bound_s = bound_s
+        self.era = 0
         self.applied = 0
         self.listed_until = 0
         self.newest_change = 0
--- a/savoryspar/gateway/store_follower.py
+++ b/savoryspar/gateway/store_follower.py
@@ -169,6 +169,7 @@
             state.prefix, since, state.watch_wait_s
         )
         revision = next_revision(since, changes)
+        self._record_era("watch", changes)
         self._record_answer("watch", revision, bool(changes.items))
         # Meanwhile a read may have found that a server is gone whose removal is
         # not among these changes.
@@ -194,6 +195,7 @@
             snapshot = client.read_all(state.prefix)
         # The store may close an idle connection before the next read.
         client.close()
+        self._record_era("read", snapshot)
         # A server that a message removed during the read is not among ``gone``.
         since, was_exact = state.applied, state.is_exact
         gone = self._contents.apply_all(state.prefix, snapshot)
@@ -217,6 +219,24 @@
                 changes if is_complete else None,
             )
 
+    def _record_era(self, call: str, snapshot: platform.Snapshot) -> None:
+        """Logs that the store has come back from a copy."""
+        state = self._state
+        if snapshot.era == state.era:
+            return
+        if state.has_read:
+            self._events.state_change(
+                "store restored",
+                self._clock(),
+                prefix=state.prefix,
+                call=call,
+                era=snapshot.era,
+                era_before=state.era,
+                revision=snapshot.revision,
+                applied=state.applied,
+            )
+        state.era = snapshot.era
+
     def _record_answer(
         self, call: str, revision: int, has_changes: bool
     ) -> None:
--- a/savoryspar/log/catalog.py
+++ b/savoryspar/log/catalog.py
@@ -47,6 +47,7 @@
     "store history gone": "The store dropped changes; all keys are read again.",
     "store lost": "The store does not answer or refuses calls.",
     "store reached": "The store answers again.",
+    "store restored": "The store came back from a copy; all keys are read.",
     "store watch begins": "This VM starts to watch the store.",
     "store watch failed": "An unexpected error occurred in the store watch.",
     "store watch ends": "Other VMs of the zone watch the store for this one.",
--- a/savoryspar/platform/store.py
+++ b/savoryspar/platform/store.py
@@ -12,6 +12,7 @@
 from urllib3 import connection
 
 from savoryspar import backends, decoding, fleet
+from savoryspar.platform import headers
 
 CONNECT_TIMEOUT_S = 1.0
 """A running store accepts connections within some milliseconds."""
@@ -24,6 +25,7 @@
 MAX_PAGES = 400
 """Limit for the pages of one list, with about 500 items each."""
 MAX_KEY_BYTES = 200
+MAX_ERA = (1 << 32) - 1
 USER_TIMEOUT_MS = 2500
 """TCP timeout for data that the store does not acknowledge."""
 
@@ -74,9 +76,11 @@
         last_revision: Revision as of which the last page was read; some later
             changes are included.
         faults: The other items, which are skipped.
+        era: Number of times that the store came back from a copy, as it tells
+            it; 0 if it does not. Revisions of two eras cannot be compared.
     """
 
-    __slots__ = ("faults", "items", "last_revision", "revision")
+    __slots__ = ("era", "faults", "items", "last_revision", "revision")
 
     def __init__(
         self,
@@ -84,11 +88,30 @@
         revision: int,
         faults: Sequence[Fault] = (),
         last_revision: int = 0,
+        era: int = 0,
     ):
         self.items = items
         self.revision = revision
         self.last_revision = max(revision, last_revision)
         self.faults = faults
+        self.era = era
+
+
+class _Answer:
+    """Decoded answer of the store.
+
+    Attributes:
+        status: HTTP status code.
+        body: JSON object.
+        era: As for ``Snapshot``.
+    """
+
+    __slots__ = ("body", "era", "status")
+
+    def __init__(self, status: int, body: dict[str, Any], era: int):
+        self.status = status
+        self.body = body
+        self.era = era
 
 
 class StoreClient:
@@ -98,11 +121,12 @@
         calls: Calls made since the client was created.
     """
 
-    __slots__ = ("_address", "_clock", "_conn", "calls")
+    __slots__ = ("_address", "_clock", "_conn", "_era", "calls")
 
     def __init__(self, address: str, clock: Callable[[], float]):
         self._address = address
         self._clock = clock
+        self._era = 0
         self._conn: connection.HTTPConnection | None = None
         self.calls = 0
 
@@ -112,13 +136,14 @@
         Raises:
             StoreError: The store is down, or rejected the call.
         """
-        status, body = self._call(
+        answer = self._call(
             "/-/kv-key", {"key": key}, READ_TIMEOUT_S, (200, 404)
         )
+        body, era = answer.body, answer.era
         with _decoding("an item"):
-            if status == 404:
-                return Snapshot([], _revision(body.get("as-of", 0)))
-            return _snapshot([body], _revision(body["as-of"]))
+            if answer.status == 404:
+                return Snapshot([], _revision(body.get("as-of", 0)), era=era)
+            return _snapshot([body], _revision(body["as-of"]), era=era)
 
     def read_all(self, prefix: str) -> Snapshot:
         """Reads all keys with the prefix, page by page.
@@ -127,16 +152,25 @@
         returns every change made while the other pages were read.
 
         Raises:
-            StoreError: As for ``get``.
+            StoreError: As for ``get``; or the store was restored between two
+                pages.
         """
+        pages = [*self._pages(prefix)]
+        first, last = pages[0], pages[-1]
+        if first.era != last.era:
+            raise fleet.StoreError(
+                f"the store was restored during the list of {prefix}: era"
+                f" {last.era}, {first.era} before",
+                "read all keys again",
+            )
         with _decoding("a list"):
-            pages = [*self._pages(prefix)]
             return _snapshot(
                 itertools.chain.from_iterable(
-                    page["entries"] for page in pages
+                    page.body["entries"] for page in pages
                 ),
-                _revision(pages[0]["as-of"]),
-                _revision(pages[-1]["as-of"]),
+                _revision(first.body["as-of"]),
+                _revision(last.body["as-of"]),
+                first.era,
             )
 
     def watch(self, prefix: str, after: int, wait_s: float) -> Snapshot:
@@ -153,11 +187,15 @@
             "after": after,
             "wait-ms": int(wait_s * 1000),
         }
-        _, body = self._call(
+        answer = self._call(
             "/-/kv-watch", query, wait_s + WATCH_MARGIN_S, (200,)
         )
         with _decoding("a watch"):
-            changes = _snapshot(body["events"], _revision(body["as-of"]))
+            changes = _snapshot(
+                answer.body["events"],
+                _revision(answer.body["as-of"]),
+                era=answer.era,
+            )
         for fault in changes.faults:
             raise fleet.HistoryGoneError(
                 f"a change {fault.shown} cannot be decoded: {fault.cause}",
@@ -171,14 +209,16 @@
             self._conn.close()
             self._conn = None
 
-    def _pages(self, prefix: str) -> Iterator[dict[str, Any]]:
+    def _pages(self, prefix: str) -> Iterator[_Answer]:
         query: dict[str, Any] = {"prefix": prefix}
         for _ in itertools.repeat(None, MAX_PAGES):
-            _, page = self._call("/-/kv-range", query, READ_TIMEOUT_S, (200,))
+            page = self._call("/-/kv-range", query, READ_TIMEOUT_S, (200,))
             yield page
-            if not page["truncated"] or not page["entries"]:
-                return
-            after = _last_key(page["entries"])
+            with _decoding("a list"):
+                entries = page.body["entries"]
+                if not page.body["truncated"] or not entries:
+                    return
+                after = _last_key(entries)
             if after in ("", query.get("after")):
                 raise fleet.StoreError(
                     f"a page of the list under {prefix} ends where it begins,"
@@ -197,11 +237,11 @@
         query: dict[str, Any],
         timeout_s: float,
         expected: tuple[int, ...],
-    ) -> tuple[int, dict[str, Any]]:
+    ) -> _Answer:
         self.calls += 1
         target = f"{path}?{parse.urlencode(query)}"
         try:
-            status, data = self._exchange(target, timeout_s)
+            status, data, era = self._exchange(target, timeout_s)
             if status == 410:
                 raise fleet.HistoryGoneError(
                     f"the store no longer has the changes of {target}",
@@ -212,7 +252,10 @@
                     f"the store answered {status} to {path}",
                     "wait before the next call",
                 )
-            return status, decoding.decode_envelope(data, MAX_ANSWER_BYTES)
+            body = decoding.decode_envelope(data, MAX_ANSWER_BYTES)
+            if era:
+                self._era = decoding.integer(int(era), 0, MAX_ERA)
+            return _Answer(status, body, self._era)
         except (
             OSError,
             ValueError,
@@ -225,7 +268,9 @@
                 "the last known state stays in force; check the store",
             ) from exc
 
-    def _exchange(self, target: str, timeout_s: float) -> tuple[int, bytes]:
+    def _exchange(
+        self, target: str, timeout_s: float
+    ) -> tuple[int, bytes, str]:
         if self._conn is None:
             self._conn = backends.open_connection(
                 self._address,
@@ -240,7 +285,7 @@
         resp = self._conn.getresponse()
         if resp.headers.get("Connection", "").lower() == "close":
             self.close()
-        return resp.status, resp.data
+        return resp.status, resp.data, resp.headers.get(headers.STORE_ERA, "")
 
 
 @contextlib.contextmanager
@@ -257,7 +302,7 @@
 
 
 def _snapshot(
-    bodies: Iterable[Any], revision: int, last_revision: int = 0
+    bodies: Iterable[Any], revision: int, last_revision: int = 0, era: int = 0
 ) -> Snapshot:
     """Decodes the items of an answer, each by itself."""
     items: list[Item] = []
@@ -267,7 +312,7 @@
             items.append(_item(body))
         except decoding.DecodingError as exc:
             faults.append(Fault(f"{body!r:.80}", str(exc)))
-    return Snapshot(items, revision, faults, last_revision)
+    return Snapshot(items, revision, faults, last_revision, era)
 
 
 def _item(body: Any) -> Item:
