Let the stand-in store come back from a copy

The store of tests and of the soak can be copied and restored: it then gives out revisions again, names its era in each answer, and answers watches from a revision that it does not have with 410. An absent key is told with the revision of the answer, as the platform's store does.

--- a/savoryspar/platform/standin.py
+++ b/savoryspar/platform/standin.py
@@ -20,9 +20,16 @@
 
 
 class StoreContents(Protocol):
-    """Contents of a stand-in for the store."""
+    """Contents of a stand-in for the store.
+
+    Attributes:
+        revision: Revision of the last change.
+        era: Number of times that it came back from a copy; 0 if it does not
+            tell.
+    """
 
     revision: int
+    era: int
 
     def read(self, prefix: str) -> Sequence[store.Item]:
         """Returns the items whose keys have a prefix, ordered by key."""
@@ -147,8 +154,22 @@
 
 def serve_store(
     contents: StoreContents, environ: Mapping[str, Any]
+) -> tuple[str, list[tuple[str, str]], bytes]:
+    """Answers a request to the store.
+
+    Returns:
+        Status line, header fields and body.
+    """
+    status, body = _serve_store(contents, environ)
+    fields = [("Content-Type", "application/json")]
+    if contents.era:
+        fields.append((headers.STORE_ERA, str(contents.era)))
+    return status, fields, body
+
+
+def _serve_store(
+    contents: StoreContents, environ: Mapping[str, Any]
 ) -> tuple[str, bytes]:
-    """Answers a request to the store; returns the status line and the body."""
     query = dict(parse.parse_qsl(str(environ["QUERY_STRING"])))
     path = environ["PATH_INFO"]
     body: dict[str, Any]
@@ -168,7 +189,8 @@
             i for i in contents.read(query["key"]) if i.key == query["key"]
         ]
         if not found:
-            return "404 Not Found", b"{}"
+            as_of = json.dumps({"as-of": contents.revision})
+            return "404 Not Found", as_of.encode()
         body = _item(found[0])
     return "200 OK", json.dumps({**body, "as-of": contents.revision}).encode()
 
--- a/savoryspar/soak/environment.py
+++ b/savoryspar/soak/environment.py
@@ -1,7 +1,7 @@
 """The platform's store of a soak, and what backend servers recorded."""
 
 import collections
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 import time
 
 import eventlet
@@ -13,17 +13,36 @@
 """Number of changes that the store keeps."""
 
 
+class StoreCopy:
+    """A copy of the store's contents, from which it can be restored."""
+
+    __slots__ = ("history", "items", "revision")
+
+    def __init__(
+        self,
+        items: Mapping[str, platform.Item],
+        history: Sequence[platform.Item],
+        revision: int,
+    ):
+        self.items = items
+        self.history = history
+        self.revision = revision
+
+
 class Store:
     """Contents of the platform's store, which can be down, slow or compacted.
 
     Attributes:
         revision: Revision of the last change.
+        era: Number of times that it was restored, counted from 1; 0 if it does
+            not tell.
         is_down: Whether it answers every request with 503.
         delay_s: Delay before each answer, in seconds.
     """
 
     def __init__(self) -> None:
         self.revision = 1
+        self.era = 1
         self.is_down = False
         self.delay_s = 0.0
         self._items: dict[str, platform.Item] = {}
@@ -42,14 +61,30 @@
         else:
             self._items[key] = item
         self._history.append(item)
-        changed, self._changed = self._changed, event.Event()
-        changed.send(None)
+        self._notify()
 
     def compact_history(self) -> None:
         """Drops the history; watches from an older revision then get None."""
         self._history.clear()
         self._compacted_revision = self.revision
 
+    def copy(self) -> StoreCopy:
+        """Returns a copy of the contents."""
+        return StoreCopy({**self._items}, [*self._history], self.revision)
+
+    def restore(self, copy: StoreCopy) -> None:
+        """Replaces the contents by a copy; later revisions are given again."""
+        self._items = {**copy.items}
+        self._history = collections.deque(copy.history, MAX_HISTORY)
+        self._compacted_revision = min(self._compacted_revision, copy.revision)
+        self.revision = copy.revision
+        self.era += self.era > 0
+        self._notify()
+
+    def _notify(self) -> None:
+        changed, self._changed = self._changed, event.Event()
+        changed.send(None)
+
     def read(self, prefix: str) -> Sequence[platform.Item]:
         """Returns the items whose keys begin with a prefix, ordered."""
         return [
@@ -65,10 +100,13 @@
 
         Returns:
             The changes, which may be none at the end of the wait; None if the
-            store is down or no longer keeps the changes after the revision.
+            store is down, or does not have the changes after the revision.
         """
         ends_at = time.monotonic() + wait_s
-        while after >= self._compacted_revision and not self.is_down:
+        while (
+            self._compacted_revision <= after <= self.revision
+            and not self.is_down
+        ):
             changes = [
                 item
                 for item in self._history
--- a/savoryspar/soak/store_ports.py
+++ b/savoryspar/soak/store_ports.py
@@ -63,6 +63,11 @@
         """Revision of the last change."""
         return self._store.revision
 
+    @property
+    def era(self) -> int:
+        """Number of times that the store came back from a copy."""
+        return self._store.era
+
     def read(self, prefix: str) -> Sequence[platform.Item]:
         """Returns the items whose keys begin with a prefix, ordered."""
         if self._fault == DEAF_AND_SILENT:
@@ -93,6 +98,6 @@
         if refusal or self._store.is_down:
             start_response(refusal or REFUSALS[0], [])
             return [b"{}"]
-        status, body = standin.serve_store(self, environ)
-        start_response(status, [("Content-Type", "application/json")])
+        status, fields, body = standin.serve_store(self, environ)
+        start_response(status, fields)
         return [body]
--- a/tests/gateway/store_fronts.py
+++ b/tests/gateway/store_fronts.py
@@ -78,9 +78,9 @@
         self.calls.append((path, began_at))
         began_revision = self._contents.revision
         is_watch = path == WATCH_PATH
-        status, body = "", b""
+        status, fields, body = "", [], b""
         if self._mode(is_watch) not in ("silent", "reset", *REFUSALS):
-            status, body = standin.serve_store(
+            status, fields, body = standin.serve_store(
                 self._contents, {"PATH_INFO": path, "QUERY_STRING": query}
             )
         eventlet.sleep(self.delay_s)
@@ -101,9 +101,10 @@
         if mode in REFUSALS:
             status, body = mode, b"{}"
         answer = (
-            f"HTTP/1.1 {status}\r\nContent-Type: application/json\r\n"
-            f"Content-Length: {len(body)}\r\n\r\n".encode()
-        ) + body
+            f"HTTP/1.1 {status}\r\n"
+            + "".join(f"{name}: {value}\r\n" for name, value in fields)
+            + f"Content-Length: {len(body)}\r\n\r\n"
+        ).encode() + body
         is_cut = mode == "cut"
         sock.sendall(answer[: len(answer) // 2] if is_cut else answer)
         return not is_cut
