Order the store's revisions within an era

Callers got answers of an older version, and requests reached servers that had been removed, after the store came back from a copy: it gives revisions out again, and each VM compared them with those of the lost history. What was lower was ignored; where the revisions passed the lost ones before the next answer, the watch went on as if nothing was missing.

A revision counts within its era only. The state of a key prefix, answers of the store, messages and replies of peers and heartbeats have the era; answers and peers of an earlier one are not used, and a later one is entered with a full list, of the store or of a peer. Versions of the configuration are ordered by themselves, as before.

A store without eras is followed as before, by the same messages. Changes in a store with eras have a message kind of their own, which processes of earlier versions ignore, and longer heartbeat states, which they ignore too: they watch the store themselves. A VM does not stop watching because of peers that tell no era, or an earlier one.

--- a/savoryspar/gateway/fleet_watch.py
+++ b/savoryspar/gateway/fleet_watch.py
@@ -22,6 +22,10 @@
 )
 
 CHANGES_KIND = "fleet_news"
+"""Changes in a store that does not tell its era."""
+ERA_CHANGES_KIND = "fleet_changes"
+"""Changes in a store that tells its era. Processes of earlier versions, which
+would compare the revisions of two eras, ignore this kind."""
 POLL_S = 0.25
 """Interval at which servers expire and missing changes are reported."""
 BEHIND_REPORT_S = 1.0
@@ -123,6 +127,7 @@
         )
         members.handle(peer_reads.PEER_KIND, self._serve_peer)
         members.handle(CHANGES_KIND, self._serve_changes)
+        members.handle(ERA_CHANGES_KIND, self._serve_era_changes)
         members.heartbeats.sheet_state = self._encode_state
         members.heartbeats.on_sheet_state = self._merge_state
 
@@ -201,6 +206,7 @@
     def propagate(
         self,
         prefix: str,
+        era: int,
         since: int,
         until: int,
         items: Sequence[platform.Item] | None,
@@ -213,6 +219,7 @@
 
         Args:
             prefix: Key prefix.
+            era: Era of the store that the revisions belong to.
             since: Revision after which the changes were made.
             until: Revision up to which they are complete.
             items: The changes; None if only the revision is known.
@@ -223,27 +230,34 @@
             and items is not None
             and len(items) <= MAX_PROPAGATED
         )
+        rows = (
+            [[i.key, i.value, i.revision] for i in items] if has_items else None
+        )
+        body = [prefix, since, until, rows]
         self._members.send_to_neighbours(
-            CHANGES_KIND,
-            [
-                prefix,
-                since,
-                until,
-                [[i.key, i.value, i.revision] for i in items]
-                if has_items
-                else None,
-            ],
+            ERA_CHANGES_KIND if era else CHANGES_KIND,
+            [era, *body] if era else body,
             self._clock(),
             exclude,
         )
 
     def _serve_changes(self, sender: str, body: list) -> None:
+        """Applies changes of a store that does not tell its era."""
+        self._apply_changes(sender, 0, body)
+
+    def _serve_era_changes(self, sender: str, body: list) -> None:
+        """Applies changes of a store that tells its era."""
+        era, *changes = body
+        self._apply_changes(sender, decoding.integer(era, 1), changes)
+
+    def _apply_changes(self, sender: str, era: int, body: list) -> None:
         """Applies changes that a peer propagated, and relays new ones."""
         prefix, since, until, rows = body
         state = self.states[prefix]
-        if decoding.integer(until, 0) <= state.applied:
+        decoding.integer(until, 0)
+        if (era, until) <= (state.era, state.applied):
             return
-        is_new = state.is_new(until, self._clock())
+        is_new = state.is_new(until, self._clock(), era)
         source = f"peer {sender}"
         items = None
         try:
@@ -254,11 +268,11 @@
         except fleet.DocumentError as exc:
             # The reading thread reads the changes from the store.
             self._ignore(f"{rows!r:.200}", until, 0, source, exc)
-            self._election.record_revision(prefix, until)
-            state.record_told(until, sender, self._clock())
+            state.record_told(until, sender, self._clock(), era)
             return
         if (
             items is not None
+            and era == state.era
             and since <= state.applied
             and self._has_known_changes(items, since, until)
         ):
@@ -267,9 +281,8 @@
         elif not is_new:
             return
         # The reading thread reads the changes that are still missing.
-        self._election.record_revision(prefix, until)
-        state.record_told(until, sender, self._clock())
-        self.propagate(prefix, since, until, items, sender)
+        state.record_told(until, sender, self._clock(), era)
+        self.propagate(prefix, era, since, until, items, sender)
         self.ask_peers_if_due()
 
     def _has_known_changes(
@@ -289,38 +302,42 @@
         )
 
     def _encode_state(self) -> tuple[int, bytes]:
-        known = {p: state.newest_change for p, state in self.states.items()}
+        known = {
+            prefix: (state.era, state.newest_change)
+            for prefix, state in self.states.items()
+        }
         return self._election.encode_state(known, self._clock())
 
     def _merge_state(self, sender: str, first: int, rest: bytes) -> None:
         now = self._clock()
-        told = self._election.merge_state(first, rest, now)
-        for prefix, revision in told.items():
-            self.states[prefix].record_told(revision, sender, now)
+        eras = {prefix: state.era for prefix, state in self.states.items()}
+        told = self._election.merge_state(first, rest, eras, now)
+        for prefix, (era, revision) in told.items():
+            self.states[prefix].record_told(revision, sender, now, era)
 
     def apply_all(
         self, prefix: str, snapshot: platform.Snapshot
     ) -> list[platform.Item]:
         """Applies all keys under a prefix, as the store returned them.
 
+        The answer must not be of an earlier era than the contents known here.
+
         Returns:
             The removals of servers that are not listed any more.
         """
-        if prefix == platform.CONFIGURATION_PREFIX:
-            self._ignore_faults(snapshot)
-            self.apply(prefix, snapshot.items, "store read")
-            return []
         self._ignore_faults(snapshot)
         now = self._clock()
-        entries = [self._decode(item, "store") for item in snapshot.items]
-        removed = self._server_registry.replace(
-            self._without_outdated(
-                [entry for entry in entries if entry is not None],
-                snapshot.revision,
-            ),
-            snapshot.revision,
-            "store read",
-            now,
+        source = "store read"
+        is_restored = self._begin_era(
+            prefix, snapshot.era, snapshot.revision, source, now
+        )
+        if prefix == platform.CONFIGURATION_PREFIX:
+            self.apply(prefix, snapshot.items, source)
+            return []
+        decoded = (self._decode(item, source) for item in snapshot.items)
+        entries = [entry for entry in decoded if entry is not None]
+        removed = self._replace_servers(
+            entries, snapshot.revision, is_restored, source, now
         )
         gone = [
             platform.Item(prefix + name, None, snapshot.revision)
@@ -330,6 +347,51 @@
         self._on_change(now)
         return gone
 
+    def _begin_era(
+        self, prefix: str, era: int, revision: int, source: str, now: float
+    ) -> bool:
+        """Prepares for all contents of a prefix, as of a revision of an era.
+
+        Returns:
+            Whether they are the first ones of a later era.
+        """
+        state = self.states[prefix]
+        known_era, known_revision = state.era, state.applied
+        if not state.begin_era(era):
+            return False
+        if known_revision:
+            self._events.state_change(
+                "store restored",
+                now,
+                prefix=prefix,
+                era=era,
+                revision=revision,
+                known_era=known_era,
+                known_revision=known_revision,
+                source=source,
+            )
+        return True
+
+    def _replace_servers(
+        self,
+        entries: Sequence[fleet.BackendEntry],
+        revision: int,
+        is_restored: bool,
+        source: str,
+        now: float,
+    ) -> list[str]:
+        """Replaces the servers by a full list.
+
+        Returns:
+            Names of the servers that were removed from the list.
+        """
+        if is_restored:
+            self._server_registry.restore(entries, revision, source, now)
+            return []
+        return self._server_registry.replace(
+            self._without_outdated(entries, revision), revision, source, now
+        )
+
     def ask_peers_if_due(self) -> None:
         """Asks peers for the store's contents if the store does not answer."""
         self._peer_reads.begin_if_due(self._clock())
@@ -425,40 +487,60 @@
                 document = peer_reads.decompress(reply["compressed"])
             if document:
                 self._apply_configuration(document, source, now)
-            revisions = {
-                prefix: decoding.integer(revision, 0)
-                for prefix, revision in reply.get("revisions", {}).items()
-            }
+            # A store may not tell its era, and processes of earlier versions
+            # do not.
+            eras, revisions = (
+                {
+                    prefix: decoding.integer(number, 0)
+                    for prefix, number in reply.get(key, {}).items()
+                }
+                for key in ("eras", "revisions")
+            )
             is_whole = self._apply_peer_servers(
-                reply, revisions.get(platform.SERVER_PREFIX, 0), source, now
+                reply,
+                eras.get(platform.SERVER_PREFIX, 0),
+                revisions.get(platform.SERVER_PREFIX, 0),
+                source,
+                now,
             )
             listed_until = decoding.integer(reply.get("listed_until", 0), 0)
         if is_whole:
-            self.states[platform.SERVER_PREFIX].record_listed(listed_until)
             for prefix, state in self.states.items():
-                state.record_applied(revisions.get(prefix, 0))
+                era, revision = eras.get(prefix, 0), revisions.get(prefix, 0)
+                self._begin_era(prefix, era, revision, source, now)
+                if era == state.era:
+                    state.record_applied(revision)
+            self.states[platform.SERVER_PREFIX].record_listed(listed_until)
         self._on_change(now)
 
     def _apply_peer_servers(
-        self, reply: Mapping[str, Any], revision: int, source: str, now: float
+        self,
+        reply: Mapping[str, Any],
+        era: int,
+        revision: int,
+        source: str,
+        now: float,
     ) -> bool:
-        """Applies the servers that a peer knows as of a revision.
+        """Applies the servers that a peer knows as of a revision of an era.
 
         Returns:
-            Whether all entries were valid; otherwise none was removed for
-            being absent.
+            Whether the list is applied and all entries were valid; otherwise no
+            server was removed for being absent.
         """
+        known_era = self.states[platform.SERVER_PREFIX].era
         versions = {**reply.get("versions", {})}
         entries = []
         for row in reply["servers"]:
             with self._ignoring(row, source):
                 entries.append(platform.decode_peer_entry(row, versions))
         is_whole = len(entries) == len(reply["servers"])
-        self._server_registry.replace(
-            self._without_outdated(entries, revision),
-            revision if is_whole else 0,
-            source,
-            now,
+        if era < known_era or (era > known_era and not is_whole):
+            return False
+        is_restored = self._begin_era(
+            platform.SERVER_PREFIX, era, revision, source, now
+        )
+        self._replace_servers(
+            entries, revision if is_whole else 0, is_restored, source, now
         )
         for row in reply["removed"]:
             with self._ignoring(row, source):
@@ -520,6 +602,9 @@
             "revisions": {
                 prefix: state.applied for prefix, state in self.states.items()
             },
+            "eras": {
+                prefix: state.era for prefix, state in self.states.items()
+            },
             "listed_until": self.states[platform.SERVER_PREFIX].listed_until,
         }
 
--- a/savoryspar/gateway/prefix_state.py
+++ b/savoryspar/gateway/prefix_state.py
@@ -49,8 +49,10 @@
     Attributes:
         prefix: The key prefix.
         bound_s: Time in which a change must be in force.
-        era: Number of times that the store came back from a copy, as its
-            newest answer told; 0 if it does not tell.
+        era: Era of the store in which ``applied``, ``listed_until`` and
+            ``newest_change`` are revisions: the number of times that it came
+            back from a copy, 0 if it does not tell. Revisions of two eras
+            cannot be compared, as the store gives them out again.
         applied: Revision up to which all changes are applied, 0 before the
             first read.
         listed_until: Revision as of which the last page of a list was read.
@@ -58,7 +60,8 @@
             than ``applied``.
         newest_change: Revision of the newest applied change. It is told to
             peers, as ``applied`` rises with each read even without changes.
-        told: Highest revision of a change that a peer told.
+        told_era, told: Highest revision of a change that a peer told, in the
+            highest era.
         told_by: Incarnation of the first peer that told it, empty before.
         behind_since: Monotonic time since which a told change is not applied,
             None if all are.
@@ -98,6 +101,7 @@
         "prefix",
         "told",
         "told_by",
+        "told_era",
     )
 
     def __init__(self, prefix: str, bound_s: float):
@@ -107,6 +111,7 @@
         self.applied = 0
         self.listed_until = 0
         self.newest_change = 0
+        self.told_era = 0
         self.told = 0
         self.told_by = ""
         self.behind_since: float | None = None
@@ -120,7 +125,7 @@
         self.changes = 0
         self._expected_at = 0.0
         self._read_began_at: float | None = None
-        self._refuted = 0
+        self._refuted = (0, 0)
         self._refuted_until = -math.inf
         self._retry_at = -math.inf
         self._retry_s = RETRY_S
@@ -135,7 +140,7 @@
     @property
     def is_behind(self) -> bool:
         """Whether a peer told a change that is not applied."""
-        return self.told > self.applied
+        return (self.told_era, self.told) > (self.era, self.applied)
 
     def behind_s(self, now: float) -> float:
         """Returns for how long a told change has not been applied."""
@@ -149,25 +154,43 @@
         """Returns for how long the read in progress has not been answered."""
         return 0.0 if self._read_began_at is None else now - self._read_began_at
 
-    def is_new(self, revision: int, now: float) -> bool:
+    def is_new(self, revision: int, now: float, era: int = 0) -> bool:
         """Returns whether a revision was neither told nor just refuted."""
-        is_refuted = revision == self._refuted and now < self._refuted_until
-        return revision > self.told and not is_refuted
+        is_refuted = (era, revision) == self._refuted
+        return (era, revision) > (self.told_era, self.told) and not (
+            is_refuted and now < self._refuted_until
+        )
 
-    def record_told(self, revision: int, peer: str, now: float) -> None:
+    def record_told(
+        self, revision: int, peer: str, now: float, era: int = 0
+    ) -> None:
         """Records the revision of the newest change that a peer knows."""
-        if not self.is_new(revision, now):
+        if not self.is_new(revision, now, era):
             return
-        self.told, self.told_by, self._told_at = revision, peer, now
+        self.told_era, self.told = era, revision
+        self.told_by, self._told_at = peer, now
         if self.behind_since is None and self.is_behind:
             self.behind_since = now
             self.wake()
 
+    def begin_era(self, era: int) -> bool:
+        """Prepares for the store's contents of an era.
+
+        Returns:
+            Whether it is a later era, in which nothing is applied yet.
+        """
+        if era <= self.era:
+            return False
+        self.era = era
+        self.applied = self.listed_until = self.newest_change = 0
+        return True
+
     def record_applied(self, revision: int) -> None:
         """Records that all changes up to a revision are applied."""
         self.applied = max(self.applied, revision)
         if not self.is_behind:
-            self.newest_change = max(self.newest_change, self.told)
+            if self.told_era == self.era:
+                self.newest_change = max(self.newest_change, self.told)
             self.behind_since = None
             self.is_reported = False
 
@@ -213,11 +236,11 @@
         )
         if self.behind_since is not None and began_at >= self._told_at:
             # Answers are linearizable, so there is no later change.
-            newest = max(revision, self.applied)
-            if self.told > newest:
-                self._refuted = self.told
+            newest = (self.era, max(revision, self.applied))
+            if (self.told_era, self.told) > newest:
+                self._refuted = (self.told_era, self.told)
                 self._refuted_until = now + REFUTED_RETRY_S
-                self.told = newest
+                self.told_era, self.told = newest
         self.record_applied(revision)
 
     def record_failed_read(self, jitter: float, now: float) -> None:
@@ -266,7 +289,9 @@
         if self.behind_since is None:
             return {}
         return {
+            "era": self.era,
             "applied": self.applied,
+            "told_era": self.told_era,
             "told": self.told,
             "told_by": self.told_by,
             "told_s_ago": round(self.behind_s(now), 2),
--- a/savoryspar/gateway/store_follower.py
+++ b/savoryspar/gateway/store_follower.py
@@ -34,6 +34,7 @@
     def propagate(
         self,
         prefix: str,
+        era: int,
         since: int,
         until: int,
         items: Sequence[platform.Item] | None,
@@ -164,12 +165,17 @@
             StoreError: The call failed.
         """
         state = self._state
-        since = state.applied
+        era, since = state.era, state.applied
         changes = self._watch_client.watch(
             state.prefix, since, state.watch_wait_s
         )
+        self._check_era(changes)
+        if changes.era != era:
+            raise fleet.HistoryGoneError(
+                f"the store answered from era {changes.era}, after era {era}",
+                "read all keys again",
+            )
         revision = next_revision(since, changes)
-        self._record_era("watch", changes)
         self._record_answer("watch", revision, bool(changes.items))
         # Meanwhile a read may have found that a server is gone whose removal is
         # not among these changes.
@@ -179,7 +185,9 @@
         if not changes.items:
             self._contents.record_quiet_watch()
             return 0.0
-        self._contents.propagate(state.prefix, since, revision, changes.items)
+        self._contents.propagate(
+            state.prefix, era, since, revision, changes.items
+        )
         return prefix_state.CHANGE_BATCH_DELAY_S
 
     def _read_once(self) -> None:
@@ -195,9 +203,12 @@
             snapshot = client.read_all(state.prefix)
         # The store may close an idle connection before the next read.
         client.close()
-        self._record_era("read", snapshot)
+        self._check_era(snapshot)
+        is_restored = snapshot.era > state.era and state.has_read
         # A server that a message removed during the read is not among ``gone``.
         since, was_exact = state.applied, state.is_exact
+        if snapshot.era > state.era:
+            since = 0
         gone = self._contents.apply_all(state.prefix, snapshot)
         # Later pages may have newer items, without removals from earlier ones.
         changes = [
@@ -208,34 +219,30 @@
         self._record_answer("read", snapshot.revision, bool(changes))
         state.record_listed(snapshot.last_revision)
         state.record_read(snapshot.revision, self._clock())
-        if since and changes:
+        if changes and (since or is_restored):
             # What is missing from a list is a removal only for those who knew
-            # the server.
-            is_complete = was_exact and state.is_exact
+            # the server, in the same era.
+            is_complete = since and was_exact and state.is_exact
             self._contents.propagate(
                 state.prefix,
+                state.era,
                 since,
                 max(item.revision for item in changes),
                 changes if is_complete else None,
             )
 
-    def _record_era(self, call: str, snapshot: platform.Snapshot) -> None:
-        """Logs that the store has come back from a copy."""
-        state = self._state
-        if snapshot.era == state.era:
-            return
-        if state.has_read:
-            self._events.state_change(
-                "store restored",
-                self._clock(),
-                prefix=state.prefix,
-                call=call,
-                era=snapshot.era,
-                era_before=state.era,
-                revision=snapshot.revision,
-                applied=state.applied,
+    def _check_era(self, snapshot: platform.Snapshot) -> None:
+        """Checks that an answer is not older than the restored store.
+
+        Raises:
+            StoreError: It is of an earlier era than the contents known here.
+        """
+        if snapshot.era < self._state.era:
+            raise fleet.StoreError(
+                f"the store answered from era {snapshot.era}, after era"
+                f" {self._state.era}",
+                "the last known state stays in force; check the store",
             )
-        state.era = snapshot.era
 
     def _record_answer(
         self, call: str, revision: int, has_changes: bool
--- a/savoryspar/gateway/watchers.py
+++ b/savoryspar/gateway/watchers.py
@@ -2,10 +2,10 @@
 
 Calls to the store are billed, and each change completes every open watch. In a
 large zone, two VMs watch the store and propagate changes to the others, the
-listeners. Heartbeats carry the newest revisions that a VM has, so that a VM
-that missed a change detects it, and the age of the newest contact with the
-store: a VM without evidence of a recent contact watches the store itself until
-there is one again.
+listeners. Heartbeats carry the newest revisions that a VM has, with the era of
+the store, so that a VM that missed a change detects it, and the age of the
+newest contact with the store: a VM that no peer told of a recent contact in its
+era watches the store itself until one does again.
 """
 
 from collections.abc import Iterable, Mapping
@@ -34,8 +34,12 @@
 the delay of a heartbeat, so with unlimited relays an old contact would always
 appear recent; a zone of 100 VMs is crossed in 7 hops."""
 REVISION_BYTES = 8
+ERA_BYTES = 4
 HEAD_BYTES = 2
 
+Told = Mapping[str, tuple[int, int]]
+"""Era and revision of the newest change that a VM has, by prefix."""
+
 
 class WatcherElection:
     """Decides whether this VM watches the store.
@@ -44,17 +48,17 @@
         contact_at: Monotonic time of the newest known contact of any VM with
             the store.
         hops: Number of VMs that relayed this contact.
-        newest_revisions: Highest reported revision of a change, by prefix.
         watch_wait_s: Time for which a watch waits for changes.
     """
 
     __slots__ = (
         "_elected",
         "_own_incarnation",
+        "_prefixes",
         "_settled_at",
+        "_told_contact_at",
         "contact_at",
         "hops",
-        "newest_revisions",
         "watch_wait_s",
     )
 
@@ -72,9 +76,10 @@
             0,
         )
         self._settled_at = now + SETTLE_S
+        self._prefixes = tuple(prefixes)
+        self._told_contact_at = now
         self.contact_at = now
         self.hops = 0
-        self.newest_revisions = dict.fromkeys(prefixes, 0)
         self.watch_wait_s = watch_wait_s
 
     def must_watch(
@@ -94,7 +99,7 @@
             self._elected = (all_members, *self._elect(all_members))
         _, is_elected, zone_size = self._elected
         limit_s = contact_limit_s(zone_size, self.watch_wait_s)
-        return is_elected or now - self.contact_at > limit_s
+        return is_elected or now - self._told_contact_at > limit_s
 
     def record_contact(self, at: float, hops: int = 0) -> None:
         """Records a contact with the store, of this VM or reported by a peer.
@@ -103,62 +108,83 @@
             at: Monotonic time of the contact.
             hops: Number of VMs that relayed it, 0 for a contact of this VM.
         """
-        if at > self.contact_at and hops <= MAX_HOPS:
+        if hops > MAX_HOPS:
+            return
+        if at > self.contact_at:
             self.contact_at, self.hops = at, hops
+        if hops:
+            self._told_contact_at = max(self._told_contact_at, at)
 
-    def encode_state(
-        self, known: dict[str, int], now: float
-    ) -> tuple[int, bytes]:
+    def encode_state(self, known: Told, now: float) -> tuple[int, bytes]:
         """Encodes the state that the heartbeats of this VM carry.
 
         Args:
-            known: Revision of the newest change that this VM has, by prefix.
+            known: The newest change that this VM has, by prefix.
             now: Monotonic time in seconds.
 
         Returns:
             The revision of the first prefix, and bytes with the age of the
             newest contact and its hops, a byte each, followed by the revisions
-            of the other prefixes.
+            of the other prefixes, and by the eras of all if one is known.
         """
-        first, *others = (known[prefix] for prefix in self.newest_revisions)
+        eras, (first, *others) = zip(
+            *(known[prefix] for prefix in self._prefixes), strict=True
+        )
         age_s = max(0.0, now - self.contact_at)
         age = min(
             evidence.MAX_AGE_UNITS, math.ceil(age_s / evidence.AGE_UNIT_S)
         )
-        return first, bytes([age, self.hops + 1]) + b"".join(
-            revision.to_bytes(REVISION_BYTES, "big") for revision in others
+        encoded_eras = eras if any(eras) else ()
+        return first, b"".join(
+            (
+                bytes([age, self.hops + 1]),
+                *(_encode(revision, REVISION_BYTES) for revision in others),
+                *(_encode(era, ERA_BYTES) for era in encoded_eras),
+            )
         )
 
     def merge_state(
-        self, first: int, rest: bytes, now: float
-    ) -> Mapping[str, int]:
+        self, first: int, rest: bytes, eras: Mapping[str, int], now: float
+    ) -> Told:
         """Merges the state in a heartbeat of a peer; see ``encode_state``.
 
+        A peer in an earlier era has had its contact with a store that has been
+        restored since, or is of an earlier version, which tells no era and
+        does not follow a restored store.
+
+        Args:
+            first: The revision of the first prefix.
+            rest: The encoded rest.
+            eras: Eras that this VM knows, by prefix.
+            now: Monotonic time in seconds.
+
         Returns:
-            The revisions that it tells, by prefix; empty if it is malformed.
+            The changes that it tells, by prefix; empty if it is malformed.
         """
-        if len(rest) != HEAD_BYTES + REVISION_BYTES * (
-            len(self.newest_revisions) - 1
-        ):
+        others_end = HEAD_BYTES + REVISION_BYTES * (len(self._prefixes) - 1)
+        eras_end = others_end + ERA_BYTES * len(self._prefixes)
+        if len(rest) not in (others_end, eras_end):
             return {}
+        revisions = (
+            first,
+            *_decode(rest[HEAD_BYTES:others_end], REVISION_BYTES),
+        )
+        told_eras = _decode(rest[others_end:], ERA_BYTES) or [0] * len(
+            self._prefixes
+        )
+        told = dict(
+            zip(
+                self._prefixes,
+                zip(told_eras, revisions, strict=True),
+                strict=True,
+            )
+        )
         age, hops = rest[:HEAD_BYTES]
-        if age < evidence.MAX_AGE_UNITS:
+        is_current = all(told[prefix][0] >= era for prefix, era in eras.items())
+        if is_current and age < evidence.MAX_AGE_UNITS:
             self.record_contact(now - age * evidence.AGE_UNIT_S, hops)
-        others = (
-            int.from_bytes(rest[at : at + REVISION_BYTES], "big")
-            for at in range(HEAD_BYTES, len(rest), REVISION_BYTES)
-        )
-        told = dict(zip(self.newest_revisions, (first, *others), strict=True))
-        for prefix, revision in told.items():
-            self.record_revision(prefix, revision)
         return told
 
-    def record_revision(self, prefix: str, revision: int) -> None:
-        """Records the revision of a change that a peer reported."""
-        self.newest_revisions[prefix] = max(
-            self.newest_revisions[prefix], revision
-        )
-
     def _elect(
         self, all_members: tuple[membership.Record, ...]
     ) -> tuple[bool, int]:
@@ -181,6 +207,18 @@
         return self._own_incarnation in ranked[:WATCHERS_PER_ZONE], len(vms)
 
 
+def _encode(number: int, size: int) -> bytes:
+    return number.to_bytes(size, "big")
+
+
+def _decode(data: bytes, size: int) -> list[int]:
+    """Returns the numbers that ``_encode`` encoded, in order."""
+    return [
+        int.from_bytes(data[at : at + size], "big")
+        for at in range(0, len(data), size)
+    ]
+
+
 def contact_limit_s(
     zone_size: int, watch_wait_s: float = WATCH_WAIT_S
 ) -> float:
--- a/tests/gateway/test_fleet_watch.py
+++ b/tests/gateway/test_fleet_watch.py
@@ -279,10 +279,13 @@
         sender = watchers.new_watcher_election("a", PREFIXES, 0.0)
         sender.record_contact(8.0)
         receiver = watchers.new_watcher_election("b", PREFIXES, 0.0)
-        known = {PREFIXES[0]: 7, PREFIXES[1]: 2**40}
-        receiver.merge_state(*sender.encode_state(known, 9.0), 20.0)
-        self.assertEqual(known, receiver.newest_revisions)
-        self.assertAlmostEqual(19.0, receiver.contact_at, places=3)
+        for era in (0, 5):
+            known = {PREFIXES[0]: (era, 7), PREFIXES[1]: (era, 2**40)}
+            told = receiver.merge_state(
+                *sender.encode_state(known, 9.0), {}, 20.0
+            )
+            self.assertEqual(known, told)
+            self.assertAlmostEqual(19.0, receiver.contact_at, places=3)
 
     def test_relays_do_not_keep_a_contact_recent(self):
         """Guards against VMs that permanently keep each other from watching.
@@ -290,12 +293,12 @@
         The watchers have lost the store. Each VM receives the age of the last
         contact late, so it computes too recent a time for the contact.
         """
-        known = dict.fromkeys(PREFIXES, 1)
+        known = dict.fromkeys(PREFIXES, (0, 1))
         vms = [watchers.new_watcher_election(n, PREFIXES, 0.0) for n in "ab"]
         for second in range(1, 40):
             for one, other in (vms, vms[::-1]):
                 other.merge_state(
-                    *one.encode_state(known, second), second + 0.98
+                    *one.encode_state(known, second), {}, second + 0.98
                 )
         limit_s = watchers.contact_limit_s(len(MANY))
         for vm in vms:
@@ -304,9 +307,10 @@
     def test_malformed_heartbeat_state_is_ignored(self):
         """Guards against malformed state in the heartbeat of a peer."""
         receiver = watchers.new_watcher_election("b", PREFIXES, 0.0)
-        for rest in (b"", b"\x01", b"x" * 8, b"x" * 9, b"x" * 11):
-            receiver.merge_state(5, rest, 20.0)
-        self.assertEqual([0, 0], [*receiver.newest_revisions.values()])
+        for size in (0, 1, 8, 9, 11, 17, 19):
+            told = receiver.merge_state(5, b"x" * size, {}, 20.0)
+            self.assertEqual({}, told)
+            self.assertEqual(0.0, receiver.contact_at)
 
 
 class RecordedEvents:
@@ -349,7 +353,14 @@
         state.record_told(12, "b", 1.0)
         state.record_told(14, "c", 2.0)
         self.assertEqual(
-            {"applied": 10, "told": 14, "told_by": "c", "told_s_ago": 2.5},
+            {
+                "era": 0,
+                "applied": 10,
+                "told_era": 0,
+                "told": 14,
+                "told_by": "c",
+                "told_s_ago": 2.5,
+            },
             state.describe_told(3.5),
         )
         state.record_applied(14)
@@ -575,7 +586,7 @@
         many = fleet_watch.MAX_PROPAGATED + 1
         items = [platform.Item("servers/s1", b"x", 12)] * many
         for count, has_rows in ((many - 1, True), (many, False)):
-            self.watch.propagate("servers/", 10, 12, items[:count])
+            self.watch.propagate("servers/", 0, 10, 12, items[:count])
             rows = self.members.sent[-1][0][3]
             self.assertEqual(has_rows, rows is not None)
         self.receive(10, 14, None)
@@ -789,7 +800,7 @@
         """
         state = self.watch.states[platform.SERVER_PREFIX]
         self.patch(self.watch._election, "_settled_at", 0.0)
-        self.patch(self.watch._election, "contact_at", 0.0)
+        self.patch(self.watch._election, "_told_contact_at", 0.0)
         items = [platform.Item(*self.row("s1", 12))]
 
         def watch(prefix, after, wait_s):
