--- a/tests/fleet/test_server_registry.py
+++ b/tests/fleet/test_server_registry.py
@@ -5,12 +5,20 @@
 import testtools
 
 from savoryspar import fleet, log
+from savoryspar.fleet import server_registry
 from tests.gateway import requests
 
 
-def entry(name="s1", revision=1, is_draining=False, pool="p", address="a:1"):
+def entry(
+    name="s1",
+    revision=1,
+    is_draining=False,
+    pool="p",
+    address="a:1",
+    started_ms=0,
+):
     return fleet.BackendEntry(
-        name, pool, address, "z", 1, is_draining, 0, revision
+        name, pool, address, "z", 1, is_draining, started_ms, revision
     )
 
 
@@ -132,6 +140,128 @@
         self.assertEqual(["s2"], self.names())
 
 
+class RestoredStoreTest(testtools.TestCase):
+    """The registry when the store comes back from a copy.
+
+    Revisions of the copy are at most 100; later ones are given out again.
+    """
+
+    def setUp(self):
+        super().setUp()
+        self.server_registry = fleet.new_server_registry(event_log(self))
+
+    def names(self):
+        return sorted(item.name for item in self.server_registry.usable())
+
+    def put(self, now=0.0, **fields):
+        self.server_registry.put(entry(**fields), "store", now)
+
+    def remove(self, revision, now=0.0, name="s1"):
+        self.server_registry.remove(name, revision, "store", now)
+
+    def restore(self, *entries, revision=100, now=10.0):
+        self.server_registry.restore(entries, revision, "store", now)
+
+    def test_entry_with_a_lower_revision_is_followed(self):
+        """Guards against a drain ignored for the revision before the loss."""
+        self.put(revision=120)
+        self.restore(entry(revision=90))
+        self.assertEqual(["s1"], self.names())
+        self.put(revision=104, is_draining=True, now=11.0)
+        self.assertEqual([], self.names())
+
+    def test_lost_removal_holds(self):
+        """Guards against a removed server that the copy lists."""
+        other = entry(revision=80, name="s2")
+        self.put(revision=80, name="s2")
+        self.put(revision=90)
+        self.remove(120, now=9.9)
+        for now in (10.0, 12.0, 14.0):
+            # The server is off the list, given up, and lost a second time.
+            self.restore(other, entry(revision=90), now=now)
+            self.assertEqual(["s2"], self.names())
+            self.assertTrue(self.server_registry.is_leaving("s1"))
+            self.server_registry.expire(now + 1.9)
+            self.assertEqual(["s2"], self.names())
+        self.put(revision=99, now=16.0)
+        self.assertEqual(["s1", "s2"], self.names())
+
+    def test_lost_removal_of_an_unknown_server_holds(self):
+        """Guards against a server whose removal a peer told."""
+        self.remove(120)
+        self.restore(entry(revision=90, started_ms=7))
+        self.assertEqual([], self.names())
+
+    def test_server_written_since_the_loss_is_used(self):
+        """Guards against a server that is ignored as it was removed once."""
+        self.put(revision=90)
+        self.remove(120)
+        self.restore(entry(revision=104), revision=105)
+        self.assertEqual(["s1"], self.names())
+
+    def test_server_started_since_the_loss_is_used(self):
+        """Guards against a start taken for the entry of the copy."""
+        for last in (
+            lambda: self.remove(122),
+            lambda: self.put(revision=122, is_draining=True, started_ms=7),
+        ):
+            self.put(revision=120, started_ms=7)
+            last()
+            self.restore(entry(revision=104, started_ms=9), revision=105)
+            self.assertEqual(["s1"], self.names())
+            self.restore(revision=1)
+            self.server_registry.expire(13.0)
+            self.server_registry.expire(500.0)
+
+    def test_lost_drain_holds(self):
+        """Guards against requests to a server that the copy lists as ready."""
+        self.put(revision=90)
+        self.put(revision=120, is_draining=True)
+        self.restore(entry(revision=90))
+        self.assertEqual([], self.names())
+        self.remove(101)
+        self.assertTrue(self.server_registry.is_leaving("s1"))
+
+    def test_drain_written_since_the_loss_is_followed(self):
+        """Guards against a drain taken for the entry of the copy."""
+        self.put(revision=120)
+        self.restore(entry(revision=104, is_draining=True), revision=105)
+        self.assertEqual([], self.names())
+
+    def test_server_with_a_lost_entry_keeps_its_requests(self):
+        """Guards against a gap until servers have written their entries."""
+        self.put(revision=120)
+        self.put(revision=80, name="s2")
+        self.restore(entry(revision=80, name="s2"))
+        self.assertEqual(["s1", "s2"], self.names())
+        self.assertFalse(self.server_registry.is_leaving("s1"))
+        self.server_registry.replace(
+            [entry(revision=80, name="s2")], 101, "store", 11.0
+        )
+        self.assertEqual(["s1", "s2"], self.names())
+        self.put(revision=103, now=11.5)
+        self.server_registry.expire(20.0)
+        self.assertEqual(["s1", "s2"], self.names())
+
+    def test_server_that_is_not_written_again_is_gone(self):
+        """Guards against a lost entry that is used for good."""
+        self.put(revision=120)
+        self.put(revision=80, name="s2")
+        self.restore(entry(revision=80, name="s2"))
+        self.server_registry.expire(10.0 + server_registry.RESTORED_GRACE_S)
+        self.assertEqual(["s2"], self.names())
+        self.put(revision=100, now=13.0)
+        self.assertEqual(["s2"], self.names())
+
+    def test_entry_lost_by_one_copy_is_in_the_next_one(self):
+        """Guards against a second loss that ends the grace of the first."""
+        self.put(revision=90)
+        self.restore(revision=80)
+        self.restore(entry(revision=90), revision=95, now=11.0)
+        self.server_registry.expire(20.0)
+        self.assertEqual(["s1"], self.names())
+
+
 class HolderTest(testtools.TestCase):
     def configuration(self, version, *routes):
         limits = fleet.CallerLimits(1, 1, 1.0, 1.0)
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -14,13 +14,17 @@
 from tests.gateway import odd_store
 
 
-def answer(status, body):
-    return raw_answer(json.dumps(body).encode(), status)
+def answer(status, body, fields=b""):
+    return raw_answer(json.dumps(body).encode(), status, fields)
 
 
-def raw_answer(data, status=200):
-    head = b"HTTP/1.1 %d X\r\nContent-Length: %d\r\n\r\n" % (status, len(data))
-    return scripted.send(head + data)
+def raw_answer(data, status=200, fields=b""):
+    head = b"HTTP/1.1 %d X\r\nContent-Length: %d\r\n" % (status, len(data))
+    return scripted.send(head + fields + b"\r\n" + data)
+
+
+def era(text):
+    return b"Store-Era: %s\r\n" % text
 
 
 def item(key, value, revision):
@@ -114,6 +118,45 @@
         client = self.client(answer(410, {}))
         self.assertRaises(fleet.HistoryGoneError, client.watch, "s/", 3, 1.0)
 
+    def test_answers_tell_the_era_of_their_revisions(self):
+        """Guards against revisions of two eras that are compared."""
+        client = self.client(
+            answer(404, {"as-of": 7}),
+            answer(404, {"as-of": 3}, era(b"4")),
+            answer(200, {"events": [], "as-of": 4}, era(b"5")),
+            answer(
+                200,
+                {"entries": [], "truncated": False, "as-of": 5},
+            ),
+        )
+        eras = [client.get("k").era, client.get("k").era]
+        eras.append(client.watch("s/", 3, 1.0).era)
+        eras.append(client.read_all("s/").era)
+        self.assertEqual([0, 4, 5, 5], eras)
+
+    def test_list_across_a_restore_is_an_error(self):
+        """Guards against a list with entries from before and after a loss."""
+        pages = [
+            answer(
+                200,
+                {
+                    "entries": [item(f"s/{key}", b"1", 3)],
+                    "truncated": key != "c",
+                    "as-of": 9,
+                },
+                era(b"1" if key == "a" else b"2"),
+            )
+            for key in "abc"
+        ]
+        client = self.client(*pages)
+        self.assertRaises(fleet.StoreError, client.read_all, "s/")
+
+    def test_malformed_era_is_an_error(self):
+        """Guards against an answer whose revisions cannot be ordered."""
+        for text in (b"x", b"-1", b"1.5", b"9" * 30):
+            client = self.client(answer(404, {"as-of": 7}, era(text)))
+            self.assertRaises(fleet.StoreError, client.get, "k")
+
     def test_rejected_calls_are_errors(self):
         """Guards against a rejected read treated as an empty list."""
         for status in (429, 503, 404):
