Hold removals and drains through restored stores until a list refutes them

Random walks of three VMs and a store that loses changes found these ways by which a removed or draining server was used again, or one that runs was not: a removal that was learned from a list, whose last entry the VM had not seen; a second copy whose entry has the revision that the first one had; a start that precedes the known one; a removed server whose entry was written again with a revision below that of the removal, which was never believed.

A removal holds against entries up to its revision in any era, unless the server tells a later start. A server that is still listed 10 s after the loss is believed to run once another list has it, as entries of servers that have ended expire sooner.

--- a/savoryspar/fleet/server_registry.py
+++ b/savoryspar/fleet/server_registry.py
@@ -27,6 +27,11 @@
 """Time for which removals are kept, so that outdated entries are ignored."""
 
 
+HELD_S = 10.0
+"""Time after which a removed server that a restored store lists is believed to
+run. The entry of one that has ended expires sooner."""
+
+
 class Removal:
     """The removal of a server's entry.
 
@@ -34,28 +39,54 @@
         revision: Revision as of which the entry was absent. Entries up to it
             are outdated.
         at: Monotonic time at which it was learned.
-        last_entry: Revision of the last entry of the server; that of the
-            removal if the entry is not known.
+        highest_revision: The highest revision in any era of the store.
         started_ms: Start of the server that its entry told; infinity if the
             entry is not known.
+        is_listed: Whether a restored store lists the server, so that its copy
+            precedes the removal or the server has written its entry again.
     """
 
-    __slots__ = ("at", "last_entry", "revision", "started_ms")
+    __slots__ = (
+        "at",
+        "highest_revision",
+        "is_listed",
+        "revision",
+        "started_ms",
+    )
 
-    def __init__(
-        self, revision: int, at: float, last_entry: int, started_ms: float
-    ):
-        self.revision = revision
+    def __init__(self, revision: int, at: float, started_ms: float):
+        self.revision = self.highest_revision = revision
         self.at = at
-        self.last_entry = last_entry
         self.started_ms = started_ms
+        self.is_listed = False
 
-    def is_later_than(self, entry: model.BackendEntry) -> bool:
-        """Returns whether an entry of a restored store precedes the removal."""
-        return (
-            entry.revision <= self.last_entry
-            and entry.started_ms <= self.started_ms
-        )
+    def is_unconfirmed(self, now: float) -> bool:
+        """Returns whether the server is listed for too long to be gone."""
+        return self.is_listed and now - self.at > HELD_S
+
+    def rebase(
+        self, entry: model.BackendEntry | None, revision: int, now: float
+    ) -> bool:
+        """Takes the removal over into a new era.
+
+        Args:
+            entry: The entry that the restored store lists, if any.
+            revision: Revision of the new era as of which its list is complete.
+            now: Monotonic time in seconds.
+
+        Returns:
+            Whether the removal holds; otherwise the entry was written since.
+        """
+        if entry is not None and (
+            entry.revision > self.highest_revision
+            or entry.started_ms > self.started_ms
+        ):
+            return False
+        self.is_listed = entry is not None
+        self.revision = revision if entry is None else entry.revision
+        self.highest_revision = max(self.highest_revision, self.revision)
+        self.at = now
+        return True
 
 
 class ServerRegistry:
@@ -150,7 +181,14 @@
         names = set()
         for entry in entries:
             names.add(entry.name)
+            removal = self._tombstones.get(entry.name)
+            if removal is not None and removal.is_unconfirmed(now):
+                # The entry has outlasted the lease of a server that is gone.
+                del self._tombstones[entry.name]
             self.put(entry, source, now)
+        for name, removal in self._tombstones.items():
+            if name not in names:
+                removal.is_listed = False
         missing = [
             name
             for name, entry in self._entries.items()
@@ -176,9 +214,8 @@
         again: a removed server stays removed, a draining one drains, and one
         whose entry was lost keeps its requests for ``RESTORED_GRACE_S``.
 
-        An entry of the copy has a revision that it had before the loss. So it
-        is outdated if a newer one is known, unless the server has been started
-        since.
+        An entry of the copy has a revision that it had before the loss, so it
+        is at most that of what is known of the server.
 
         Args:
             entries: The list.
@@ -192,18 +229,15 @@
             del self._tombstones[name]
             self._clear_lapsed(name)
         for known in [*self._entries.values()]:
-            if known.name not in self._lapsed:
-                self._restore_entry(known, listed, revision, source, now)
-            else:
+            if known.name in self._lapsed:
                 known.revision = 0
-        for name, removal in self._tombstones.items():
-            entry = listed.get(name)
-            if entry is None:
-                removal.revision = revision
-            elif removal.is_later_than(entry):
-                removal.revision = listed.pop(name).revision
             else:
-                removal.revision = 0
+                self._restore_entry(known, listed, revision, source, now)
+        for name, removal in [*self._tombstones.items()]:
+            if removal.rebase(listed.get(name), revision, now):
+                listed.pop(name, None)
+            else:
+                del self._tombstones[name]
         for entry in listed.values():
             self.put(entry, source, now)
 
@@ -225,16 +259,11 @@
         self._tombstones.pop(name, None)
         if entry is None:
             self._tombstones[name] = Removal(
-                revision, now, known_revision, known.started_ms
+                known_revision, now, known.started_ms
             )
             self._lost.add(name)
             self._begin_lapse(known, revision, RESTORED_GRACE_S, source, now)
-        elif (
-            entry.revision < known_revision
-            and entry.started_ms <= known.started_ms
-            # A drain is not taken back, so this one was written since.
-            and (known.is_draining or not entry.is_draining)
-        ):
+        elif _is_outdated(entry, known_revision, known):
             known.revision = listed.pop(name).revision
 
     def expire(self, now: float) -> None:
@@ -256,6 +285,12 @@
             if now - removal.at > TOMBSTONE_TTL_S:
                 del self._tombstones[name]
 
+    def must_confirm(self, now: float) -> bool:
+        """Returns whether a list must tell if a held removal is confirmed."""
+        return any(
+            removal.is_unconfirmed(now) for removal in self._tombstones.values()
+        )
+
     def find(self, name: str) -> model.BackendEntry | None:
         """Returns the entry of a server, also of a lapsed one, or None."""
         return self._entries.get(name)
@@ -325,18 +360,11 @@
     def _bury(self, name: str, revision: int, now: float) -> None:
         """Records a removal unless a later one is known."""
         removal = self._tombstones.get(name)
-        if removal is None:
-            removal = Removal(-1, now, 0, 0)
-        if revision <= removal.revision:
+        if removal is not None and revision <= removal.revision:
             return
-        known = self._entries.get(name)
-        if known is not None:
-            removal.last_entry = max(removal.last_entry, known.revision)
-            removal.started_ms = max(removal.started_ms, known.started_ms)
-        elif not removal.last_entry:
-            removal.last_entry, removal.started_ms = revision, math.inf
-        removal.revision, removal.at = revision, now
-        self._tombstones[name] = removal
+        source = self._entries.get(name) or removal
+        started_ms = source.started_ms if source else math.inf
+        self._tombstones[name] = Removal(revision, now, started_ms)
 
     def _begin_lapse(
         self,
@@ -366,6 +394,31 @@
             self.generation += 1
 
 
+def _is_outdated(
+    entry: model.BackendEntry, known_revision: int, known: model.BackendEntry
+) -> bool:
+    """Returns whether the entry of a restored store would undo what is known.
+
+    Other differences are taken from the store, as the server writes its entry
+    again if it was lost.
+
+    Args:
+        entry: The entry.
+        known_revision: Revision of the known entry before the loss.
+        known: The known entry.
+    """
+    is_older = entry.revision <= known_revision
+    if entry.started_ms != known.started_ms:
+        return is_older and entry.started_ms < known.started_ms
+    # A server does not take its drain back. If it does not tell its start, it
+    # may have been started again.
+    return (
+        known.is_draining
+        and not entry.is_draining
+        and (is_older or known.started_ms != 0)
+    )
+
+
 def new_server_registry(events: log.EventLog) -> ServerRegistry:
     """Returns an empty server registry."""
     return ServerRegistry(events)
--- a/savoryspar/gateway/fleet_watch.py
+++ b/savoryspar/gateway/fleet_watch.py
@@ -635,6 +635,8 @@
     def _expire_servers(self, now: float) -> None:
         before = self._server_registry.generation
         self._server_registry.expire(now)
+        if self._server_registry.must_confirm(now):
+            self.states[platform.SERVER_PREFIX].require_read()
         if self._server_registry.generation != before:
             self._on_change(now)
 
--- a/tests/fleet/test_server_registry.py
+++ b/tests/fleet/test_server_registry.py
@@ -196,8 +196,47 @@
         """Guards against a server that is ignored as it was removed once."""
         self.put(revision=90)
         self.remove(120)
-        self.restore(entry(revision=104), revision=105)
+        self.server_registry.expire(9.0)
+        self.restore(entry(revision=121), revision=122)
         self.assertEqual(["s1"], self.names())
+        self.remove(123, now=11.0)
+        self.server_registry.expire(19.0)
+        self.restore(revision=104, now=20.0)
+        self.put(revision=105, now=21.0)
+        self.assertEqual(["s1"], self.names())
+
+    def test_server_that_stays_listed_is_used(self):
+        """Guards against a server written since that is never used.
+
+        Its revision is below that of its removal, as if it were in the copy.
+        """
+        self.put(revision=90)
+        self.remove(120)
+        self.server_registry.expire(9.0)
+        self.restore(entry(revision=104), revision=105)
+        for revision, now, names in ((106, 19.9, []), (107, 20.1, ["s1"])):
+            self.assertEqual(
+                names != [], self.server_registry.must_confirm(now)
+            )
+            self.server_registry.replace(
+                [entry(revision=104)], revision, "store", now
+            )
+            self.assertEqual(names, self.names())
+        self.assertFalse(self.server_registry.must_confirm(40.0))
+
+    def test_server_that_ends_while_listed_is_not_used(self):
+        """Guards against an entry of the copy that outlasts its removal."""
+        for end in (
+            lambda: self.remove(121, now=13.0),
+            lambda: self.server_registry.replace([], 121, "store", 13.0),
+        ):
+            self.put(revision=90)
+            self.remove(120)
+            self.server_registry.expire(9.0)
+            self.restore(entry(revision=90))
+            end()
+            self.assertFalse(self.server_registry.must_confirm(30.0))
+            self.server_registry.expire(200.0)
 
     def test_server_started_since_the_loss_is_used(self):
         """Guards against a start taken for the entry of the copy."""
@@ -224,8 +263,17 @@
 
     def test_drain_written_since_the_loss_is_followed(self):
         """Guards against a drain taken for the entry of the copy."""
-        self.put(revision=120)
-        self.restore(entry(revision=104, is_draining=True), revision=105)
+        self.put(revision=120, started_ms=7)
+        self.restore(
+            entry(revision=104, is_draining=True, started_ms=7), revision=105
+        )
+        self.assertEqual([], self.names())
+
+    def test_drain_holds_through_two_losses(self):
+        """Guards against a drain that is compared with the first copy."""
+        self.put(revision=120, is_draining=True, started_ms=7)
+        self.restore(entry(revision=90, started_ms=7))
+        self.restore(entry(revision=95, started_ms=7), revision=98)
         self.assertEqual([], self.names())
 
     def test_server_with_a_lost_entry_keeps_its_requests(self):
--- a/tests/gateway/test_change_order.py
+++ b/tests/gateway/test_change_order.py
@@ -139,8 +139,7 @@
 
     def send_to_neighbours(self, kind, body, now, exclude=""):
         del now
-        if kind == fleet_watch.CHANGES_KIND:
-            self.sent.append((body, exclude))
+        self.sent.append((kind, body, exclude))
 
 
 class Vm:
@@ -220,9 +219,9 @@
         name, *args = step
         getattr(self, f"_{name}")(*args)
         for vm in self.vms:
-            for body, exclude in vm.members.sent:
+            for kind, body, exclude in vm.members.sent:
                 self.messages += [
-                    (body, vm.incarnation, other)
+                    (kind, body, vm.incarnation, other)
                     for other in range(VMS)
                     if self.vms[other].incarnation
                     not in (vm.incarnation, exclude)
@@ -263,11 +262,10 @@
         """Delivers a message; a kept one arrives again later."""
         if self.messages:
             at = number % len(self.messages)
-            body, sender, receiver = self.messages[at]
+            kind, body, sender, receiver = self.messages[at]
             if not is_kept:
                 del self.messages[at]
-            handlers = self.vms[receiver].members.handlers
-            handlers[fleet_watch.CHANGES_KIND](sender, body)
+            self.vms[receiver].members.handlers[kind](sender, body)
 
     def _ask(self, peer):
         """Has a peer write a reply, which arrives later."""
