Create the hub of eventlet outside the greenlets of a test

A test that shared a process with random walks failed in setUp, 4 of 4 times in one selection of tests: 'cannot set the parent of a main greenlet'. The greenlet that first asks for the hub becomes its parent, and this was that of a call of the walk, which had ended. It passes with the hub created first.

--- a/tests/gateway/test_change_order.py
+++ b/tests/gateway/test_change_order.py
@@ -7,6 +7,7 @@
 import bisect
 import random
 
+from eventlet import hubs
 import greenlet
 import hypothesis
 from hypothesis import strategies
@@ -205,6 +206,9 @@
     """VMs whose answers and messages the test delivers."""
 
     def __init__(self):
+        # The greenlet that creates the hub becomes its parent, so it must not
+        # be that of a call, which ends before other tests use the hub.
+        hubs.get_hub()
         self.now = 100.0
         self.history = History()
         self.vms = [self._new_vm(number) for number in range(VMS)]
