Restore the store of the soak from copies

The fault restore_store takes the store back to a copy, loses a version and what else was written, and writes it again within 2 s.

--- a/savoryspar/soak/environment.py
+++ b/savoryspar/soak/environment.py
@@ -81,6 +81,29 @@
         self.era += self.era > 0
         self._notify()
 
+    def changed_since(self, copy: StoreCopy) -> dict[str, bytes | None]:
+        """Returns the keys that a copy has otherwise, with their values."""
+        return {
+            key: self._items[key].value if key in self._items else None
+            for key in sorted(self._items.keys() | copy.items.keys())
+            if self._items.get(key) is not copy.items.get(key)
+        }
+
+    def rewrite(
+        self, copy: StoreCopy, lost: Mapping[str, bytes | None], prefix: str
+    ) -> None:
+        """Writes lost keys under a prefix unless they were written since.
+
+        Args:
+            copy: The copy that the store was restored from.
+            lost: Values by key before the loss; None for removed keys.
+            prefix: Key prefix.
+        """
+        for key, value in lost.items():
+            is_as_copied = self._items.get(key) is copy.items.get(key)
+            if key.startswith(prefix) and is_as_copied:
+                self.write(key, value)
+
     def _notify(self) -> None:
         changed, self._changed = self._changed, event.Event()
         changed.send(None)
--- a/savoryspar/soak/fault_injector.py
+++ b/savoryspar/soak/fault_injector.py
@@ -54,6 +54,7 @@
         self._paused: set[str] = set()
         self._busy: set[str] = set()
         self._is_port_faulty = False
+        self._is_restoring = False
         self._odd_numbers = itertools.count()
         self.faults: list[str] = []
 
@@ -188,6 +189,36 @@
             self._store.is_down = False
             self._store.delay_s = 0.0
 
+    def _restore_store(self, duration_s: float) -> None:
+        """Restores the store from a copy; what it lacks is written again."""
+        if self._is_restoring:
+            return
+        self._is_restoring = True
+        away_s, *rewrites_s = (
+            self._rng.uniform(*span_s) for span_s in faults.RESTORE_SPANS_S
+        )
+        self._record(
+            f"the store comes back from a copy {duration_s + away_s:.1f} s old",
+            duration_s + away_s + sum(rewrites_s),
+        )
+        copy = self._store.copy()
+        self._publish_configuration(0.0)
+        eventlet.sleep(duration_s)
+        with self._during(Effect.STORE):
+            self._store.is_down = True
+            eventlet.sleep(away_s)
+            lost = self._store.changed_since(copy)
+            self._store.restore(copy)
+            self._store.is_down = False
+            for prefix, pause_s in zip(
+                (platform.SERVER_PREFIX, platform.CONFIGURATION_PREFIX),
+                rewrites_s,
+                strict=True,
+            ):
+                eventlet.sleep(pause_s)
+                self._store.rewrite(copy, lost, prefix)
+        self._is_restoring = False
+
     def _reject_vm(self, duration_s: float) -> None:
         """Makes the store turn one VM away."""
         index = self._rng.randrange(len(self._vms))
--- a/savoryspar/soak/faults.py
+++ b/savoryspar/soak/faults.py
@@ -19,6 +19,7 @@
     "stop_vm": 2,
     "restart_in_turn": 1,
     "disrupt_store": 1,
+    "restore_store": 2,
     "reject_vm": 1,
     "deafen_watches": 2,
     "write_odd_entries": 2,
@@ -69,6 +70,10 @@
     (signal.SIGHUP, signal.SIGTERM),
 )
 """Signals that a process gets in its planned stop."""
+RESTORE_SPANS_S = ((0.0, 1.0), (0.0, 1.5), (0.0, 0.5))
+"""Ranges of the time for which a store is away before it comes back from a
+copy, then of that until servers write their entries again, and of that from
+then until the operator writes the configuration again."""
 ODD_ENTRIES = 3
 """Number of odd entries that are written at once."""
 RESTART_INTERVAL_S = (0.3, 2.0)
--- a/savoryspar/soak/runs.py
+++ b/savoryspar/soak/runs.py
@@ -44,6 +44,9 @@
 a VM that does not follow the list serves nothing there as it should."""
 FAULT_FREE_S = 8.0
 """Time without faults at the end of a soak."""
+LOSS_S = 1.5
+"""Time until VMs know what a restored store loses, and until it is written
+again."""
 LAG_INTERVAL_S = 0.05
 
 
@@ -223,6 +226,9 @@
             which each VM must have recovered.
         """
         self._callers.is_calm = True
+        if "restore_store" in self._weights:
+            self._lose_entries()
+        copy = self._store.copy()
         gone = [s for s in self._servers if s.entry.name in REPLACED]
         for server in self._servers:
             server.change(is_refusing=False)
@@ -236,9 +242,31 @@
             self._servers.append(newcomer)
             self._start_server(newcomer)
         judged_from = self._now() + fleet_checker.RECOVERY_TIMEOUT_S
-        eventlet.sleep(FAULT_FREE_S)
+        eventlet.sleep(fleet_checker.RECOVERY_TIMEOUT_S)
+        if "restore_store" in self._weights:
+            self._list_removed_servers(copy)
+        eventlet.sleep(FAULT_FREE_S - fleet_checker.RECOVERY_TIMEOUT_S)
         return gone, judged_from
 
+    def _lose_entries(self) -> None:
+        """Restores the store from a copy that has older entries of servers.
+
+        The revisions of all later changes are lower than those of the entries
+        that were lost.
+        """
+        copy = self._store.copy()
+        for server in self._servers:
+            fault_injector.publish_server(self._store, server)
+        eventlet.sleep(LOSS_S)
+        self._store.restore(copy)
+
+    def _list_removed_servers(self, copy: environment.StoreCopy) -> None:
+        """Restores the store from a copy that has servers which are gone."""
+        lost = self._store.changed_since(copy)
+        self._store.restore(copy)
+        eventlet.sleep(LOSS_S)
+        self._store.rewrite(copy, lost, "")
+
     def _used_servers(self) -> list[servers.BackendServer]:
         """Returns the servers of services that the newest version uses."""
         unused = configurations.moved_service(len(self._published) + 1)
