--- a/tests/gateway/test_large_fleet.py
+++ b/tests/gateway/test_large_fleet.py
@@ -145,6 +145,45 @@
         self.run_for(8.0)
         self.check(self.fleet.zone(5))
 
+    def lose_changes(self):
+        """Restores the store without changes that all VMs have."""
+        revision = self.fleet.store.revision
+        for name in SERVERS:
+            self.fleet.write_server(name)
+        self.run_for(SETTLE_S)
+        self.fleet.store.restore(revision)
+
+    def test_change_reaches_all_vms_after_a_restore(self):
+        """Guards against VMs that compare the revisions of two eras."""
+        self.lose_changes()
+        self.change()
+        self.run_for(8.0)
+        self.check()
+
+    def test_zone_without_the_store_learns_of_a_restore(self):
+        """Guards against changes of an era that only peers have read."""
+        self.cut_off(self.fleet.zone(2))
+        self.lose_changes()
+        self.change()
+        self.run_for(10.0)
+        self.check()
+
+    def test_zone_that_was_cut_off_follows_a_restored_store(self):
+        """Guards against facts of the era before that a zone still tells."""
+        self.fleet.cut_zones.add("z5")
+        self.cut_off(self.fleet.zone(5))
+        self.run_for(1.0)
+        self.lose_changes()
+        self.change()
+        self.run_for(6.0)
+        self.check([v for v in self.fleet.vms if v.zone != "z5"])
+        self.fleet.cut_zones.clear()
+        for vm in self.fleet.zone(5):
+            vm.is_cut_off = False
+        self.changed_at = self.time.now
+        self.run_for(8.0)
+        self.check()
+
     def test_servers_that_come_and_go_are_known_as_in_the_store(self):
         """Guards against a server that is gone and is used for good.
 
--- a/tests/gateway/virtual_fleet.py
+++ b/tests/gateway/virtual_fleet.py
@@ -41,6 +41,7 @@
     def __init__(self, time):
         self._time = time
         self.revision = 1
+        self.era = 1
         self.reads = 0
         self._items = {}
         self._history = []
@@ -51,6 +52,17 @@
         item = platform.Item(key, value, self.revision)
         self._items[key] = item
         self._history.append(item)
+        self._wake()
+
+    def restore(self, revision):
+        """Goes back to a revision; later ones are given out again."""
+        self._history = [i for i in self._history if i.revision <= revision]
+        self._items = {item.key: item for item in self._history}
+        self.revision = revision
+        self.era += 1
+        self._wake()
+
+    def _wake(self):
         waiters, self._waiters = self._waiters, []
         for waiter in waiters:
             waiter.send(True)
@@ -64,17 +76,18 @@
 
     def wait(self, prefix, after, wait_s):
         ends_at = self._time.now + wait_s
-        while True:
+        while after <= self.revision:
             changes = [
                 item
                 for item in self._history
                 if item.revision > after and item.key.startswith(prefix)
             ]
             if changes or self._time.now >= ends_at:
-                return platform.Snapshot(changes, self.revision)
+                return platform.Snapshot(changes, self.revision, era=self.era)
             waiter = virtual_time.Waiter(self._time)
             self._waiters.append(waiter)
             waiter.wait(ends_at - self._time.now)
+        raise fleet.HistoryGoneError("gone", "read all keys again")
 
 
 class StoreClient:
@@ -100,8 +113,9 @@
         return self._call(lambda: self._store.wait(prefix, after, wait_s))
 
     def _snapshot(self, prefix):
+        store = self._store
         return platform.Snapshot(
-            self._store.items(prefix), self._store.revision
+            store.items(prefix), store.revision, era=store.era
         )
 
     def _call(self, answer):
@@ -240,10 +254,10 @@
 
     def handle(self, kind, body, sender):
         """Handles a message of a peer."""
-        prefix, _, until, _ = body
+        era, prefix, _, until, _ = body
         if prefix == platform.CONFIGURATION_PREFIX:
-            told = self.watch.states[prefix].told
-            if until > told:
+            state = self.watch.states[prefix]
+            if (era, until) > (state.told_era, state.told):
                 self._told = greenlet.getcurrent().hops
         self.members.handlers[kind](sender, body)
 
