--- a/savoryspar/fleet/server_registry.py
+++ b/savoryspar/fleet/server_registry.py
@@ -362,8 +362,8 @@
         removal = self._tombstones.get(name)
         if removal is not None and revision <= removal.revision:
             return
-        source = self._entries.get(name) or removal
-        started_ms = source.started_ms if source else math.inf
+        known = self._entries.get(name) or removal
+        started_ms = known.started_ms if known else math.inf
         self._tombstones[name] = Removal(revision, now, started_ms)
 
     def _begin_lapse(
--- a/savoryspar/gateway/fleet_watch.py
+++ b/savoryspar/gateway/fleet_watch.py
@@ -248,14 +248,15 @@
     def _serve_era_changes(self, sender: str, body: list) -> None:
         """Applies changes of a store that tells its era."""
         era, *changes = body
-        self._apply_changes(sender, decoding.integer(era, 1), changes)
+        number = decoding.integer(era, 1, platform.MAX_ERA)
+        self._apply_changes(sender, number, changes)
 
     def _apply_changes(self, sender: str, era: int, body: list) -> None:
         """Applies changes that a peer propagated, and relays new ones."""
         prefix, since, until, rows = body
         state = self.states[prefix]
-        decoding.integer(until, 0)
-        if (era, until) <= (state.era, state.applied):
+        told = (era, decoding.integer(until, 0))
+        if told <= (state.era, state.applied):
             return
         is_new = state.is_new(until, self._clock(), era)
         source = f"peer {sender}"
@@ -489,13 +490,8 @@
                 self._apply_configuration(document, source, now)
             # A store may not tell its era, and processes of earlier versions
             # do not.
-            eras, revisions = (
-                {
-                    prefix: decoding.integer(number, 0)
-                    for prefix, number in reply.get(key, {}).items()
-                }
-                for key in ("eras", "revisions")
-            )
+            eras = _numbers(reply.get("eras", {}), platform.MAX_ERA)
+            revisions = _numbers(reply.get("revisions", {}))
             is_whole = self._apply_peer_servers(
                 reply,
                 eras.get(platform.SERVER_PREFIX, 0),
@@ -654,3 +650,17 @@
                 unanswered_s=round(state.unanswered_s(now), 2),
                 **state.describe_told(now),
             )
+
+
+def _numbers(
+    by_prefix: Mapping[str, Any], maximum: int = decoding.MAX_INTEGER
+) -> dict[str, int]:
+    """Decodes eras or revisions by key prefix.
+
+    Raises:
+        DecodingError: One is none, or out of range.
+    """
+    return {
+        prefix: decoding.integer(number, 0, maximum)
+        for prefix, number in by_prefix.items()
+    }
--- a/savoryspar/platform/__init__.py
+++ b/savoryspar/platform/__init__.py
@@ -34,6 +34,7 @@
     result_handles,
 )
 from savoryspar.platform.store import (
+    MAX_ERA,
     Fault,
     Item,
     Snapshot,
--- a/savoryspar/platform/store.py
+++ b/savoryspar/platform/store.py
@@ -26,6 +26,7 @@
 """Limit for the pages of one list, with about 500 items each."""
 MAX_KEY_BYTES = 200
 MAX_ERA = (1 << 32) - 1
+"""Largest number of times that a store may have been restored."""
 USER_TIMEOUT_MS = 2500
 """TCP timeout for data that the store does not acknowledge."""
 
--- a/tests/gateway/test_store_eras.py
+++ b/tests/gateway/test_store_eras.py
@@ -4,7 +4,7 @@
 
 import testtools
 
-from savoryspar import fleet, platform
+from savoryspar import decoding, fleet, platform
 from savoryspar.gateway import fleet_watch, prefix_state, watchers
 from tests.gateway import event_logs, test_fleet_watch
 
@@ -120,6 +120,17 @@
         self.assertEqual((ERA, 10), (self.state.era, self.state.applied))
         self.assertEqual(["s1"], self.names())
 
+    def test_era_that_is_out_of_range_is_ignored(self):
+        """Guards against a number that heartbeats cannot carry."""
+        era = platform.MAX_ERA + 1
+        for told in (
+            lambda: self.receive(era, 4, 6, []),
+            lambda: self.reply(era, 6, [entry("s2", 5)]),
+        ):
+            self.assertRaises(decoding.DecodingError, told)
+        self.assertFalse(self.state.is_behind)
+        self.assertEqual(ERA, self.state.era)
+
     def test_peer_without_eras_starts_a_vm(self):
         """Guards against a roll-out in which new VMs cannot start."""
         self.state.era = self.state.applied = 0
