Show a withdrawn key that works at a VM which starts after a loss

A store that comes back from a copy may lack the newest version of the configuration until the operator writes again. A VM that starts then takes the older one and does not ask its peers, which hold the newer one.

--- a/review/common/platform.py
+++ b/review/common/platform.py
@@ -70,10 +70,13 @@
 
     Attributes:
         revision: Revision of the last change.
+        is_away: Whether it answers every call with 503.
     """
 
     def __init__(self) -> None:
         self.revision = 10
+        self.is_away = False
+        self._era = 1
         self._items: dict[str, dict[str, Any]] = {}
         self._history: list[dict[str, Any]] = []
         self._changed = asyncio.Condition()
@@ -113,6 +116,19 @@
             },
         )
 
+    def copy(self) -> tuple[int, dict[str, Any], list[dict[str, Any]]]:
+        """Returns a copy of the contents, for ``restore``."""
+        return self.revision, {**self._items}, [*self._history]
+
+    async def restore(
+        self, copy: tuple[int, dict[str, Any], list[dict[str, Any]]]
+    ) -> None:
+        """Comes back from a copy; later revisions are given out again."""
+        self.revision, self._items, self._history = copy
+        self._era += 1
+        async with self._changed:
+            self._changed.notify_all()
+
     async def handle(
         self, req: wire.Request, writer: asyncio.StreamWriter
     ) -> bool:
@@ -120,9 +136,13 @@
         path, _, text = req.target.partition("?")
         query = dict(parse.parse_qsl(text))
         await asyncio.sleep(0.004)
+        era = self._era
         status = "200 OK"
-        if path == "/-/kv-watch":
+        body: dict[str, Any] = {}
+        if path == "/-/kv-watch" and int(query["after"]) <= self.revision:
             body = {"events": await self._wait(query)}
+        elif path == "/-/kv-watch":
+            status = "410 Gone"
         elif path == "/-/kv-range":
             after = query.get("after", "")
             body = {
@@ -137,7 +157,10 @@
             body = dict(self._items.get(query["key"], {}))
             status = "200 OK" if body else "404 Not Found"
         body["as-of"] = self.revision
-        writer.write(wire.answer_json(status, {"Store-Era": "1"}, body))
+        if self.is_away or era != self._era:
+            status, body = "503 Service Unavailable", {}
+        fields = {"Store-Era": str(self._era)}
+        writer.write(wire.answer_json(status, fields, body))
         await writer.drain()
         return True
 
