Bound the time that one connection may hold the event loop

Callers of a sound service got no answer within their deadline while servers of another service sent bytes without end.

Cause: green threads switch only when they wait, and the reader of an answer let others run after each 128 KB, whatever work these caused. In chunks of one byte they took 0.65 s a connection: of 10,700 samples, half were in the reading of single chunks and a quarter in copies of an incomplete event. Callers' bodies, the store's client and the links of peers had no such limit at all.

Each reader of bytes from outside now counts the time between two reads. Above its share of the loop, it waits for a turn before the next one, and all that wait share 2 ms of a round. This bounds the time and not the bytes, so it holds whatever they are made of. In addition, at most 8 KB are handled between two reads, small chunks in a buffer are handled together, an incomplete event is not copied, and the search for heads in a body stops at the first other line. The metrics longest_round_seconds and read_waits show both to an operator.

The new test has 30 callers at a time at servers that send without end, in 14 forms, or 30 callers with bodies in chunks of one byte, and an order every 0.1 s at a sound service.

--- a/savoryspar/backends/__init__.py
+++ b/savoryspar/backends/__init__.py
@@ -4,6 +4,7 @@
     DEADLINE_GRACE_S,
     MAX_BUFFERED_BYTES,
     Answer,
+    read_body,
 )
 from savoryspar.backends.availability import (
     ServerAvailability,
--- a/savoryspar/backends/answers.py
+++ b/savoryspar/backends/answers.py
@@ -18,7 +18,8 @@
     strict,
 )
 
-READ_BYTES = 65536
+READ_BYTES = 8192
+"""Most bytes of a body that are handled between two reads of the socket."""
 MAX_FRAMING_BYTES = 65536
 """Limit for chunk lines and trailers in one read of a body."""
 MAX_BUFFERED_BYTES = 1 << 20
@@ -47,6 +48,20 @@
 lost. A server that answers something else still runs."""
 
 
+def read_body(
+    resp: http.client.HTTPResponse, sock: bounded.BoundedSocket
+) -> bytes:
+    """Reads the complete body of a response, within the limits of its socket.
+
+    Raises:
+        HTTPException, OSError: The body is late, too long or incomplete.
+    """
+    body = b"".join(iter(lambda: resp.read1(READ_BYTES), b""))
+    if resp.length or sock.is_reset:
+        raise http.client.IncompleteRead(body, resp.length)
+    return body
+
+
 class Answer:
     """A server's answer after its head was read.
 
--- a/savoryspar/backends/boundaries.py
+++ b/savoryspar/backends/boundaries.py
@@ -10,13 +10,18 @@
 import re
 
 STATUS_START = b"HTTP/1."
-STATUS_LINE = re.compile(rb"HTTP/1\.[01] ([1-9]\d\d)(?: [^\r\n]*)?")
-PARTIAL_STATUS_LINE = re.compile(
-    rb"HTTP/1\.(?:[01](?: (?:[1-9]\d{0,2}(?: [^\r\n]*)?)?)?)?\r?"
+STATUS_LINE = rb"HTTP/1\.[01] ([1-9]\d\d)(?: [^\r\n]*)?\r\n"
+FIELD_LINES = rb"(?:[!#$%&'*+.^_`|~0-9A-Za-z-]+:[^\r\n]*\r\n)*+"
+HEAD = re.compile(STATUS_LINE + rb"(" + FIELD_LINES + rb")\r\n")
+PARTIAL_HEAD = re.compile(
+    rb"HTTP/1\.(?:[01](?: (?:[1-9]\d{0,2}(?: [^\r\n]*)?)?)?)?\r?|"
+    + STATUS_LINE
+    + FIELD_LINES
+    + rb"[^\r\n]*\r?"
 )
-FIELD_LINE = re.compile(rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+:[^\r\n]*")
+"""The start of a head. Both expressions fail at the first line that no head
+has, so text that repeats status lines is not read to its end for each."""
 LINE_END = b"\r\n"
-HEAD_END = LINE_END + LINE_END
 MAX_HEAD_BYTES = 16384
 """Largest head that is recognized; answers usually have a few hundred bytes."""
 
@@ -51,7 +56,7 @@
             if head is not None and self._is_answer(head):
                 self.head = head
                 return data[:at]
-            if head is None and _may_be_head(data[at:]):
+            if head is None and _may_be_head(data, at):
                 self.held = data[at:]
                 return data[:at]
             at = data.find(STATUS_START, at + 1)
@@ -68,34 +73,22 @@
 
     def _find_head(self, data: bytes, at: int) -> Head | None:
         """Returns the complete head at an offset, None without one."""
-        end = data.find(HEAD_END, at, at + MAX_HEAD_BYTES)
-        if end < 0:
+        match = HEAD.match(data, at, at + MAX_HEAD_BYTES)
+        if match is None:
             return None
-        line, *lines = data[at:end].split(LINE_END)
-        match = STATUS_LINE.fullmatch(line)
-        if match is None or not all(map(FIELD_LINE.fullmatch, lines)):
-            return None
-        text = b"".join(field + LINE_END for field in lines) + LINE_END
         try:
-            fields = http.client.parse_headers(io.BytesIO(text))
+            fields = http.client.parse_headers(io.BytesIO(match[2] + LINE_END))
         except http.client.HTTPException:
             # More fields than an answer may have, so it is content.
             return None
         return int(match[1]), fields.items()
 
 
-def _may_be_head(data: bytes) -> bool:
-    """Returns whether more bytes may complete a head."""
-    if len(data) >= MAX_HEAD_BYTES or HEAD_END in data:
-        return False
-    *lines, last = data.split(LINE_END)
-    if not lines:
-        return PARTIAL_STATUS_LINE.fullmatch(last) is not None
+def _may_be_head(data: bytes, at: int) -> bool:
+    """Returns whether more bytes may complete a head at an offset."""
     return (
-        STATUS_LINE.fullmatch(lines[0]) is not None
-        and all(map(FIELD_LINE.fullmatch, lines[1:]))
-        and b"\n" not in last
-        and b"\r" not in last[:-1]
+        len(data) - at < MAX_HEAD_BYTES
+        and PARTIAL_HEAD.fullmatch(data, at) is not None
     )
 
 
--- a/savoryspar/backends/bounded.py
+++ b/savoryspar/backends/bounded.py
@@ -12,15 +12,11 @@
 import socket
 from typing import Any
 
-import eventlet
-from eventlet import greenio
 from eventlet.greenio import base
 
+from savoryspar import eventloop
 from savoryspar.backends import copies, strict
 
-YIELD_BYTES = 1 << 17
-"""Bytes read without blocking after which other green threads run. A server
-that sends continuously would otherwise block them; 128 KB take below 1 ms."""
 MAX_ATTEMPTS = 64
 """Attempts remembered for each connection."""
 
@@ -29,7 +25,7 @@
     """A server exceeded the size limit for a part of its answer."""
 
 
-class BoundedSocket(greenio.GreenSocket):
+class BoundedSocket(eventloop.FairSocket):
     """A socket with a deadline and a limit on the bytes received.
 
     Attributes:
@@ -51,7 +47,6 @@
     _clock: Callable[[], float] | None = None
     _deadline_at = math.inf
     _bytes_left = math.inf
-    _bytes_since_yield = 0
 
     def __init__(self, *args: Any, **kwargs: Any):
         super().__init__(*args, **kwargs)
@@ -86,12 +81,16 @@
                     self.is_reset = True
                 raise
 
-        self._apply_deadline()
         received = super()._recv_loop(receive, empty_val, *args)
         size = received if isinstance(received, int) else len(received)
         self._count_bytes(size)
         return received
 
+    def _wait_for_turn(self) -> None:
+        self._apply_deadline()
+        if self._meter.before_read(self.gettimeout()):
+            self._apply_deadline()
+
     def _send_loop(self, send_method, data, *args):
         self._apply_deadline()
         return super()._send_loop(send_method, data, *args)
@@ -108,10 +107,6 @@
         self._bytes_left -= size
         if self._bytes_left < 0:
             raise TooManyBytesError("the server sent more bytes than allowed")
-        self._bytes_since_yield += size
-        if self._bytes_since_yield >= YIELD_BYTES:
-            self._bytes_since_yield = 0
-            eventlet.sleep(0)
 
 
 def open_connection(
--- a/savoryspar/backends/connections.py
+++ b/savoryspar/backends/connections.py
@@ -553,10 +553,7 @@
         """
         until = call.deadline_at + answers.DEADLINE_GRACE_S
         sock.set_limits(self._clock, until, MAX_IDENTIFIED_BYTES)
-        body = b"".join(iter(lambda: resp.read1(answers.READ_BYTES), b""))
-        if resp.length or sock.is_reset:
-            raise http.client.IncompleteRead(body, resp.length)
-        return body
+        return answers.read_body(resp, sock)
 
     def _is_answer(self, head: boundaries.Head, own: boundaries.Head) -> bool:
         """Returns whether a head inside a body belongs to another answer.
--- a/savoryspar/backends/framing.py
+++ b/savoryspar/backends/framing.py
@@ -46,7 +46,7 @@
 
     def __init__(self) -> None:
         self._partial_chunk = b""
-        self._partial_event = b""
+        self._partial_event = bytearray()
         self._last_events = b""
         self._expected_head = b""
         self._expected_size = -1
@@ -125,14 +125,18 @@
         is_plain = data.find(b";", offset, start) < 0
         if is_plain and not self._partial_event and payload.endswith(EVENT_END):
             return data[offset : stop + len(CHUNK_END)]
-        buffered = self._partial_event + payload
-        end = buffered.rfind(EVENT_END) + len(EVENT_END)
+        partial = self._partial_event
+        # The end of an event may be split between the buffer and the chunk.
+        searched = max(0, len(partial) - len(EVENT_END) + 1)
+        partial += payload
+        end = partial.rfind(EVENT_END, searched) + len(EVENT_END)
         if end < len(EVENT_END):
             end = 0
-        self._partial_event = buffered[end:]
-        if len(self._partial_event) > MAX_EVENT_BYTES:
+        complete = bytes(partial[:end])
+        del partial[:end]
+        if len(partial) > MAX_EVENT_BYTES:
             raise FramingError(f"an event exceeds {MAX_EVENT_BYTES} bytes")
-        return chunk(buffered[:end]) if end else b""
+        return chunk(complete) if end else b""
 
     def _end_stream(self, rest: bytes) -> None:
         if self._partial_event:
--- a/savoryspar/backends/strict.py
+++ b/savoryspar/backends/strict.py
@@ -11,12 +11,15 @@
 import re
 import socket
 
+from eventlet import greenio
 import urllib3
 from urllib3 import connection, connectionpool
 
-from savoryspar import decoding
+from savoryspar import chunked, decoding, eventloop
 
 MAX_LINE_BYTES = 65536
+MAX_INTERIM_ANSWERS = 16
+"""Limit for the interim answers to one request; servers send one or two."""
 STATUS_LINE = re.compile(rb"(HTTP/1\.\d) ([1-9]\d\d)(?: ([^\n]*))?\r?\n")
 CHUNK_LINE = re.compile(rb"([0-9A-Fa-f]{1,15})[ \t]*(?:;[^\n]*)?\r?\n")
 FIELD_NAME = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
@@ -82,14 +85,21 @@
         """Reads the head, after interim answers.
 
         Raises:
-            HTTPException: The head is malformed or ended early.
+            HTTPException: The head is malformed or ended early, or there are
+                too many interim answers.
         """
         if self.headers is not None:
             return
         super().begin()
+        interim = 0
         while 100 <= self.status < 200:
+            interim += 1
             if self.status == http.HTTPStatus.SWITCHING_PROTOCOLS:
                 raise MalformedAnswerError("no other protocol was requested")
+            if interim > MAX_INTERIM_ANSWERS:
+                raise MalformedAnswerError(
+                    f"more than {MAX_INTERIM_ANSWERS} interim answers"
+                )
             self.headers = self.msg = None
             super().begin()
         _check_fields(self.headers)
@@ -118,6 +128,32 @@
         version, status, reason = match.groups(b"")
         return version.decode(), int(status), reason.decode("iso-8859-1")
 
+    def _read1_chunked(self, n: int) -> bytes:
+        return self._read_buffered_chunks(n) or super()._read1_chunked(n)
+
+    def _read_buffered_chunks(self, max_bytes: int) -> bytes:
+        """Reads the whole chunks in the buffer, and fills it if it is empty.
+
+        Returns:
+            Their data, empty if the buffer does not begin with a whole chunk.
+        """
+        if self.chunk_left:
+            return b""
+        data = self.fp.peek(1)
+        if 0 <= max_bytes < len(data):
+            return b""
+        offset = 0
+        if self.chunk_left == 0:
+            # The end of the chunk before was not read yet.
+            if not data.startswith(chunked.CHUNK_END):
+                return b""
+            offset = len(chunked.CHUNK_END)
+        parts, offset = chunked.split_chunks(data, offset)
+        if parts:
+            self.fp.read(offset)
+            self.chunk_left = None
+        return b"".join(parts)
+
     def _get_chunk_left(self) -> int | None:
         if self.chunk_left == 0:
             end = self._safe_read(2)
@@ -178,6 +214,12 @@
 
     response_class = StrictResponse
 
+    def _new_conn(self) -> socket.socket:
+        sock = super()._new_conn()
+        if isinstance(sock, greenio.GreenSocket):
+            return eventloop.adopt(sock)
+        return sock
+
 
 class StrictTlsConnection(connection.HTTPSConnection):
     """A TLS connection with strict responses."""
--- a/savoryspar/cli/main.py
+++ b/savoryspar/cli/main.py
@@ -24,6 +24,9 @@
     os.environ.setdefault("EVENTLET_NO_GREENDNS", "yes")
     import eventlet
 
+    from savoryspar import eventloop
+
+    eventloop.install()
     eventlet.monkey_patch()
     if [*argv[1:]] == ["serve"]:
         from savoryspar.cli import serving
--- a/savoryspar/gateway/counters.py
+++ b/savoryspar/gateway/counters.py
@@ -49,6 +49,10 @@
     "blocked_requests": "Requests that were refused because they crash backend"
     " servers.",
     "trials": "Requests of this VM that ran alone as suspects.",
+    "longest_round_seconds": "Longest round of the event loop in the last one"
+    " to two minutes. Requests and health checks wait for its end.",
+    "read_waits": "Times that a connection had to wait for its turn to read,"
+    " as its bytes took more than its share of the event loop.",
     "log_lines_left_out": "Log lines dropped since the start.",
 }
 """Help text by gauge name, without the prefix."""
--- a/savoryspar/gateway/events.py
+++ b/savoryspar/gateway/events.py
@@ -59,7 +59,7 @@
             is_resumable: Whether servers resume the stream there. Otherwise
                 they may start from its beginning.
         """
-        self._remainder = b""
+        self._remainder = bytearray()
         self.last_id = last_id
         # ID after which events are due, None if any may follow.
         self._after_id = last_id if is_resumable else None
@@ -82,25 +82,25 @@
         """
         # The end of an event may be split between the buffer and the new data.
         searched = max(0, len(self._remainder) - len(EVENT_END) + 1)
-        data = self._remainder + data
-        end = data.rfind(EVENT_END, searched)
+        self._remainder += data
+        end = self._remainder.rfind(EVENT_END, searched)
         if end < 0:
-            self._remainder = data
             self._check_remainder()
             return b""
         end += len(EVENT_END)
-        self._remainder = data[end:]
+        complete = bytes(self._remainder[:end])
+        del self._remainder[:end]
         size = 0
-        for text in data[:end].split(EVENT_END)[:-1]:
+        for text in complete.split(EVENT_END)[:-1]:
             try:
                 self._read_event(text)
             except EventOrderError as exc:
                 self.error = exc
-                self._remainder = b""
-                return data[:size]
+                self._remainder.clear()
+                return complete[:size]
             size += len(text) + len(EVENT_END)
         self._check_remainder()
-        return data[:end]
+        return complete
 
     def _check_remainder(self) -> None:
         if len(self._remainder) > MAX_EVENT_BYTES:
@@ -110,7 +110,7 @@
 
     def discard_partial(self) -> None:
         """Drops the incomplete event; another server sends it again."""
-        self._remainder = b""
+        self._remainder.clear()
         self.error = None
         self._is_joined = False
         self.is_resumed = self.events > 0
@@ -118,7 +118,7 @@
     @property
     def remainder(self) -> bytes:
         """Bytes after the last complete event."""
-        return self._remainder
+        return bytes(self._remainder)
 
     def _read_event(self, text: bytes) -> None:
         """Records an event.
@@ -127,6 +127,8 @@
             EventOrderError: It does not continue the stream. A server may
                 ignore the ID to resume after, or answer with a text.
         """
+        if text.startswith(COMMENT) and b"\n" not in text:
+            return
         lines = text.split(b"\n")
         if all(line.startswith(COMMENT) for line in lines):
             return
@@ -159,7 +161,8 @@
     """Returns the last ID in the lines of an event, None without one."""
     event_id = None
     for line in lines:
-        text = line[len(ID_FIELD) :].strip()
-        if line.startswith(ID_FIELD) and EVENT_ID.fullmatch(text):
-            event_id = int(text)
+        if line.startswith(ID_FIELD):
+            text = line[len(ID_FIELD) :].strip()
+            if EVENT_ID.fullmatch(text):
+                event_id = int(text)
     return event_id
--- a/savoryspar/gateway/node.py
+++ b/savoryspar/gateway/node.py
@@ -11,6 +11,7 @@
 from savoryspar import (
     backends,
     conf,
+    eventloop,
     fleet,
     http,
     log,
@@ -408,6 +409,8 @@
             "blocked_parts": self._blame.blocked_count,
             "blocked_requests": lambda: self._blame.refusals,
             "trials": lambda: self._blame.trials.begun,
+            "longest_round_seconds": eventloop.longest_round_s,
+            "read_waits": eventloop.read_waits,
             "log_lines_left_out": lambda: self._events.left_out,
         }
         for name, reader in readers.items():
--- a/savoryspar/http/chunks.py
+++ b/savoryspar/http/chunks.py
@@ -8,6 +8,8 @@
 
 from eventlet import wsgi
 
+from savoryspar import chunked
+
 MAX_LINE_BYTES = 4096
 MAX_TRAILER_LINES = 100
 SIZE_LINE = re.compile(rb"([0-9A-Fa-f]{1,15})[ \t]*(?:;[^\r\n]*)?\r?\n")
@@ -47,7 +49,12 @@
         left = float("inf") if length is None or length < 0 else length
         while self.chunk_length != 0 and left > 0:
             if self.chunk_length < 0 or self.position == self.chunk_length:
-                self._begin_chunk(rfile)
+                data = self._read_buffered_chunks(rfile, left)
+                if data:
+                    parts.append(data)
+                    left -= len(data)
+                else:
+                    self._begin_chunk(rfile)
                 continue
             data = rfile.read(min(left, self.chunk_length - self.position))
             if not data:
@@ -61,6 +68,20 @@
                     raise wsgi.ChunkReadError(f"a chunk ends with {line!r:.40}")
         return b"".join(parts)
 
+    def _read_buffered_chunks(self, rfile: object, max_bytes: float) -> bytes:
+        """Reads the whole chunks in the buffer, and fills it if it is empty.
+
+        Returns:
+            Their data, empty if the buffer does not begin with a whole chunk.
+        """
+        buffered = rfile.peek(1)
+        if len(buffered) > max_bytes:
+            return b""
+        parts, offset = chunked.split_chunks(buffered)
+        if parts:
+            rfile.read(offset)
+        return b"".join(parts)
+
     def _begin_chunk(self, rfile: object) -> None:
         line = _read_line(rfile)
         match = SIZE_LINE.fullmatch(line)
--- a/savoryspar/http/operators.py
+++ b/savoryspar/http/operators.py
@@ -8,7 +8,7 @@
 import eventlet
 from eventlet import wsgi
 
-from savoryspar import log
+from savoryspar import eventloop, log
 
 ENDPOINTS = {
     ("GET", "/status"): "State of this process: sheet in force, peers, faults.",
@@ -62,6 +62,6 @@
 
 def serve_operators(app: OperatorApp, address: str, port: int) -> int:
     """Serves the operators' API in a green thread and returns its port."""
-    sock = eventlet.listen((address, port))
+    sock = eventloop.listen((address, port))
     eventlet.spawn(wsgi.server, sock, app, log_output=False, debug=False)
     return sock.getsockname()[1]
--- a/savoryspar/http/server.py
+++ b/savoryspar/http/server.py
@@ -14,10 +14,9 @@
 import eventlet
 from eventlet import greenio, wsgi
 
-from savoryspar import conf, log, tasks
+from savoryspar import conf, eventloop, log, tasks
 from savoryspar.http import protocol
 
-BACKLOG = 1024
 ACCEPT_RETRY_DELAY_S = 0.05
 IDLE_CHECK_INTERVAL_S = 0.05
 FIRST_REQUEST_GRACE_S = 2.0
@@ -62,7 +61,7 @@
         read_timeout_s: float,
     ):
         self._pool = eventlet.GreenPool(max_connections)
-        self._sock = eventlet.listen(address, backlog=BACKLOG, reuse_port=True)
+        self._sock = eventloop.listen(address, reuse_port=True)
         self._sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.address = self._sock.getsockname()
         self._is_stopped = False
@@ -141,7 +140,7 @@
                 sock, address = self._sock.fd.accept()
             except OSError:
                 return
-            self._spawn(greenio.GreenSocket(sock), address)
+            self._spawn(eventloop.FairSocket(sock), address)
 
     def _spawn(self, sock: Any, address: Any) -> None:
         sock.settimeout(self._wsgi.socket_timeout)
--- a/savoryspar/membership/websocket.py
+++ b/savoryspar/membership/websocket.py
@@ -20,9 +20,12 @@
 from websockets import server as ws_server
 from websockets import uri as ws_uri
 
+from savoryspar import eventloop
+
 CLOSE_TIMEOUT_S = 0.5
 """Time in which the peer must confirm that the connection is closed."""
-RECEIVE_BYTES = 65536
+RECEIVE_BYTES = 16384
+"""Most bytes that are handled between two reads."""
 
 
 class Connection:
@@ -38,6 +41,7 @@
         "_greeting",
         "_has_reader",
         "_messages",
+        "_meter",
         "_protocol",
         "_send_timeout_s",
         "_write_lock",
@@ -49,6 +53,7 @@
         self._send_timeout_s = sock.gettimeout()
         sock.settimeout(None)
         self._protocol = protocol
+        self._meter = eventloop.ReadMeter()
         self._write_lock = semaphore.Semaphore()
         self._messages: collections.deque[bytes] = collections.deque()
         # Parts of a message whose last part has not arrived.
@@ -157,6 +162,12 @@
             ) from exc
 
     def _read(self) -> bytes:
+        self._meter.before_read()
+        data = self._receive_bytes()
+        self._meter.after_read()
+        return data
+
+    def _receive_bytes(self) -> bytes:
         while True:
             try:
                 return self.socket.recv(RECEIVE_BYTES)
--- a/savoryspar/platform/store.py
+++ b/savoryspar/platform/store.py
@@ -283,11 +283,14 @@
         self._conn.sock.set_limits(
             self._clock, self._clock() + timeout_s, MAX_ANSWER_BYTES
         )
-        self._conn.request("GET", target, preload_content=True)
-        resp = self._conn.getresponse()
-        if resp.headers.get("Connection", "").lower() == "close":
+        sock = self._conn.sock
+        self._conn.request("GET", target)
+        resp = http.client.HTTPConnection.getresponse(self._conn)
+        data = backends.read_body(resp, sock)
+        resp.close()
+        if resp.will_close:
             self.close()
-        return resp.status, resp.data, resp.headers.get(headers.STORE_ERA, "")
+        return resp.status, data, resp.getheader(headers.STORE_ERA, "")
 
 
 @contextlib.contextmanager
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -5,6 +5,11 @@
 
 os.environ.setdefault("EVENTLET_NO_GREENDNS", "yes")
 
+from savoryspar import eventloop
+
+# The event loop of the program.
+eventloop.install()
+
 KNOWN_RED = pathlib.Path(__file__).resolve().parents[1] / "KNOWN-RED.txt"
 
 
