Limit the memory of endless answers in sum

Here, with 160 MB, the memory of the smallest VM: 35 of 500 requests failed with MemoryError while an engine answered 500 streams by events without end (peak 164.5 MB; 213 MB without the limit), and calls of the clients of "savoryspar entry" to a server without end did not return within 60 s.

Causes: incomplete events were limited for each stream, but not in sum, and a failed stream kept its own until the next garbage collection. A body that was aborted for the sake of others kept its memory until its reader's turn. urllib3 reads a body whole, with a timeout for each read only.

Incomplete events now count toward the limit for all bodies, which falls from 32 to 16 MB, and are dropped with the stream. An aborted body ends the wait of its reader, and is no crash of the server.

BufferedBytes moves to a module of its own, so its test imports it from there; the stand-in of an answer in test_streams.py learns the new method.

--- a/savoryspar/backends/__init__.py
+++ b/savoryspar/backends/__init__.py
@@ -26,6 +26,7 @@
     UnattributedAnswerError,
 )
 from savoryspar.backends.model import Server, StageCall, StageResult
+from savoryspar.backends.pooled import new_strict_pool_manager
 from savoryspar.backends.relay import EngineStream
 from savoryspar.backends.reports import CacheReport, LoadReport
 from savoryspar.backends.requests import (
@@ -35,4 +36,3 @@
     CallerRequest,
     PromptPart,
 )
-from savoryspar.backends.strict import new_strict_pool_manager
--- a/savoryspar/backends/answers.py
+++ b/savoryspar/backends/answers.py
@@ -11,6 +11,7 @@
 from savoryspar.backends import (
     boundaries,
     bounded,
+    buffers,
     end_checks,
     ends,
     exceptions,
@@ -18,8 +19,6 @@
     strict,
 )
 
-READ_BYTES = 8192
-"""Most bytes of a body that are handled between two reads of the socket."""
 MAX_FRAMING_BYTES = 65536
 """Limit for chunk lines and trailers in one read of a body."""
 MAX_BUFFERED_BYTES = 1 << 20
@@ -53,13 +52,17 @@
 ) -> bytes:
     """Reads the complete body of a response, within the limits of its socket.
 
+    The reader stays open, as its buffer may have bytes of the next answer.
+
     Raises:
         HTTPException, OSError: The body is late, too long or incomplete.
     """
-    body = b"".join(iter(lambda: resp.read1(READ_BYTES), b""))
+    body = bytearray()
+    while data := resp.read1(strict.READ_BYTES):
+        body += data
     if resp.length or sock.is_reset:
-        raise http.client.IncompleteRead(body, resp.length)
-    return body
+        raise http.client.IncompleteRead(bytes(body), resp.length)
+    return bytes(body)
 
 
 class Answer:
@@ -112,7 +115,7 @@
         check_end: Callable[[float, float], end_checks.Evidence],
         is_answer: Callable[[boundaries.Head], bool],
         clock: Callable[[], float],
-        buffered: "BufferedBytes",
+        buffered: buffers.BufferedBytes,
     ):
         self.server = server
         self._clock = clock
@@ -183,6 +186,7 @@
         if self.ends_with_connection and not has_own_end:
             self._confirm_end(until)
         self.is_complete = True
+        self._buffered.remove(self)
         self.end = self._complete_end()
         has_extra_bytes = self._has_extra_bytes()
         # http.client sends no further request on the connection until the
@@ -202,9 +206,9 @@
         """
         try:
             self._sock.set_limits(
-                self._clock, until, READ_BYTES + MAX_FRAMING_BYTES
+                self._clock, until, strict.READ_BYTES + MAX_FRAMING_BYTES
             )
-            return self._resp.read1(READ_BYTES)
+            return self._resp.read1(strict.READ_BYTES)
         except CONNECTION_ERRORS as exc:
             self._fail(ends.end_of_error(exc, self._sock.is_reset))
             raise exceptions.CallOutcomeUnknownError(
@@ -212,7 +216,7 @@
                 f"reading the answer failed: {exc!r}",
                 "the answer is incomplete; check the backend server",
                 has_sent=True,
-                is_crash=isinstance(exc, CRASH_ERRORS),
+                is_crash=isinstance(exc, CRASH_ERRORS) and not self.is_aborted,
                 end=self.end,
             ) from exc
 
@@ -230,7 +234,7 @@
                 f"the answer ended early: {missing} bytes are missing",
                 "the answer is incomplete; check the backend server",
                 has_sent=True,
-                is_crash=True,
+                is_crash=not self.is_aborted,
                 end=self.end,
             )
 
@@ -329,15 +333,13 @@
         """
         if self._body is not None:
             return self._body
-        parts = []
-        size = 0
+        body = bytearray()
         try:
             until = deadline_at + DEADLINE_GRACE_S
             while data := self.read_part(until, has_own_end):
-                parts.append(data)
-                size += len(data)
-                self._buffered.add(self, len(data))
-                if size > MAX_BUFFERED_BYTES:
+                body += data
+                self.hold(len(body))
+                if len(body) > MAX_BUFFERED_BYTES:
                     raise exceptions.CallOutcomeUnknownError(
                         self.server,
                         f"the answer has more than {MAX_BUFFERED_BYTES} bytes,"
@@ -347,12 +349,13 @@
                     )
         except BaseException:
             # Also when the caller disconnected: closing cancels the request at
-            # the server.
+            # the server. The traceback of the error keeps this frame.
+            body.clear()
             self.close()
             raise
         finally:
             self._buffered.remove(self)
-        return b"".join(parts)
+        return bytes(body)
 
     def discard_rest(self, deadline_at: float) -> str:
         """Reads and discards the body, so that the connection can be reused.
@@ -370,47 +373,30 @@
             return str(exc)
         return ""
 
+    @property
+    def is_aborted(self) -> bool:
+        """Whether this process has given up the answer."""
+        return self.end is ends.End.CLOSED_HERE
+
     def abort(self) -> None:
         """Makes a read by another green thread fail."""
         self.end = self.end or ends.End.CLOSED_HERE
-        self._sock.is_reset = True
-        with contextlib.suppress(OSError):
-            self._sock.shutdown(socket.SHUT_RDWR)
+        self._sock.abort()
+
+    def hold(self, size: int) -> None:
+        """Counts bytes of the body that its reader keeps.
+
+        If the bodies of all calls have too many, the largest one is aborted.
+        """
+        self._buffered.set(self, size)
 
     def close(self) -> None:
         """Closes the connection, which cancels the request at the server."""
         self.end = self.end or ends.End.CLOSED_HERE
         self.is_complete = True
+        self._buffered.remove(self)
         with contextlib.suppress(OSError):
             self._sock.shutdown(socket.SHUT_RDWR)
         with contextlib.suppress(*CONNECTION_ERRORS):
             self._resp.close()
         self._conn.close()
-
-
-class BufferedBytes:
-    """Buffered bytes of bodies that are being read by all calls.
-
-    Attributes:
-        total: Bytes buffered now.
-    """
-
-    __slots__ = ("_by_answer", "_limit", "total")
-
-    def __init__(self, limit: int):
-        self._limit = limit
-        self._by_answer: dict[Answer, int] = {}
-        self.total = 0
-
-    def add(self, answer: Answer, size: int) -> None:
-        """Counts bytes; above the limit, aborts the largest answer."""
-        self._by_answer[answer] = self._by_answer.get(answer, 0) + size
-        self.total += size
-        if self.total > self._limit:
-            largest = max(self._by_answer, key=self._by_answer.__getitem__)
-            self.remove(largest)
-            largest.abort()
-
-    def remove(self, answer: Answer) -> None:
-        """Removes the bytes of an answer."""
-        self.total -= self._by_answer.pop(answer, 0)
--- a/savoryspar/backends/bounded.py
+++ b/savoryspar/backends/bounded.py
@@ -6,16 +6,18 @@
 """
 
 import collections
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Iterator
+import contextlib
 import http.client
 import math
 import socket
+import time
 from typing import Any
 
 from eventlet.greenio import base
 
 from savoryspar import eventloop
-from savoryspar.backends import copies, strict
+from savoryspar.backends import buffers, copies, strict
 
 MAX_ATTEMPTS = 64
 """Attempts remembered for each connection."""
@@ -47,6 +49,7 @@
     _clock: Callable[[], float] | None = None
     _deadline_at = math.inf
     _bytes_left = math.inf
+    _buffered: buffers.BufferedBytes | None = None
 
     def __init__(self, *args: Any, **kwargs: Any):
         super().__init__(*args, **kwargs)
@@ -55,12 +58,15 @@
         )
 
     def set_limits(
-        self, clock: Callable[[], float], deadline_at: float, max_bytes: float
+        self,
+        clock: Callable[[], float] | None,
+        deadline_at: float,
+        max_bytes: float,
     ) -> None:
         """Sets the limits for all further reads and writes.
 
         Args:
-            clock: Monotonic time in seconds.
+            clock: Monotonic time in seconds, None without a deadline.
             deadline_at: Time after which reads and writes raise
                 ``TimeoutError``.
             max_bytes: Received bytes above which ``TooManyBytesError`` is
@@ -72,6 +78,42 @@
             max_bytes,
         )
 
+    @contextlib.contextmanager
+    def limits(
+        self,
+        timeout_s: float | None,
+        max_bytes: float,
+        buffered: buffers.BufferedBytes | None = None,
+    ) -> Iterator[None]:
+        """Sets the limits for the reads and writes in the block.
+
+        Args:
+            timeout_s: Time after which reads and writes raise
+                ``TimeoutError``, None for no limit.
+            max_bytes: As for ``set_limits``.
+            buffered: Counts the received bytes, which are kept until the end
+                of the block.
+        """
+        clock = time.monotonic
+        until = math.inf if timeout_s is None else clock() + timeout_s
+        self.set_limits(clock, until, max_bytes)
+        self._buffered = buffered
+        try:
+            yield
+        finally:
+            self.set_limits(None, math.inf, math.inf)
+            self.settimeout(timeout_s)
+            self._buffered = None
+            if buffered is not None:
+                buffered.remove(self)
+
+    def abort(self) -> None:
+        """Makes a read by another green thread fail at once."""
+        self.is_reset = True
+        self._meter.end_wait()
+        with contextlib.suppress(OSError):
+            self.shutdown(socket.SHUT_RDWR)
+
     def _recv_loop(self, recv_meth, empty_val, *args):
         def receive(*call_args):
             try:
@@ -107,6 +149,8 @@
         self._bytes_left -= size
         if self._bytes_left < 0:
             raise TooManyBytesError("the server sent more bytes than allowed")
+        if self._buffered is not None:
+            self._buffered.add(self, size)
 
 
 def open_connection(
--- a/savoryspar/backends/client.py
+++ b/savoryspar/backends/client.py
@@ -6,13 +6,20 @@
 import urllib3
 
 from savoryspar import decoding
-from savoryspar.backends import exceptions, guarded, model, relay, reports
+from savoryspar.backends import (
+    exceptions,
+    guarded,
+    model,
+    pooled,
+    relay,
+    reports,
+)
 
 CONNECT_TIMEOUT_S = 0.5
 CONNECTIONS_PER_SERVER = 64
 REPORT_TIMEOUT_S = 1.0
 LOAD = re.compile(r"[0-9]{1,9}")
-MAX_OUTPUT_BYTES = 64 << 20
+MAX_OUTPUT_BYTES = pooled.MAX_ANSWER_BYTES
 """Limit for the output of a stage."""
 NOT_RUN_STATUSES = frozenset({409, 429, 503})
 
--- a/savoryspar/backends/connections.py
+++ b/savoryspar/backends/connections.py
@@ -19,6 +19,7 @@
     availability,
     boundaries,
     bounded,
+    buffers,
     copies,
     end_checks,
     ends,
@@ -48,8 +49,9 @@
 200 bytes, and a batch fewer than 100 pieces."""
 MAX_STRAY_BYTES = 1 << 20
 """Limit for the body of a skipped answer to another request."""
-MAX_TOTAL_BUFFERED_BYTES = 32 << 20
-"""Limit for the bodies buffered by all calls, a sixth of the smallest VM's
+MAX_TOTAL_BUFFERED_BYTES = 16 << 20
+"""Limit for the bodies and the incomplete events buffered by all calls. Buffers
+that grow side by side take up to twice their size, a fifth of the smallest VM's
 memory."""
 USER_TIMEOUT_MS = 3000
 """TCP timeout for data that the peer does not acknowledge."""
@@ -168,7 +170,7 @@
         ] = {}
         # Servers that may get requests, None before the first list.
         self._listed: frozenset[tuple[str, str]] | None = None
-        self._buffered = answers.BufferedBytes(MAX_TOTAL_BUFFERED_BYTES)
+        self._buffered = buffers.BufferedBytes(MAX_TOTAL_BUFFERED_BYTES)
         self._end_checker = end_checks.new_end_checker(
             self._open, self._keep_unused, self._kept_since, clock
         )
@@ -663,7 +665,7 @@
             "an answer to another request has neither a length nor chunks"
         )
     resp.keeps_reader = True
-    while (resp.chunked or resp.length) and resp.read1(answers.READ_BYTES):
+    while (resp.chunked or resp.length) and resp.read1(strict.READ_BYTES):
         pass
     answer = strict.StrictResponse(sock, method=method)
     answer.fp.close()
--- a/savoryspar/backends/guarded.py
+++ b/savoryspar/backends/guarded.py
@@ -7,13 +7,13 @@
 import urllib3
 from urllib3 import connectionpool
 
-from savoryspar.backends import strict
+from savoryspar.backends import pooled
 
 _pending = threading.local()
 """The check for the next request of the current green thread."""
 
 
-class GuardedConnection(strict.StrictConnection):
+class GuardedConnection(pooled.PooledConnection):
     """Runs the check after connecting and before the first byte is sent."""
 
     def send(self, data: object) -> None:
--- a/savoryspar/backends/strict.py
+++ b/savoryspar/backends/strict.py
@@ -11,13 +11,13 @@
 import re
 import socket
 
-from eventlet import greenio
-import urllib3
-from urllib3 import connection, connectionpool
+from urllib3 import connection
 
-from savoryspar import chunked, decoding, eventloop
+from savoryspar import chunked, decoding
 
 MAX_LINE_BYTES = 65536
+READ_BYTES = 8192
+"""Most bytes of a body that are handled between two reads of the socket."""
 MAX_INTERIM_ANSWERS = 16
 """Limit for the interim answers to one request; servers send one or two."""
 STATUS_LINE = re.compile(rb"(HTTP/1\.\d) ([1-9]\d\d)(?: ([^\n]*))?\r?\n")
@@ -105,6 +105,26 @@
         _check_fields(self.headers)
         _check_framing(self.headers, self.version)
 
+    def read(self, amt: int | None = None) -> bytes:
+        """Returns ``amt`` bytes of the body, or the whole body.
+
+        The base class allocates a length that is stated, however large, and
+        keeps an object for each chunk until the end.
+
+        Raises:
+            HTTPException, OSError: The body is malformed or ended early.
+        """
+        if amt is not None:
+            return super().read(amt)
+        body = bytearray()
+        while data := self.read1(READ_BYTES):
+            body += data
+        if self.length:
+            raise http.client.IncompleteRead(bytes(body), self.length)
+        if not self.isclosed():
+            self._close_conn()
+        return bytes(body)
+
     def read1(self, n: int = -1) -> bytes:
         """Returns bytes of the body, empty at its end."""
         # The base class tells the end by the closed reader.
@@ -213,34 +233,3 @@
     """A connection with strict responses."""
 
     response_class = StrictResponse
-
-    def _new_conn(self) -> socket.socket:
-        sock = super()._new_conn()
-        if isinstance(sock, greenio.GreenSocket):
-            return eventloop.adopt(sock)
-        return sock
-
-
-class StrictTlsConnection(connection.HTTPSConnection):
-    """A TLS connection with strict responses."""
-
-    response_class = StrictResponse
-
-
-class StrictPool(connectionpool.HTTPConnectionPool):
-    """Connections to one server with strict responses."""
-
-    ConnectionCls = StrictConnection
-
-
-class StrictTlsPool(connectionpool.HTTPSConnectionPool):
-    """TLS connections to one server with strict responses."""
-
-    ConnectionCls = StrictTlsConnection
-
-
-def new_strict_pool_manager(**options: object) -> urllib3.PoolManager:
-    """Returns a pool manager with strict responses."""
-    pool = urllib3.PoolManager(**options)
-    pool.pool_classes_by_scheme = {"http": StrictPool, "https": StrictTlsPool}
-    return pool
--- a/savoryspar/eventloop.py
+++ b/savoryspar/eventloop.py
@@ -125,6 +125,10 @@
             if timer is not None:
                 timer.cancel()
 
+    def end_wait(self, thread: greenlet.greenlet) -> None:
+        """Resumes a thread that waits for a turn in the next round."""
+        self.schedule_call_global(0, self._resume, thread)
+
     def _schedule_turns(self) -> None:
         if not self._is_turn_due:
             self._is_turn_due = True
@@ -157,10 +161,11 @@
     Time in which the reader waits for something else is not counted.
     """
 
-    __slots__ = ("_read_at", "_read_in", "_used_s")
+    __slots__ = ("_read_at", "_read_in", "_used_s", "_waiting")
 
     def __init__(self) -> None:
         self._used_s = 0.0
+        self._waiting: greenlet.greenlet | None = None
         # Time and round of the last read.
         self._read_at = -math.inf
         self._read_in = -1
@@ -184,9 +189,18 @@
             self._used_s = min(MAX_USED_S, self._used_s + elapsed_s)
         if self._used_s <= TURN_S:
             return False
-        hub.wait_for_turn(timeout_s)
+        self._waiting = greenlet.getcurrent()
+        try:
+            hub.wait_for_turn(timeout_s)
+        finally:
+            self._waiting = None
         return True
 
+    def end_wait(self) -> None:
+        """Lets the reader go on at once if it waits for a turn."""
+        if self._waiting is not None:
+            hubs.get_hub().end_wait(self._waiting)
+
     def after_read(self) -> None:
         """Begins to count the time until the next read."""
         hub = hubs.get_hub()
@@ -226,13 +240,15 @@
     return adopt(eventlet.listen(address, backlog=backlog, **options))
 
 
-def adopt(sock: greenio.GreenSocket) -> FairSocket:
+def adopt(
+    sock: greenio.GreenSocket, socket_class: type[FairSocket] = FairSocket
+) -> FairSocket:
     """Returns a ``FairSocket`` for the connection of another one.
 
     The given socket is detached from its descriptor and must not be used again.
     """
     timeout_s = sock.gettimeout()
-    fair = FairSocket(
+    fair = socket_class(
         sock.family, sock.type, sock.proto, fileno=sock.fd.detach()
     )
     fair.settimeout(timeout_s)
--- a/savoryspar/gateway/events.py
+++ b/savoryspar/gateway/events.py
@@ -115,6 +115,15 @@
         self._is_joined = False
         self.is_resumed = self.events > 0
 
+    def release(self) -> None:
+        """Frees the incomplete event of a stream that has failed."""
+        self._remainder = bytearray()
+
+    @property
+    def remaining(self) -> int:
+        """Number of bytes after the last complete event."""
+        return len(self._remainder)
+
     @property
     def remainder(self) -> bytes:
         """Bytes after the last complete event."""
--- a/savoryspar/gateway/streams.py
+++ b/savoryspar/gateway/streams.py
@@ -267,6 +267,9 @@
         outcome: routing.Outcome,
     ) -> None:
         facts = None
+        if outcome is not routing.Outcome.OK:
+            # The traceback of the error keeps this object for longer.
+            self._splitter.release()
         if answer is not None:
             if not answer.is_complete:
                 answer.close()
@@ -391,9 +394,11 @@
             CallOutcomeUnknownError: An event is too long.
         """
         try:
-            return self._splitter.feed(data)
+            complete = self._splitter.feed(data)
         except events.EventTooLongError as exc:
             raise _broken_stream_error(answer, exc) from exc
+        answer.hold(self._splitter.remaining)
+        return complete
 
     def _send_head(self, answer: backends.Answer) -> None:
         """Sends the head of the response, unless it was sent before."""
--- a/tests/backends/test_connections.py
+++ b/tests/backends/test_connections.py
@@ -10,7 +10,7 @@
 import testtools
 
 from savoryspar import backends, platform
-from savoryspar.backends import answers, bounded
+from savoryspar.backends import bounded, buffers
 
 HEAD = b"HTTP/1.1 200 OK\r\nSavoryspar-Attempt-Id: %s\r\nSavoryspar-Seal: x\r\n"
 
@@ -770,7 +770,7 @@
 
     def test_largest_answer_is_aborted_above_the_total_limit(self):
         """Guards against many bodies of allowed size exhausting memory."""
-        buffered = answers.BufferedBytes(100)
+        buffered = buffers.BufferedBytes(100)
         aborted = []
 
         class Reader:
--- a/tests/gateway/test_endless_peers.py
+++ b/tests/gateway/test_endless_peers.py
@@ -66,7 +66,7 @@
         return self.desk
 
 
-class EndlessPeersTest(node_case.NodeCase):
+class FloodedCase(node_case.NodeCase):
     platform_class = FloodedPlatform
 
     def setUp(self):
@@ -93,6 +93,16 @@
         status = pathlib.Path(f"/proc/{self.process.pid}/status").read_text()
         return int(re.search(r"VmHWM:\s+(\d+)", status)[1]) / 1024
 
+    def start_callers(self, count, target):
+        """Starts a process whose callers send equal requests at once."""
+        callers = endless_peers.PeerProcess(
+            "call", str(self.ports["callers"]), str(count), target
+        )
+        self.addCleanup(callers.end)
+        return callers
+
+
+class EndlessPeersTest(FloodedCase):
     def longest_round_s(self):
         text = self.request("metrics", "GET", "/metrics").decode()
         pattern = r"^savoryspar_gateway_longest_round_seconds\S* (\S+)$"
@@ -100,10 +110,7 @@
 
     def flood(self, target):
         """Returns what the callers and the sound orders beside them saw."""
-        callers = endless_peers.PeerProcess(
-            "call", str(self.ports["callers"]), str(CALLERS), target
-        )
-        self.addCleanup(callers.end)
+        callers = self.start_callers(CALLERS, target)
         orders = []
         number = 0
         while callers.is_running:
--- a/tests/gateway/test_streams.py
+++ b/tests/gateway/test_streams.py
@@ -22,6 +22,7 @@
 
     Attributes:
         closed_at: When the reader closed it, None if it was read to its end.
+        held: Bytes that the reader keeps.
     """
 
     server = "s1"
@@ -38,6 +39,10 @@
         self._parts = list(parts)
         self.is_complete = False
         self.closed_at = None
+        self.held = 0
+
+    def hold(self, size):
+        self.held = size
 
     def read_part(self, until):
         if not self._parts:
@@ -238,6 +243,13 @@
         self.assertIsInstance(exc, model.GatewayError)
         self.assertIsNotNone(answer.closed_at)
 
+    def test_incomplete_event_counts_as_kept(self):
+        """Guards against events without end that are not limited in sum."""
+        answer, _ = self.relay(
+            [(0.0, EVENT % 1), (0.0, b"x" * 70), (99.0, b"")]
+        )
+        self.assertEqual(70, answer.held)
+
     def test_results_are_freed_with_the_first_event(self):
         """Guards against stage results held until the end of the stream.
 
