Go on with turns after an error of a reader

A reader that raised in a thread without a handler ended the round of turns, and the readers behind it waited until another one arrived. Found by reading; the new test does not end before the fix.

--- a/savoryspar/eventloop.py
+++ b/savoryspar/eventloop.py
@@ -141,12 +141,15 @@
         """
         self._is_turn_due = False
         ends_at = self.clock() + TURN_S
-        while self._waiting:
-            self._resume(next(iter(self._waiting)))
-            if self.clock() >= ends_at:
-                break
-        if self._waiting:
-            self._schedule_turns()
+        try:
+            while self._waiting:
+                self._resume(next(iter(self._waiting)))
+                if self.clock() >= ends_at:
+                    break
+        finally:
+            # Also after an error of a thread, which the loop logs.
+            if self._waiting:
+                self._schedule_turns()
 
     def _resume(self, thread: greenlet.greenlet) -> None:
         # Another timer of the same round may have resumed it.
--- a/tests/test_eventloop.py
+++ b/tests/test_eventloop.py
@@ -132,6 +132,22 @@
         threads[2].wait()
         self.assertEqual(["b", "c"], seen)
 
+    def test_error_of_a_thread_does_not_end_the_turns(self):
+        """Guards against readers that wait for ever after another's error."""
+        hub = hubs.get_hub()
+        self.patch(hub, "debug_exceptions", False)
+        seen = []
+
+        def wait(name):
+            hub.wait_for_turn(None)
+            seen.append(name)
+            raise ValueError(name)
+
+        for name in "abc":
+            eventlet.spawn_n(wait, name)
+        eventlet.sleep(0.05)
+        self.assertEqual(["a", "b", "c"], seen)
+
     def test_adopted_connection_stays_open(self):
         """Guards against a connection that its former socket closes."""
         listener = eventlet.listen(("127.0.0.1", 0))
