--- a/tests/gateway/endless_peers.py
+++ b/tests/gateway/endless_peers.py
@@ -48,7 +48,6 @@
     "comments": (CHUNKED, block(chunk(b":\n\n"))),
     "many-comments": (CHUNKED, block(chunk(b":\n\n" * 2000))),
     "numbered": (CHUNKED, numbered_events),
-    "silent": (HEAD, lambda: iter(lambda: time.sleep(9.0), 0)),
     "large": (CHUNKED, block(chunk(b"x" * BLOCK_BYTES))),
     "body": (HEAD + b"\r\n", block(b"x")),
     "line": (b"HTTP/1.1 200 OK\r\nX-More: ", block(b"y")),
