Tell what fills the links between VMs

After engines crash, the calls between the VMs of the grown sites go unanswered for seconds, and no log line or metric tells whether links, event loops or handshakes are the cause. Links now count messages and bytes by kind and direction, and the time from queueing to the end of the write.

--- a/savoryspar/gateway/counters.py
+++ b/savoryspar/gateway/counters.py
@@ -1,6 +1,6 @@
 """Prometheus metrics of an entry VM on the users' platform."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 import aioprometheus
 
@@ -14,6 +14,16 @@
     PREFIX + "request_seconds",
     "Time from the request head to the end of the response, by route.",
 )
+LABELLED_GAUGES = {
+    "peer_messages": "Messages to and from peers since the start, by kind and"
+    " direction.",
+    "peer_bytes": "Bytes of these messages.",
+    "peer_delayed_messages": "Messages to peers that were written more than"
+    " 0.1 s after they were queued, by kind.",
+    "stage_queue_pieces": "Pieces waiting in the stage queues of this VM, by"
+    " pool and zone.",
+}
+"""Help text of the gauges with labels by name, without the prefix."""
 GAUGES = {
     "running": "Requests being served.",
     "connections": "Open connections of callers.",
@@ -25,6 +35,11 @@
     " ignored since the start, one for each revision.",
     "store_peer_reads": "Times that peers were asked for the store's contents.",
     "store_behind_seconds": "Time since a peer told a change that is missing.",
+    "peer_links_opened": "Links to peers opened by either side since the"
+    " start.",
+    "peer_links_failed": "Links to peers that this process could not open.",
+    "peer_longest_wait_seconds": "Longest time from queueing a message to a"
+    " peer to the end of its write, since the start.",
     "peers": "Live peers in the view of this process.",
     "backend_connections_opened": "Connections to backend servers opened"
     " since the start.",
@@ -58,10 +73,20 @@
 """Help text by gauge name, without the prefix."""
 
 
+LabelledReader = Callable[[], Iterable[tuple[dict[str, str], float]]]
+"""Returns the labels and the value of each series of a gauge."""
+
+
 class Counters:
     """Counts requests by route and outcome, and renders all metrics."""
 
-    __slots__ = ("_latency", "_readers", "_registry", "_requests")
+    __slots__ = (
+        "_labelled_readers",
+        "_latency",
+        "_readers",
+        "_registry",
+        "_requests",
+    )
 
     def __init__(self, registry: aioprometheus.Registry):
         self._registry = registry
@@ -74,6 +99,9 @@
             registry=registry,
         )
         self._readers: list[tuple[aioprometheus.Gauge, Callable]] = []
+        self._labelled_readers: list[
+            tuple[aioprometheus.Gauge, LabelledReader]
+        ] = []
 
     def count(self, route: str, outcome: str, took_s: float) -> None:
         """Counts a request and records its latency."""
@@ -92,17 +120,35 @@
         )
         self._readers.append((gauge, reader))
 
+    def add_labelled_gauge(self, name: str, reader: LabelledReader) -> None:
+        """Registers a gauge with labels.
+
+        Args:
+            name: A key of ``LABELLED_GAUGES``.
+            reader: Called for each rendering.
+        """
+        gauge = aioprometheus.Gauge(
+            PREFIX + name, LABELLED_GAUGES[name], registry=self._registry
+        )
+        self._labelled_readers.append((gauge, reader))
+
     def render(self) -> tuple[bytes, list[tuple[str, str]]]:
         """Returns the metrics as text with their HTTP headers."""
         for gauge, reader in self._readers:
             gauge.set({}, reader())
+        for gauge, reader in self._labelled_readers:
+            for labels, value in reader():
+                gauge.set(labels, value)
         content, headers = aioprometheus.render(self._registry, ["text/plain"])
         return content, list(headers.items())
 
 
 def descriptions() -> dict[str, str]:
     """Returns the help text of each metric by its full name."""
-    gauges = {PREFIX + name: text for name, text in GAUGES.items()}
+    gauges = {
+        PREFIX + name: text
+        for name, text in {**GAUGES, **LABELLED_GAUGES}.items()
+    }
     return {**dict([REQUESTS_METRIC, LATENCY_METRIC]), **gauges}
 
 
--- a/savoryspar/gateway/node.py
+++ b/savoryspar/gateway/node.py
@@ -29,6 +29,7 @@
     gatherers,
     gathering,
     limiting,
+    peer_traffic,
     placing,
     plain,
     stage_runner,
@@ -85,6 +86,7 @@
         "_limiter",
         "_members",
         "_metrics",
+        "_peer_traffic",
         "_placer",
         "_router",
         "_server",
@@ -146,6 +148,9 @@
             clock,
             section.zone_regions,
         )
+        self._peer_traffic = peer_traffic.new_peer_traffic_log(
+            self._members, self._events, clock
+        )
         self._watch = fleet_watch.FleetWatch(
             section.store_address,
             self._holder,
@@ -207,6 +212,7 @@
             seeds=self._cfg.gateway.seeds,
         )
         self._members.start()
+        self._peer_traffic.start()
         self._limiter.start()
         self._blame.start(
             any(
@@ -389,6 +395,11 @@
             "store_behind_seconds": self._watch.behind_s,
             "store_era": self._watch.era,
             "ignored_entries": lambda: self._watch.ignored.count,
+            "peer_links_opened": lambda: self._members.message_counts.opened,
+            "peer_links_failed": lambda: self._members.message_counts.failed,
+            "peer_longest_wait_seconds": (
+                self._members.message_counts.longest_wait_s
+            ),
             "peers": lambda: len(self._members.view(self._clock()).members),
             "backend_connections_opened": lambda: self._connections.opened,
             "stray_answers": lambda: self._connections.stray_answers,
@@ -415,6 +426,31 @@
         }
         for name, reader in readers.items():
             self._metrics.add_gauge(name, reader)
+        labelled = {
+            "peer_messages": lambda: self._peer_totals(2),
+            "peer_bytes": lambda: self._peer_totals(3),
+            "peer_delayed_messages": lambda: (
+                ({"kind": kind}, counts.delayed)
+                for kind, counts in self._members.message_counts.by_kind.items()
+            ),
+            "stage_queue_pieces": lambda: (
+                ({"pool": pool, "zone": zone}, len(gatherer.queue))
+                for (pool, zone), gatherer in (
+                    self._gatherers.by_pool_and_zone().items()
+                )
+            ),
+        }
+        for name, reader in labelled.items():
+            self._metrics.add_labelled_gauge(name, reader)
+
+    def _peer_totals(
+        self, column: int
+    ) -> Iterable[tuple[dict[str, str], float]]:
+        """Returns a column of the traffic's totals with its labels."""
+        return (
+            ({"kind": row[0], "direction": row[1]}, row[column])
+            for row in self._members.message_counts.totals()
+        )
 
     def _all_gatherers(self) -> Iterable[gathering.Gatherer]:
         return self._gatherers.by_pool_and_zone().values()
--- a/savoryspar/log/catalog.py
+++ b/savoryspar/log/catalog.py
@@ -17,6 +17,7 @@
     "peer gave no limits": "Fetching known rate limits from a peer failed.",
     "part blamed": "A part of prompts was suspected, blocked or cleared.",
     "peer gave no crashes": "Fetching records of crashes from a peer failed.",
+    "peer traffic": "Much was sent to or received from peers, or too slowly.",
     "peer gave no fleet": "Fetching the store's contents from a peer failed.",
     "placer lost": "The VM that places requests for a zone did not answer.",
     "placer not told": "Reporting the outcome of a send to a placer failed.",
--- a/savoryspar/membership/connector.py
+++ b/savoryspar/membership/connector.py
@@ -9,7 +9,14 @@
 from eventlet import event
 
 from savoryspar import decoding, log, tasks
-from savoryspar.membership import exceptions, links, model, opening, tls
+from savoryspar.membership import (
+    exceptions,
+    links,
+    model,
+    opening,
+    tls,
+    traffic,
+)
 
 RETRY_S = 1.0
 DIAL_FALLBACK_S = 1.0
@@ -35,6 +42,7 @@
         links: Open links by incarnation.
         refused_at: When a connection was last refused, by peer address.
         refusals: Number of rejected frames and handshakes by reason.
+        counts: Messages and bytes on all links by kind.
     """
 
     __slots__ = (
@@ -50,6 +58,7 @@
         "_sock",
         "_tried_at",
         "address",
+        "counts",
         "links",
         "refusals",
         "refused_at",
@@ -76,6 +85,7 @@
         self.links: dict[str, links.Link] = {}
         self.refusals: collections.Counter[str] = collections.Counter()
         self.refused_at: dict[str, float] = {}
+        self.counts = traffic.new_traffic()
         self._closed: collections.Counter[str] = collections.Counter()
 
     def start(
@@ -205,6 +215,8 @@
         if link:
             self.refused_at.pop(address, None)
             self._add(link)
+        else:
+            self.counts.failed += 1
         self._dialing.pop(address).send(None)
         if link:
             self._read(link)
@@ -215,6 +227,8 @@
 
     def _add(self, link: links.Link) -> None:
         incarnation = link.peer.incarnation
+        link.traffic = self.counts
+        self.counts.opened += 1
         if self._is_stopped or incarnation == self._own().incarnation:
             link.close()
             return
--- a/savoryspar/membership/links.py
+++ b/savoryspar/membership/links.py
@@ -14,7 +14,13 @@
 from websockets import exceptions as ws_exceptions
 
 from savoryspar import decoding, log
-from savoryspar.membership import exceptions, frames, model, websocket
+from savoryspar.membership import (
+    exceptions,
+    frames,
+    model,
+    traffic,
+    websocket,
+)
 
 logger = log.new_logger("membership")
 
@@ -42,13 +48,15 @@
     Attributes:
         has_started: Whether any byte of it may have been sent.
         is_cancelled: Whether to drop the frame if it has not started.
+        queued_at: When it was queued; monotonic seconds.
     """
 
-    __slots__ = ("body", "has_started", "is_cancelled", "kind")
+    __slots__ = ("body", "has_started", "is_cancelled", "kind", "queued_at")
 
-    def __init__(self, kind: str, body: Any):
+    def __init__(self, kind: str, body: Any, queued_at: float = 0.0):
         self.kind = kind
         self.body = body
+        self.queued_at = queued_at
         self.has_started = False
         self.is_cancelled = False
 
@@ -67,6 +75,7 @@
         unsent: Changed records in the next batch, by incarnation.
         mismatches: Consecutive heartbeats with another view digest.
         is_closed: Whether the link is closed or being closed.
+        traffic: Counts of the process; replaced when the link is added.
     """
 
     __slots__ = (
@@ -86,6 +95,7 @@
         "is_outgoing",
         "mismatches",
         "peer",
+        "traffic",
         "unsent",
         "used_at",
     )
@@ -109,6 +119,7 @@
         self.acknowledged_at = float("-inf")
         self.mismatches = 0
         self.peer: model.Record | None = None
+        self.traffic = traffic.new_traffic()
         self.unsent: dict[str, model.Record] = {}
         self.used_at = time.monotonic()
 
@@ -146,6 +157,7 @@
         raw = self._conn.recv(timeout_s)
         frame = frames.decode(raw)
         self._incoming.accept(frame)
+        self.traffic.record_received(frame, len(raw))
         return frame
 
     def post(self, kind: str, body: Any) -> OutgoingFrame | None:
@@ -155,11 +167,12 @@
             The queued frame, or None if the link is closed or its queue is
             full because the peer reads too slowly.
         """
-        item = OutgoingFrame(kind, body)
+        now = time.monotonic()
+        item = OutgoingFrame(kind, body, now)
         if self.is_closed:
             return None
         if kind != "heartbeat":
-            self.used_at = time.monotonic()
+            self.used_at = now
         try:
             self._outbox.put_nowait(item)
         except queue.Full:
@@ -203,7 +216,7 @@
             self.abort()
 
     def _render(self, heartbeat: Callable[["Link"], Any]) -> OutgoingFrame:
-        item = OutgoingFrame("heartbeat", None)
+        item = OutgoingFrame("heartbeat", None, time.monotonic())
         try:
             item.body = heartbeat(self)
         except Exception as exc:
@@ -223,6 +236,11 @@
             return
         item.has_started = True
         self._transmit(data)
+        self.traffic.record_sent(
+            traffic.kind_of(item.kind, item.body),
+            len(data),
+            time.monotonic() - item.queued_at,
+        )
 
     def _log_failure(self, problem: str, exc: Exception) -> None:
         now = time.monotonic()
--- a/savoryspar/membership/service.py
+++ b/savoryspar/membership/service.py
@@ -21,6 +21,7 @@
     reader,
     table,
     tls,
+    traffic,
     upkeep,
 )
 
@@ -151,6 +152,11 @@
         """Availability zone of this process."""
         return self.records.zone
 
+    @property
+    def message_counts(self) -> traffic.Traffic:
+        """Messages and bytes on all links by kind."""
+        return self.connector.counts
+
     def all_members(self, now: float) -> tuple[model.Record, ...]:
         """Returns the records of this process and of the live members.
 
