List changed verdicts once for many reports of crashes

Each report, question and comparison made a VM derive the verdicts of all parts again, only to log those that changed. It is done once in 0.2 s now. test_changed_verdicts_are_listed_once_for_many_reports fails on the code before.

--- a/savoryspar/gateway/blaming.py
+++ b/savoryspar/gateway/blaming.py
@@ -39,6 +39,8 @@
 """Reports in one message."""
 BROADCASTS_PER_S = 20.0
 """Reports that a VM broadcasts without a reply, in a flood of crashes."""
+LOG_DELAY_S = 0.2
+"""Time for which changes of verdicts are gathered into one check."""
 MAX_AGE_S = 86400.0
 
 
@@ -58,6 +60,7 @@
         "_broadcast_tokens_at",
         "_clock",
         "_events",
+        "_is_log_due",
         "_known",
         "_members",
         "_numbers",
@@ -90,6 +93,7 @@
         self._broadcast_tokens = BROADCASTS_PER_S
         self._broadcast_tokens_at = 0.0
         self._batches = crash_batches.new_crash_batches(self._send_batch)
+        self._is_log_due = False
         # Suspects and blocked parts as of the last log line.
         self._known: dict[tuple[frozenset[str], str], blame.Verdict] = {}
         members.handle(REPORT_KIND, self._serve_report)
@@ -238,7 +242,7 @@
             now = self._clock()
             body = self._encode(reports, now, batch.sound)
             self._members.broadcast(REPORT_KIND, body)
-        self._log_changes(self._clock())
+        self._log_changes_soon()
 
     def _ask_peers(self, reports: Sequence[blame.CrashReport]) -> None:
         """Sends reports to peers, and applies what they know of the parts."""
@@ -334,7 +338,7 @@
         del sender
         now = self._clock()
         self._apply(body, now)
-        self._log_changes(self._clock())
+        self._log_changes_soon()
         parts = frozenset(
             str(part)
             for item in body["reports"]
@@ -404,6 +408,20 @@
         self._broadcast_tokens -= 1.0
         return True
 
+    def _log_changes_soon(self) -> None:
+        """Logs changes once for all messages of a moment.
+
+        Listing the parts whose verdict has changed takes milliseconds while
+        many crashes are known.
+        """
+        if not self._is_log_due:
+            self._is_log_due = True
+            eventlet.spawn_after(LOG_DELAY_S, self._log_due_changes)
+
+    def _log_due_changes(self) -> None:
+        self._is_log_due = False
+        self._log_changes(self._clock())
+
     def _log_changes(self, now: float) -> None:
         """Logs the parts whose verdict has changed."""
         current = {
--- a/tests/gateway/test_crash_traffic.py
+++ b/tests/gateway/test_crash_traffic.py
@@ -4,8 +4,11 @@
 200 streams.
 """
 
+import collections
+
 import testtools
 
+from savoryspar import blame
 from tests.gateway import linked_fleet
 
 ENGINES = 88
@@ -48,3 +51,37 @@
             self.run_for(KNOWN_S)
             sent.append(self.messages("crash_report") - before)
         self.assertLess(sent[1], 2 * sent[0])
+
+    def test_changed_verdicts_are_listed_once_for_many_reports(self):
+        """Guards against event loops that list all verdicts for each report."""
+        self.play(SEED)
+        listed = collections.Counter()
+        for vm in self.fleet.vms:
+            table = vm.blame.table
+            self.patch(
+                vm.blame,
+                "table",
+                _CountingTable(table, listed, vm.incarnation),
+            )
+        self.run_for(KNOWN_S)
+        # One check in 0.2 s, and one of the comparison of records.
+        self.assertLessEqual(max(listed.values()), 6)
+
+
+class _CountingTable:
+    """A table of crashes that counts how often its suspects are listed."""
+
+    def __init__(self, table: blame.CrashTable, listed, name):
+        self._table = table
+        self._listed = listed
+        self._name = name
+
+    def __bool__(self):
+        return bool(self._table)
+
+    def __getattr__(self, name):
+        return getattr(self._table, name)
+
+    def suspects(self, now):
+        self._listed[self._name] += 1
+        return self._table.suspects(now)
