Send broadcasts over the links of the topology only

A broadcast was passed on over every open link. The topology keeps four links to the zone and those of the relays, but a VM has some 40 while it submits stages, places requests and asks peers about crashes; each VM then got each broadcast up to 40 times. This is the second factor that filled the links of the small VMs after many engines crash.

--- a/savoryspar/membership/gossip.py
+++ b/savoryspar/membership/gossip.py
@@ -1,6 +1,6 @@
 """Propagation of records, broadcasts and sheet deltas between peers."""
 
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 from typing import Any
 
 import eventlet
@@ -30,10 +30,24 @@
         self._is_scheduled = False
         self._logger = log.new_logger("membership")
 
-    def flood(self, kind: str, body: Any, source: links.Link | None) -> None:
-        """Sends a frame on all open links except its source."""
-        for link in list(self._connector.links.values()):
-            if link is not source and not link.is_closed:
+    def flood(
+        self,
+        kind: str,
+        body: Any,
+        source: links.Link | None,
+        targets: Collection[str] | None = None,
+    ) -> None:
+        """Sends a frame on open links except its source.
+
+        Args:
+            kind: Type of the frame.
+            body: Body of the frame.
+            source: Link that it arrived on, None for a new one.
+            targets: Peers that it is sent to, all that are linked when None.
+        """
+        for incarnation, link in list(self._connector.links.items()):
+            is_target = targets is None or incarnation in targets
+            if is_target and link is not source and not link.is_closed:
                 link.post(kind, body)
 
     def propagate(
--- a/savoryspar/membership/reader.py
+++ b/savoryspar/membership/reader.py
@@ -154,7 +154,8 @@
 
     def _handle_broadcast(self, link: links.Link, body: Any) -> None:
         if self._calls.handle_broadcast(body):
-            self._gossip.flood("broadcast", body, link)
+            targets = self._upkeep.link_targets(time.monotonic())
+            self._gossip.flood("broadcast", body, link, targets)
 
     def _handle_sheet_delta(self, link: links.Link, body: Any) -> None:
         self.on_sheet_delta(link.peer.incarnation, body)
--- a/savoryspar/membership/service.py
+++ b/savoryspar/membership/service.py
@@ -306,9 +306,14 @@
         self._calls.handle(kind, handler)
 
     def broadcast(self, kind: str, body: Any) -> None:
-        """Floods a small message; each member handles it at most once."""
+        """Floods a small message; each member handles it at most once.
+
+        It goes over the links of the topology only. A process has many more
+        while it sends requests to peers.
+        """
         new = self._calls.new_broadcast(kind, body)
-        self._gossip.flood("broadcast", new, None)
+        targets = self._upkeep.link_targets(time.monotonic())
+        self._gossip.flood("broadcast", new, None, targets)
 
     def publish_fact(self, name: str, body: Any) -> None:
         """Publishes a small fact in the heartbeats inside the zone."""
--- a/tests/gateway/test_crash_traffic.py
+++ b/tests/gateway/test_crash_traffic.py
@@ -42,6 +42,29 @@
     def messages(self, kind):
         return sum(vm.messages[kind] for vm in self.fleet.vms)
 
+    def test_calls_are_answered_while_many_engines_crash(self):
+        """Guards against reports of crashes that fill the links of the fleet.
+
+        Each broken stream was told to all VMs over each open link, and 988
+        calls between VMs were not answered in time.
+        """
+        self.play(SEED)
+        self.run_for(DURATION_S)
+        unanswered = [len(vm.unanswered) for vm in self.fleet.vms]
+        self.assertEqual(0, sum(unanswered))
+
+    def test_all_vms_know_each_crash(self):
+        """Guards against reports that are saved and do not reach a VM."""
+        self.play(SEED)
+        self.run_for(KNOWN_S)
+        known = collections.Counter(
+            server
+            for vm in self.fleet.vms
+            for server in {r.server for r in vm.blame.table.reports()}
+        )
+        self.assertEqual(CRASHED, len(known))
+        self.assertEqual({len(self.fleet.vms)}, {*known.values()})
+
     def test_messages_do_not_grow_with_the_streams(self):
         """Guards against one message for each broken stream and VM."""
         sent = []
