--- a/tests/stages/test_batching.py
+++ b/tests/stages/test_batching.py
@@ -135,6 +135,25 @@
         less_urgent = group("y", pieces=8, objective_at=20.0, deadline_at=30.0)
         self.assertIsNone(refusal_s(queue, less_urgent, 1))
 
+    def test_groups_that_wait_for_memory_do_not_delay_small_results(self):
+        """Guards against refusing small results during a flood of large ones.
+
+        The flood waited for memory and left places in each call, but its share
+        of the calls counted as contested: groups with small results were told
+        four to ten times the time that they took, and refused.
+        """
+        queue = self.queue(
+            *(group(f"r{n}", objective_at=9.0, size=LARGE) for n in range(80))
+        )
+        small = group("small", rank=2, objective_at=1.0)
+        before_s = queue.wait_s(small, ONE, 0.0)
+        for _ in range(30):
+            self.assertEqual(2, len(queue.next_call(0.0, 2.0 * LARGE)))
+        self.assertLessEqual(queue.wait_s(small, ONE, 0.0), before_s)
+        large = group("large", rank=2, objective_at=1.0, size=LARGE)
+        queue.add(large)
+        self.assertGreater(queue.wait_s(large, ONE, 0.0), before_s)
+
     def test_memory_lengthens_the_predicted_wait(self):
         """Guards against predictions that ignore memory as the bottleneck."""
         small = self.queue(*(group(f"r{n}", pieces=4) for n in range(10)))
