Take back the prediction of waits by the calls that were full

The admitted requests with small results that were refused before, but at the cost of the most urgent rank. The pool is short of calls then, so that pieces admitted in addition displace others.

--- a/savoryspar/stages/batching.py
+++ b/savoryspar/stages/batching.py
@@ -9,7 +9,7 @@
 """
 
 import collections
-from collections.abc import Iterable, Iterator, Mapping, Sequence
+from collections.abc import Iterable, Iterator, Sequence
 import math
 
 from savoryspar import fleet
@@ -55,50 +55,6 @@
         self.pace = pace
 
 
-class _Shares:
-    """Recent mean shares of a resource that groups took while others waited.
-
-    Attributes:
-        on_time: Share of the groups that could still meet their objective.
-    """
-
-    __slots__ = ("_by_rank", "on_time")
-
-    def __init__(self) -> None:
-        self._by_rank: dict[int, float] = {}
-        self.on_time = 0.0
-
-    def record(
-        self,
-        amounts: Mapping[tuple[int, bool], float],
-        is_contested: bool,
-    ) -> None:
-        """Updates the shares after a call.
-
-        Args:
-            amounts: What the call took, by rank and whether the group could
-                still meet its objective.
-            is_contested: Whether another group waited for the resource.
-        """
-        total = sum(amounts.values())
-        if not total:
-            return
-        taken: dict[int, float] = dict.fromkeys(self._by_rank, 0.0)
-        on_time = 0.0
-        if is_contested:
-            for (rank, is_on_time), amount in amounts.items():
-                taken[rank] = taken.get(rank, 0.0) + amount / total
-                on_time += is_on_time * amount / total
-        for rank, share in taken.items():
-            known = self._by_rank.get(rank, 0.0)
-            self._by_rank[rank] = known + SHARE_WEIGHT * (share - known)
-        self.on_time += SHARE_WEIGHT * (on_time - self.on_time)
-
-    def above(self, rank: int) -> float:
-        """Returns the share that more urgent ranks took."""
-        return sum(p for other, p in self._by_rank.items() if other < rank)
-
-
 class BatchQueue:
     """Groups that wait for the servers of one stage pool in one zone.
 
@@ -108,13 +64,15 @@
             use.
     """
 
-    __slots__ = ("_call_shares", "_groups", "_room_shares", "hold_s", "pool")
+    __slots__ = ("_groups", "_on_time_share", "_rank_shares", "hold_s", "pool")
 
     def __init__(self, pool: fleet.StagePool):
         self.pool = pool
         self.hold_s = INITIAL_HOLD_S
-        self._call_shares = _Shares()
-        self._room_shares = _Shares()
+        # Recent mean share of calls that each rank took while others waited.
+        self._rank_shares: dict[int, float] = {}
+        # The same share for groups that could still meet their objective.
+        self._on_time_share = 0.0
         # In the order in which they were added. Two groups may have the same
         # request and stage: a caller may send a request again, at any VM.
         self._groups: dict[model.Group, None] = {}
@@ -226,13 +184,9 @@
 
     def record_hold(self, size_bytes: int, hold_s: float) -> None:
         """Updates the mean hold time if the result was large."""
-        if self._is_large(size_bytes):
+        if size_bytes * self.pool.batch > self.pool.room_bytes / 4:
             self.hold_s += HOLD_WEIGHT * (hold_s - self.hold_s)
 
-    def _is_large(self, size_bytes: float) -> bool:
-        """Returns whether calls with such results are short of memory."""
-        return size_bytes * self.pool.batch > self.pool.room_bytes / 4
-
     def call_s(self, pieces: int) -> float:
         """Returns the expected duration of a call."""
         return self.pool.call_s + pieces * self.pool.piece_s
@@ -288,23 +242,18 @@
     def _record_shares(
         self, call: Sequence[tuple[model.Group, model.Piece]], now: float
     ) -> None:
-        """Updates the shares of calls and of memory that groups took.
-
-        A group that waits for memory does not wait for a place in a call: with
-        a small result it would have been in this one.
-        """
+        """Updates the share of calls of each rank while other groups wait."""
         if not call:
             return
-        pieces: collections.Counter[tuple[int, bool]] = collections.Counter()
-        sizes: collections.Counter[tuple[int, bool]] = collections.Counter()
-        for group, _ in call:
-            key = group.rank, self._can_meet_objective(group, now)
-            pieces[key] += 1
-            sizes[key] += group.result_bytes
-        left = self.pool.batch - len(call)
-        waiting = [len(g.waiting) for g in self._groups if g.waiting]
-        self._call_shares.record(pieces, any(n > left for n in waiting))
-        self._room_shares.record(sizes, any(n <= left for n in waiting))
+        is_contested = any(g.waiting for g in self._groups)
+        counts = collections.Counter(group.rank for group, _ in call)
+        in_time = sum(self._can_meet_objective(group, now) for group, _ in call)
+        for rank in self._rank_shares.keys() | counts.keys():
+            share = counts[rank] / len(call) if is_contested else 0.0
+            known = self._rank_shares.get(rank, 0.0)
+            self._rank_shares[rank] = known + SHARE_WEIGHT * (share - known)
+        share = in_time / len(call) if is_contested else 0.0
+        self._on_time_share += SHARE_WEIGHT * (share - self._on_time_share)
 
     def _adjusted_s(
         self, group: model.Group, wait_s: float, now: float
@@ -314,14 +263,12 @@
         A group that will miss its objective gets only the capacity left by
         groups that can still meet theirs.
         """
-        shares = [self._call_shares]
-        if self._is_large(group.result_bytes):
-            shares.append(self._room_shares)
-        taken = max(share.above(group.rank) for share in shares)
+        taken = sum(
+            p for rank, p in self._rank_shares.items() if rank < group.rank
+        )
         taken = min(taken, 1.0 - FAIR_SHARE)
         if now + wait_s / (1.0 - taken) > group.objective_at:
-            on_time = max(share.on_time for share in shares)
-            taken = max(taken, min(on_time, MAX_TAKEN))
+            taken = max(taken, min(self._on_time_share, MAX_TAKEN))
         return wait_s / (1.0 - taken)
 
     def _urgency(self, group: model.Group, now: float) -> tuple:
