Test that reports of crashes reach a zone without its relays

Broadcasts go over the links of the topology only, and cross zones at two relays a zone. With both dead, all other VMs know each crash within 4 s by the questions and the comparison of records.

--- a/tests/gateway/test_crash_traffic.py
+++ b/tests/gateway/test_crash_traffic.py
@@ -9,6 +9,7 @@
 import testtools
 
 from savoryspar import blame
+from savoryspar.membership import topology
 from tests.gateway import linked_fleet
 
 ENGINES = 88
@@ -18,6 +19,8 @@
 DURATION_S = 3.0
 KNOWN_S = 1.0
 """Time after which all VMs know of each crash."""
+COMPARED_S = 4.0
+"""The same with dead relays; VMs compare their records every 2 s."""
 SEED = 1
 
 
@@ -65,6 +68,22 @@
         self.assertEqual(CRASHED, len(known))
         self.assertEqual({len(self.fleet.vms)}, {*known.values()})
 
+    def test_all_vms_know_each_crash_although_relays_die(self):
+        """Guards against a zone that no report reaches.
+
+        Broadcasts cross zones over the links of two relays a zone only.
+        """
+        self.play(SEED, vms_a_zone=8)
+        zone = self.fleet.vms[0].zone
+        names = [vm.incarnation for vm in self.fleet.vms if vm.zone == zone]
+        for name in topology.relays(zone, names):
+            self.fleet.by_incarnation[name].is_dead = True
+        self.run_for(COMPARED_S)
+        live = [vm for vm in self.fleet.vms if not vm.is_dead]
+        self.assertEqual(len(self.fleet.vms) - 2, len(live))
+        servers = [{r.server for r in vm.blame.table.reports()} for vm in live]
+        self.assertEqual([max(servers, key=len)] * len(live), servers)
+
     def test_messages_do_not_grow_with_the_streams(self):
         """Guards against one message for each broken stream and VM."""
         sent = []
