--- a/savoryspar/gateway/blaming.py
+++ b/savoryspar/gateway/blaming.py
@@ -239,8 +239,7 @@
         for reports in batch.chunks(MAX_LISTED):
             if batch.has_suspects:
                 self._ask_peers(reports)
-            now = self._clock()
-            body = self._encode(reports, now, batch.sound)
+            body = self._encode(reports, self._clock(), batch.sound)
             self._members.broadcast(REPORT_KIND, body)
         self._log_changes_soon()
 
--- a/savoryspar/gateway/crash_batches.py
+++ b/savoryspar/gateway/crash_batches.py
@@ -1,7 +1,7 @@
 """Gathers the crashes that a VM observes at the same moment.
 
-When servers crash, all streams on them break within milliseconds. One message
-with all of them costs the fleet as much as one message for each did.
+When servers crash, all streams on them break within milliseconds. A message for
+each of them to each VM would delay the calls that requests wait for.
 """
 
 from collections.abc import Callable, Iterable, Iterator, Sequence
@@ -10,7 +10,7 @@
 import eventlet
 from eventlet import event
 
-from savoryspar import blame
+from savoryspar import blame, decoding, log
 
 GATHER_S = 0.02
 """Time from the first report of a batch to its sending; part of the time after
@@ -44,10 +44,11 @@
 class CrashBatches:
     """The batch that is being gathered; construct with its factory."""
 
-    __slots__ = ("_batch", "_send")
+    __slots__ = ("_batch", "_logger", "_send")
 
     def __init__(self, send: Callable[[Batch], None]):
         self._send = send
+        self._logger = log.new_logger("entry")
         self._batch: Batch | None = None
 
     def add_report(self, report: blame.CrashReport) -> None:
@@ -75,6 +76,12 @@
         batch, self._batch = self._batch, None
         try:
             self._send(batch)
+        except Exception as exc:
+            # The streams of the batch are tried elsewhere all the same.
+            self._logger.error(
+                f"Crash reports not sent. count={len(batch.reports)}"
+                f" {decoding.describe(exc)}"
+            )
         finally:
             batch.sent.send(True)
 
