Bound the time that the frames of one link hold the event loop

A peer that sends pings without end kept a VM busy: 16 KB of them are 2,700 frames, which are decoded and answered one by one between two turns, each answer with a write of its own. Beside 20 such links sound orders took 2.6 s. The bytes of a read now follow the time that the last read took, so that one is handled within a turn, and answers are written together.

It is the relative of the endless answers (docs/incidents/endless-bytes.md) that had no test: links between VMs. test_endless_links_do_not_delay_requests failed on the code before with 2.607 s for pings, bound 0.5 s; the slowest order is 0.09 s in its five shapes now.

--- a/savoryspar/membership/websocket.py
+++ b/savoryspar/membership/websocket.py
@@ -9,6 +9,7 @@
 import collections
 import contextlib
 import socket
+import time
 from typing import Any
 
 import eventlet
@@ -24,8 +25,12 @@
 
 CLOSE_TIMEOUT_S = 0.5
 """Time in which the peer must confirm that the connection is closed."""
-RECEIVE_BYTES = 16384
-"""Most bytes that are handled between two reads."""
+MIN_READ_BYTES = 256
+FIRST_READ_BYTES = 1024
+MAX_READ_BYTES = 16384
+"""Bytes that are handled between two reads. The number follows the time that
+they take, as the smallest frames have six bytes and cost as much as long ones.
+"""
 
 
 class Connection:
@@ -43,6 +48,7 @@
         "_messages",
         "_meter",
         "_protocol",
+        "_read_bytes",
         "_send_timeout_s",
         "_write_lock",
         "socket",
@@ -54,6 +60,7 @@
         sock.settimeout(None)
         self._protocol = protocol
         self._meter = eventloop.ReadMeter()
+        self._read_bytes = FIRST_READ_BYTES
         self._write_lock = semaphore.Semaphore()
         self._messages: collections.deque[bytes] = collections.deque()
         # Parts of a message whose last part has not arrived.
@@ -149,10 +156,12 @@
             data = b"" if self._ended.ready() else self._read()
             if not data:
                 raise EOFError("the peer closed the connection")
+            began_at = time.monotonic()
             self._protocol.receive_data(data)
             received = self._protocol.events_received()
             for item in received:
                 self._handle(item)
+            self._adapt_reads(time.monotonic() - began_at)
             if self._protocol.state is not ws_protocol.State.CONNECTING:
                 self._answer(received)
         except (OSError, EOFError) as exc:
@@ -161,6 +170,16 @@
                 self._protocol.handshake_exc or self._protocol.close_exc
             ) from exc
 
+    def _adapt_reads(self, took_s: float) -> None:
+        """Sets the bytes of the next read by the time that the last ones took.
+
+        One read is then handled within a turn of the event loop.
+        """
+        if took_s > eventloop.TURN_S / 2.0:
+            self._read_bytes = max(MIN_READ_BYTES, self._read_bytes // 4)
+        elif took_s < eventloop.TURN_S / 8.0:
+            self._read_bytes = min(MAX_READ_BYTES, self._read_bytes * 2)
+
     def _read(self) -> bytes:
         self._meter.before_read()
         data = self._receive_bytes()
@@ -170,7 +189,7 @@
     def _receive_bytes(self) -> bytes:
         while True:
             try:
-                return self.socket.recv(RECEIVE_BYTES)
+                return self.socket.recv(self._read_bytes)
             except TimeoutError:
                 # It is the timeout of a write that runs at the same time.
                 continue
@@ -201,12 +220,13 @@
         with self._write_lock:
             self.socket.settimeout(self._send_timeout_s)
             try:
-                for data in self._protocol.data_to_send():
-                    if data:
-                        self.socket.sendall(data)
-                    else:
-                        with contextlib.suppress(OSError):
-                            self.socket.shutdown(socket.SHUT_WR)
+                parts = self._protocol.data_to_send()
+                if data := b"".join(parts):
+                    self.socket.sendall(data)
+                if parts and not parts[-1]:
+                    # An empty part, always the last one, ends the sending.
+                    with contextlib.suppress(OSError):
+                        self.socket.shutdown(socket.SHUT_WR)
             finally:
                 self.socket.settimeout(None)
 
--- a/tests/gateway/endless_peers.py
+++ b/tests/gateway/endless_peers.py
@@ -3,7 +3,8 @@
 Run as a program with ``serve PORT``, it answers each request without end, as
 the last part of its path tells. With ``call PORT COUNT TARGET``, it sends equal
 requests at the same time; those to targets that end with ``/upload`` have a
-body in chunks of one byte. It prints the status and the latency of each answer
+body in chunks of one byte. With ``link PORT COUNT SHAPE``, it sends on links
+between VMs without end. It prints the status and the latency of each answer
 as JSON.
 """
 
@@ -16,6 +17,9 @@
 import threading
 import time
 
+from savoryspar import membership
+from savoryspar.membership import frames
+
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 DEADLINE_S = 2.0
 BLOCK_BYTES = 1 << 16
@@ -23,6 +27,11 @@
 HEAD = b"HTTP/1.1 200 OK\r\n" + SEAL
 CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
 ONE_BYTE = b"1\r\nx\r\n"
+UPGRADE = (
+    b"GET / HTTP/1.1\r\nHost: vm\r\nUpgrade: websocket\r\n"
+    b"Connection: Upgrade\r\nSec-WebSocket-Version: 13\r\n"
+    b"Sec-WebSocket-Key: AAAAAAAAAAAAAAAAAAAAAA==\r\n\r\n"
+)
 UPLOAD = ONE_BYTE * 20000 + b"0\r\n\r\n"
 
 
@@ -155,9 +164,60 @@
     results.append([status, time.monotonic() - started_at])
 
 
+def ws_frame(opcode, data):
+    """Returns a WebSocket frame of a client, masked with zeros."""
+    return bytes([0x80 | opcode, 0x80 | len(data)]) + bytes(4) + data
+
+
+def hello():
+    """Returns the first frame of a link."""
+    own = membership.Record("peer-1", "vm-9", "r1", "z1", "127.0.0.1:1")
+    return ws_frame(2, frames.encode("hello", "peer-1", 1, own.to_body()))
+
+
+LINK_SHAPES = {
+    "head": (b"GET / HTTP/1.1\r\n", block(b"a:b\r\n")),
+    "pings": (UPGRADE, block(ws_frame(9, b""))),
+    "fragments": (UPGRADE, block(ws_frame(0, b"x"))),
+    "linked-pings": (UPGRADE + hello(), block(ws_frame(9, b""))),
+    "linked-frames": (UPGRADE + hello(), block(ws_frame(2, b"x"))),
+}
+"""Bytes that begin a link, and a block that is repeated."""
+
+
+def flood_links(port, count, shape):
+    """Sends on links without end, opened again when they are closed."""
+    ends_at = time.monotonic() + DEADLINE_S
+    threads = [
+        threading.Thread(target=flood_link, args=(port, shape, ends_at))
+        for _ in range(count)
+    ]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    print("[]")
+
+
+def flood_link(port, shape, ends_at):
+    start, more = LINK_SHAPES[shape]
+    while time.monotonic() < ends_at:
+        try:
+            with socket.create_connection(("127.0.0.1", port), 1.0) as sock:
+                sock.settimeout(0.2)
+                sock.sendall(start)
+                while time.monotonic() < ends_at:
+                    sock.sendall(more)
+        except OSError:
+            # The VM has closed the link, or reads it no faster.
+            time.sleep(0.05)
+
+
 def main(command, port, *args):
     if command == "serve":
         serve(int(port))
+    elif command == "link":
+        flood_links(int(port), int(args[0]), args[1])
     else:
         call(int(port), int(args[0]), args[1])
 
--- a/tests/gateway/test_endless_peers.py
+++ b/tests/gateway/test_endless_peers.py
@@ -11,6 +11,7 @@
 from tests.gateway import endless_peers, node_case
 
 CALLERS = 30
+LINKS = 20
 ORDER_INTERVAL_S = 0.1
 FINAL_S = 0.5
 """Time after the timeout of a route in which the final answer is due."""
@@ -111,14 +112,31 @@
     def flood(self, target):
         """Returns what the callers and the sound orders beside them saw."""
         callers = self.start_callers(CALLERS, target)
+        orders = self.send_orders(callers, target.replace("/", "-"))
+        return callers.results(), orders
+
+    def send_orders(self, process, name):
+        """Returns what sound orders saw until a process had ended."""
         orders = []
-        number = 0
-        while callers.is_running:
-            number += 1
-            name = f"{target.replace('/', '-')}-{number}"
-            orders.append(eventlet.spawn(self.order, name))
+        while process.is_running:
+            order = f"{name}-{len(orders) + 1}"
+            orders.append(eventlet.spawn(self.order, order))
             eventlet.sleep(ORDER_INTERVAL_S)
-        return callers.results(), [order.wait() for order in orders]
+        return [order.wait() for order in orders]
+
+    def test_endless_links_do_not_delay_requests(self):
+        """Guards against a VM that is busy with the frames of one peer."""
+        for shape in endless_peers.LINK_SHAPES:
+            links = endless_peers.PeerProcess(
+                "link", str(self.ports["peers"]), str(LINKS), shape
+            )
+            self.addCleanup(links.end)
+            orders = self.send_orders(links, f"link-{shape}")
+            slowest_s = max(took_s for _, took_s in orders)
+            print(f"{shape}: {len(orders)} orders, slowest {slowest_s:.3f} s")
+            self.assertTrue(all(is_served for is_served, _ in orders), shape)
+            self.assertLess(slowest_s, FINAL_S, shape)
+        self.assertLess(self.longest_round_s(), FINAL_S)
 
     def test_endless_bytes_do_not_delay_other_requests(self):
         """Guards against a VM that is busy with the bytes of one peer.
