--- a/tests/gateway/endless_peers.py
+++ b/tests/gateway/endless_peers.py
@@ -22,6 +22,7 @@
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 DEADLINE_S = 2.0
+START_TIMEOUT_S = 20.0
 BLOCK_BYTES = 1 << 16
 SEAL = b"Savoryspar-Seal: s1\r\n"
 HEAD = b"HTTP/1.1 200 OK\r\n" + SEAL
@@ -88,6 +89,21 @@
         """Returns what callers saw, after their end."""
         return json.loads(self._process.stdout.read())
 
+    def await_listening(self, port):
+        """Waits until the process has taken its port.
+
+        Until then another server of the test could choose the same one.
+        """
+        ends_at = time.monotonic() + START_TIMEOUT_S
+        while time.monotonic() < ends_at:
+            try:
+                socket.create_connection(("127.0.0.1", port), 1.0).close()
+            except OSError:
+                time.sleep(0.02)
+            else:
+                return
+        raise TimeoutError(f"port {port} is not served")
+
     def end(self):
         self._process.kill()
         self._process.wait()
--- a/tests/gateway/test_endless_peers.py
+++ b/tests/gateway/test_endless_peers.py
@@ -53,6 +53,7 @@
     def __init__(self):
         (port,) = soak_ports.free_ports(1)
         self.process = endless_peers.PeerProcess("serve", str(port))
+        self.process.await_listening(port)
         self.flood_address = f"127.0.0.1:{port}"
         self.configuration = copy.deepcopy(node_case.CONFIGURATION)
         self.configuration["routes"].append(plain_route("f", "/f/", "flood"))
