Remove what the simulation of a zone counted for trials only

The predicted and actual waits, the calls and a constant were read by scripts of trials that were not kept.

--- a/tests/gateway/stage_zone.py
+++ b/tests/gateway/stage_zone.py
@@ -16,7 +16,6 @@
 
 ENGINE_S = 0.3
 """Time from the last stage to the first event; results are held until then."""
-START_S = 0.05
 POOLS = {
     "schedule": fleet.StagePool(1, 2, 13, 0.15, 0.0099, 76e6, 4.0),
     "roster": fleet.StagePool(1, 2, 51, 0.15, 0.00254, 8.97e6, 4.0),
@@ -92,14 +91,12 @@
 
     Attributes:
         sizes: Size of each stored result, by server and handle.
-        calls: Calls with pieces, by pool.
     """
 
     def __init__(self, time):
         self.availability = backends.new_server_availability()
         self.limiter = Limiter()
         self.sizes = collections.defaultdict(dict)
-        self.calls = collections.Counter()
         self._time = time
         self._numbers = itertools.count()
 
@@ -114,7 +111,6 @@
                 self.sizes[name].pop(handle, None)
             return _answer({})
         entries = items["entries"]
-        self.calls[pool_name] += 1
         self._time.sleep(pool.call_s + pool.piece_s * len(entries))
         return _answer({"entries": [self._run(name, e) for e in entries]})
 
@@ -166,17 +162,12 @@
 
     Attributes:
         outcomes: Requests by kind and outcome: in aim, late, refused, failed.
-        waits: Predicted and actual times of admitted groups, by pool and
-            whether their results are large.
-        refused: Predicted times of refused groups, likewise.
     """
 
     def __init__(self, time, seed, servers):
         self.time = time
         self.rng = random.Random(seed)
         self.outcomes = collections.Counter()
-        self.waits = collections.defaultdict(list)
-        self.refused = collections.defaultdict(list)
         self.connections = Connections(time)
         self.servers = dict(servers)
         self._host = virtual_time.Host()
@@ -264,19 +255,12 @@
 
     def _submit(self, chain, number, ended):
         """Submits a stage; returns whether it was admitted."""
-        group, now = chain.group(number), self.time.now
-        key = group.pool, group.rank, group.result_bytes == LARGE[2]
-        predicted = []
-
-        def done(group, failure):
-            if failure is None:
-                self.waits[key].append((predicted[0], self.time.now - now))
-            ended.put((number, group, failure))
-
-        admission = self.gatherers[group.pool].submit(group, done, now)
-        predicted.append(admission.wait_s)
-        if admission.retry_after_s is not None:
-            self.refused[key].append(admission.wait_s)
+        group = chain.group(number)
+        admission = self.gatherers[group.pool].submit(
+            group,
+            lambda group, failure: ended.put((number, group, failure)),
+            self.time.now,
+        )
         return admission.retry_after_s is None
 
     def _free(self, handles):
