--- a/review/common_2/cases.py
+++ b/review/common_2/cases.py
@@ -115,6 +115,7 @@
         target: str,
         body: bytes = b"",
         deadline_ms: int = 1500,
+        fields: wire.Fields = (),
     ) -> tuple[str, wire.Received]:
         """Sends a request as a consumer does; returns its attempt too."""
         attempt = f"{os.getpid():x}-{next(self._attempts)}"
@@ -128,6 +129,7 @@
                 ("Savoryspar-Attempt-Id", attempt),
                 ("Savoryspar-Key", KEY),
                 ("Savoryspar-Deadline-Ms", str(deadline_ms)),
+                *fields,
             ],
             body,
             deadline_ms / 1000.0 + 0.5,
