--- a/review/common_2/store.py
+++ b/review/common_2/store.py
@@ -31,7 +31,16 @@
             "lease": 0,
         }
         self._items[key] = item
-        self._history.append(item)
+        self._add(item)
+
+    def remove(self, key: str) -> None:
+        """Removes a key."""
+        self.revision = next(self._revisions)
+        self._items.pop(key, None)
+        self._add({"key": key, "revision": self.revision, "deleted": True})
+
+    def _add(self, change: dict[str, Any]) -> None:
+        self._history.append(change)
         self._changed.set()
         self._changed = asyncio.Event()
 
--- a/review/common_2/wire.py
+++ b/review/common_2/wire.py
@@ -74,7 +74,8 @@
         yield data[:-2]
 
 
-async def _read_request(reader: asyncio.StreamReader) -> Request | None:
+async def read_request(reader: asyncio.StreamReader) -> Request | None:
+    """Reads a request with its body; None at the end of the connection."""
     head = await read_head(reader)
     if head is None:
         return None
@@ -87,7 +88,8 @@
     return req
 
 
-async def _write_answer(writer: asyncio.StreamWriter, answer: Answer) -> None:
+async def write_answer(writer: asyncio.StreamWriter, answer: Answer) -> None:
+    """Writes an answer."""
     framing = ("Content-Length", str(len(answer.body)))
     if answer.parts is not None:
         framing = ("Transfer-Encoding", "chunked")
@@ -113,8 +115,8 @@
         with contextlib.suppress(
             OSError, asyncio.IncompleteReadError, asyncio.CancelledError
         ):
-            while (req := await _read_request(reader)) is not None:
-                await _write_answer(writer, await handler(req))
+            while (req := await read_request(reader)) is not None:
+                await write_answer(writer, await handler(req))
         writer.close()
 
     server = await asyncio.start_server(run, host, 0, backlog=1024)
