--- a/review/common_2/vms.py
+++ b/review/common_2/vms.py
@@ -1,9 +1,12 @@
 """Entry VMs, started with the command and the template of the deploy file."""
 
 import asyncio
+import contextlib
 import os
 import pathlib
+import random
 import re
+import resource
 import signal
 import socket
 import subprocess
@@ -27,13 +30,22 @@
     "limits.memory-mb": "300",
 }
 READY_TIMEOUT_S = 40.0
+PORTS = range(20_000, 32_000)
+MAX_FDS = 4100
+"""Descriptors of a machine (``limits.max-fds``)."""
 
 
 def free_port() -> int:
-    """Returns a port that was free a moment ago."""
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()[1]
+    """Returns a port that is free and that no outgoing connection takes.
+
+    Raises:
+        OSError: None was found.
+    """
+    for port in random.sample(PORTS, 200):
+        with contextlib.suppress(OSError), socket.socket() as sock:
+            sock.bind(("127.0.0.1", port))
+            return port
+    raise OSError(f"no free port in {PORTS}")
 
 
 def render(template: str, values: dict[str, str]) -> str:
@@ -118,6 +130,8 @@
                 stdout=log,
                 stderr=subprocess.STDOUT,
             )
+        limits = (MAX_FDS, MAX_FDS)
+        resource.prlimit(self.process.pid, resource.RLIMIT_NOFILE, limits)
 
     def signal(self, number: signal.Signals) -> None:
         """Sends a signal if the process runs."""
