Run the scripts of the review under other limits of descriptors

A VM gets 4,100 descriptors, or what the machine allows. Cases 8 and 9, which need them, end with 2 on a machine that allows fewer.

--- a/review/common_2/vms.py
+++ b/review/common_2/vms.py
@@ -48,6 +48,12 @@
     raise OSError(f"no free port in {PORTS}")
 
 
+def most_descriptors() -> int:
+    """Returns how many descriptors a process of this machine may have."""
+    _, most = resource.getrlimit(resource.RLIMIT_NOFILE)
+    return sys.maxsize if most == resource.RLIM_INFINITY else most
+
+
 def render(template: str, values: dict[str, str]) -> str:
     """Fills in the placeholders and sections that the template uses."""
     zones = "".join(f"{zone}:{region} " for zone, region in REGIONS.items())
@@ -130,8 +136,10 @@
                 stdout=log,
                 stderr=subprocess.STDOUT,
             )
-        limits = (MAX_FDS, MAX_FDS)
-        resource.prlimit(self.process.pid, resource.RLIMIT_NOFILE, limits)
+        count = min(MAX_FDS, most_descriptors())
+        resource.prlimit(
+            self.process.pid, resource.RLIMIT_NOFILE, (count, count)
+        )
 
     def signal(self, number: signal.Signals) -> None:
         """Sends a signal if the process runs."""
