--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,6 +1,7 @@
 """Requests inside the limits are refused with 400 for one long field."""
 
 import asyncio
+import os
 
 from common_2 import cases, engines, vms
 
@@ -53,4 +54,4 @@
 
 
 if __name__ == "__main__":
-    cases.main(run, __file__)
+    cases.main(run, __file__, os.environ.get("TROUBLE", "1") != "0")
--- a/review/common_2/cases.py
+++ b/review/common_2/cases.py
@@ -5,6 +5,7 @@
 import itertools
 import os
 import pathlib
+import signal
 import sys
 import tempfile
 import traceback
@@ -154,26 +155,29 @@
 
 
 async def _run(case: Case, deployment: Deployment) -> int:
+    # A script that is stopped ends what it started, too.
+    loop, task = asyncio.get_running_loop(), asyncio.current_task()
+    loop.add_signal_handler(signal.SIGTERM, task.cancel)
     try:
         return await case(deployment)
     finally:
         deployment.stop()
 
 
-def main(case: Case, path: str) -> None:
+def main(case: Case, path: str, has_trouble: bool) -> None:
     """Runs a case beside its file and exits with its result.
 
     Args:
         case: Returns ``HELD``, ``BROKEN`` or ``NOT_RUN``.
         path: File of the case.
+        has_trouble: Whether the disruption is to happen.
     """
-    has_trouble = os.environ.get("TROUBLE", "1") != "0"
     notes = record.Record(pathlib.Path(path).parent / "record.txt")
     with tempfile.TemporaryDirectory() as folder:
         deployment = Deployment(pathlib.Path(folder), notes, has_trouble)
         try:
             result = asyncio.run(_run(case, deployment))
-        except Exception:
+        except (Exception, asyncio.CancelledError):
             traceback.print_exc()
             for log in sorted(pathlib.Path(folder).glob("*.log")):
                 print(f"{log.name}: {log.read_text()[-500:]}", file=sys.stderr)
